Start with the design, the contracts between packages and the HTTP layer

Cause: the repository is empty and several parts are to be built side by side. Ruled out: generated gRPC code (msgspec serialises attrs classes directly).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of real processes, history checks and measurements."""
--- /dev/null
+++ b/ebonybend/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering between callers and backend servers."""
--- /dev/null
+++ b/ebonybend/errors.py
@@ -0,0 +1,140 @@
+"""The closed list of error kinds and the answer that each one gives."""
+
+from enum import Enum
+from types import MappingProxyType
+
+from attrs import frozen
+
+
+class Outcome(Enum):
+    """What a caller may conclude about whether its request ran."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    BAD_REQUEST = "bad_request"
+
+
+class ErrorKind(Enum):
+    """Every kind of error that a caller or an operator can receive."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BAD_DEADLINE = "bad_deadline"
+    KEY_REQUIRED = "key_required"
+    BAD_KEY = "bad_key"
+    SLOW_CALLER = "slow_caller"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    OVERLOADED = "overloaded"
+    LINK_FULL = "link_full"
+    CAP_REACHED = "cap_reached"
+    REFUSED_BY_RULE = "refused_by_rule"
+    SUSPECT_REFUSED = "suspect_refused"
+    DEADLINE_NOT_RUN = "deadline_not_run"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ANSWER_LOST = "answer_lost"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    KEY_EXPIRED = "key_expired"
+    INVALID_RULES = "invalid_rules"
+    CONFLICT = "conflict"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    CONFIRMATION_TIMEOUT = "confirmation_timeout"
+    BAD_SETTING = "bad_setting"
+    INTERNAL = "internal"
+
+
+@frozen
+class Answer:
+    """How an error kind is answered over HTTP."""
+
+    status: int
+    outcome: Outcome
+    advice: str
+
+
+_RESEND = "The request did not run. It is safe to send it again."
+_RESEND_LATER = (
+    "The request did not run. It is safe to send it again after the retry time."
+)
+_CORRECT = "The request did not run. Correct it before sending it again."
+_CHECK = (
+    "The request may have run. Send it again only under the same key, "
+    "or check its effect by other means."
+)
+
+ANSWERS: MappingProxyType[ErrorKind, Answer] = MappingProxyType(
+    {
+        ErrorKind.BAD_REQUEST: Answer(400, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.UNKNOWN_SERVICE: Answer(404, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.UNKNOWN_PATH: Answer(404, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.HEADERS_TOO_LARGE: Answer(431, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.BAD_DEADLINE: Answer(400, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.KEY_REQUIRED: Answer(428, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.BAD_KEY: Answer(400, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.SLOW_CALLER: Answer(408, Outcome.NOT_RUN, _RESEND),
+        ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, _RESEND),
+        ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.LINK_FULL: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.CAP_REACHED: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.REFUSED_BY_RULE: Answer(403, Outcome.NOT_RUN, _CORRECT),
+        ErrorKind.SUSPECT_REFUSED: Answer(
+            422,
+            Outcome.NOT_RUN,
+            "This request crashed backend servers and is refused. Ask an operator.",
+        ),
+        ErrorKind.DEADLINE_NOT_RUN: Answer(504, Outcome.NOT_RUN, _RESEND),
+        ErrorKind.BACKEND_UNREACHABLE: Answer(502, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.DEADLINE_EXCEEDED: Answer(504, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.ANSWER_LOST: Answer(502, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.ANSWER_NOT_KEPT: Answer(
+            410,
+            Outcome.ANSWERED,
+            "The request ran once. Its answer was too large to be kept.",
+        ),
+        ErrorKind.OUTCOME_UNKNOWN: Answer(502, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.KEY_EXPIRED: Answer(410, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.INVALID_RULES: Answer(422, Outcome.BAD_REQUEST, _CORRECT),
+        ErrorKind.CONFLICT: Answer(
+            412,
+            Outcome.NOT_RUN,
+            "Another change was accepted first. Compare, then apply again.",
+        ),
+        ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.CONFIRMATION_TIMEOUT: Answer(
+            504,
+            Outcome.ANSWERED,
+            "The change is accepted but not confirmed in force everywhere.",
+        ),
+        ErrorKind.BAD_SETTING: Answer(500, Outcome.NOT_RUN, _CORRECT),
+        ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, _CHECK),
+    }
+)
+
+
+class SteeringError(Exception):
+    """An error of a kind from the closed list."""
+
+    def __init__(
+        self, kind: ErrorKind, message: str, retry_after_ms: int | None = None
+    ):
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def answer(self) -> Answer:
+        """Return the answer that this error's kind gives."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/ebonybend/http_server.py
@@ -0,0 +1,318 @@
+"""An HTTP server with limits, where every refusal has a kind from the closed list."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from attrs import field, frozen
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+from twisted.web.http import HTTPChannel
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+from ebonybend.codec import to_json
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.logs import get_logger
+
+DEFAULT_RETRY_AFTER_MS = 100
+
+
+@frozen
+class HttpLimits:
+    """Limits that protect a listening port."""
+
+    max_body_bytes: int = 1 << 20
+    max_header_bytes: int = 16 << 10
+    max_connections: int = 2000
+    # Time from a request's first byte to its last.
+    receive_timeout_s: float = 5.0
+    idle_timeout_s: float = 30.0
+
+
+@frozen
+class IncomingRequest:
+    """A request that was received whole."""
+
+    method: str
+    path: str
+    query: Mapping[bytes, list[bytes]]
+    body: bytes
+    raw: Any
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value, or None."""
+        return self.raw.getHeader(name)
+
+    def argument(self, name: str) -> str | None:
+        """Return the first value of a query argument, or None."""
+        values = self.query.get(name.encode())
+        return values[0].decode("utf-8", "replace") if values else None
+
+
+@frozen
+class OutgoingAnswer:
+    """An answer to send."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: Mapping[str, str] = field(factory=dict)
+
+
+Handler = Callable[[IncomingRequest], Awaitable[OutgoingAnswer]]
+
+
+@frozen
+class ErrorBody:
+    """The JSON body of every refusal."""
+
+    kind: str
+    outcome: str
+    message: str
+    advice: str
+    request_id: str | None = None
+    retry_after_ms: int | None = None
+
+
+def json_answer(
+    value: Any, status: int = 200, headers: Mapping[str, str] | None = None
+) -> OutgoingAnswer:
+    """Return a value as a JSON answer."""
+    merged = {"Content-Type": "application/json", **(headers or {})}
+    return OutgoingAnswer(status, to_json(value), merged)
+
+
+def error_answer(error: SteeringError, request_id: str | None = None) -> OutgoingAnswer:
+    """Return the answer that an error's kind gives."""
+    answer = error.answer
+    retry_after = error.retry_after_ms
+    if retry_after is None and answer.status == 503:
+        retry_after = DEFAULT_RETRY_AFTER_MS
+    headers = {
+        "Ebonybend-Error": error.kind.value,
+        "Ebonybend-Outcome": answer.outcome.value,
+    }
+    if request_id is not None:
+        headers["Request-Id"] = request_id
+    if retry_after is not None:
+        headers["Retry-After-Ms"] = str(retry_after)
+    body = ErrorBody(
+        error.kind.value,
+        answer.outcome.value,
+        error.message,
+        answer.advice,
+        request_id,
+        retry_after,
+    )
+    return json_answer(body, answer.status, headers)
+
+
+def raw_error(kind: ErrorKind, message: str) -> bytes:
+    """Return a whole HTTP answer for a connection that has no request yet."""
+    answer = error_answer(SteeringError(kind, message))
+    lines = [f"HTTP/1.1 {answer.status} {kind.value}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers.items()]
+    lines += [f"Content-Length: {len(answer.body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode() + answer.body
+
+
+class _Request(Request):
+    """A request that is passed to the site's handler once it is whole."""
+
+    received = 0
+
+    def gotLength(self, length: int | None) -> None:
+        limit = self.channel.site.limits.max_body_bytes
+        if length is not None and length > limit:
+            self.channel.refuse(
+                ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes is over {limit}"
+            )
+        super().gotLength(min(length or 0, limit) if length is not None else None)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        self.received += len(data)
+        limit = self.channel.site.limits.max_body_bytes
+        if self.received > limit:
+            self.channel.refuse(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes")
+            return
+        super().handleContentChunk(data)
+
+    def process(self) -> None:
+        self.channel.request_received()
+        if self.channel.refused:
+            return
+        self.gone = False
+        self.notifyFinish().addErrback(self._caller_gone)
+        Deferred.fromCoroutine(self._answer())
+
+    def _caller_gone(self, _reason: Any) -> None:
+        self.gone = True
+
+    async def _answer(self) -> None:
+        try:
+            path = self.path.decode("ascii")
+            incoming = IncomingRequest(
+                self.method.decode("ascii"),
+                path,
+                self.args,
+                self.content.read(),
+                self,
+            )
+            answer = await self.channel.site.handler(incoming)
+        except SteeringError as error:
+            answer = error_answer(error)
+        except UnicodeDecodeError:
+            answer = error_answer(
+                SteeringError(ErrorKind.BAD_REQUEST, "method or path is not ASCII")
+            )
+        except Exception as error:
+            get_logger().exception("request_failed", error=repr(error))
+            answer = error_answer(SteeringError(ErrorKind.INTERNAL, "internal error"))
+        self.send(answer)
+
+    def send(self, answer: OutgoingAnswer) -> None:
+        """Write an answer unless the caller has gone."""
+        if self.gone:
+            return
+        self.setResponseCode(answer.status)
+        for name, value in answer.headers.items():
+            self.responseHeaders.setRawHeaders(name, [value])
+        self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
+        if self.channel.site.closing:
+            self.responseHeaders.setRawHeaders("Connection", ["close"])
+        if self.method != b"HEAD":
+            self.write(answer.body)
+        self.finish()
+
+
+class _Channel(HTTPChannel):
+    """A connection that limits the size and the time of a request."""
+
+    refused = False
+    receive_timer: Any = None
+    header_bytes = 0
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.site.connections += 1
+
+    def connectionLost(self, reason: Any) -> None:
+        self.site.connections -= 1
+        self._stop_timer()
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.refused:
+            return
+        if self.receive_timer is None:
+            self.receive_timer = self.site.reactor.callLater(
+                self.site.limits.receive_timeout_s, self._receive_timeout
+            )
+        super().dataReceived(data)
+
+    def lineReceived(self, line: bytes) -> None:
+        self.header_bytes += len(line)
+        if self.header_bytes > self.site.limits.max_header_bytes:
+            limit = self.site.limits.max_header_bytes
+            self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        limit = self.site.limits.max_header_bytes
+        self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        self.refuse(ErrorKind.BAD_REQUEST, "malformed HTTP request")
+
+    def _receive_timeout(self) -> None:
+        self.receive_timer = None
+        limit = self.site.limits.receive_timeout_s
+        self.refuse(ErrorKind.SLOW_CALLER, f"request not received whole in {limit} s")
+
+    def _stop_timer(self) -> None:
+        if self.receive_timer is not None and self.receive_timer.active():
+            self.receive_timer.cancel()
+        self.receive_timer = None
+
+    def request_received(self) -> None:
+        """Stop the receive timer; the request is whole."""
+        self._stop_timer()
+        self.header_bytes = 0
+
+    def refuse(self, kind: ErrorKind, message: str) -> None:
+        """Answer with an error kind and close the connection."""
+        if self.refused:
+            return
+        self.refused = True
+        self._stop_timer()
+        if self.transport is not None:
+            self.transport.write(raw_error(kind, message))
+            self.transport.loseConnection()
+
+
+class _RefusedConnection(Protocol):
+    """A connection over the limit."""
+
+    def connectionMade(self) -> None:
+        message = "too many connections"
+        self.transport.write(raw_error(ErrorKind.TOO_MANY_CONNECTIONS, message))
+        self.transport.loseConnection()
+
+
+class HttpSite(Site):
+    """A listening site that passes whole requests to one handler."""
+
+    def __init__(self, reactor: Any, handler: Handler, limits: HttpLimits):
+        super().__init__(
+            Resource(),
+            requestFactory=_Request,
+            timeout=limits.idle_timeout_s,
+            reactor=reactor,
+        )
+        self.handler = handler
+        self.limits = limits
+        self.connections = 0
+        # Set while stopping: answers ask the caller to close its connection.
+        self.closing = False
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Accept a connection, or refuse it when too many are open."""
+        if self.connections >= self.limits.max_connections:
+            return _RefusedConnection()
+        channel = _Channel()
+        channel.requestFactory = self.requestFactory
+        channel.site = self
+        channel.factory = self
+        channel.callLater = self.reactor.callLater
+        channel.timeOut = self.timeOut
+        return channel
+
+    def log(self, request: Any) -> None:
+        """Write no access log; the handler logs what it decides."""
+
+
+class Router:
+    """Find a handler by method and path prefix."""
+
+    def __init__(self) -> None:
+        self.routes: list[tuple[str, str, Handler]] = []
+
+    def add(self, method: str, prefix: str, handler: Handler) -> None:
+        """Add a handler; a prefix that ends in "/" matches everything below it."""
+        self.routes.append((method, prefix, handler))
+
+    async def __call__(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer a request by the first route that matches."""
+        known_path = False
+        for method, prefix, handler in self.routes:
+            below = prefix.endswith("/") and request.path.startswith(prefix)
+            if not below and request.path != prefix:
+                continue
+            known_path = True
+            if method in ("*", request.method):
+                return await handler(request)
+        if known_path:
+            raise SteeringError(
+                ErrorKind.METHOD_NOT_ALLOWED, f"{request.method} is not allowed here"
+            )
+        raise SteeringError(ErrorKind.UNKNOWN_PATH, f"no such path: {request.path}")
--- /dev/null
+++ b/ebonybend/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Package peers."""
--- /dev/null
+++ b/ebonybend/world/instance.py
@@ -0,0 +1,23 @@
+"""Entry instances."""
+
+from enum import Enum
+
+from attrs import frozen
+
+
+class LifeState(Enum):
+    """Whether the platform keeps a machine or is taking it away."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen
+class Instance:
+    """An entry instance as the platform lists it."""
+
+    name: str
+    failure_domain: str
+    # Address of the control process's peer port, "ip:port".
+    control_address: str
+    state: LifeState = LifeState.LIVE
