Add the platform stand-in

The daemon and the fleet need an object API with versions, conditional updates, watches and faults. The value of an object is the JSON body of its PUT; an answer is {name, version, value, deleted}. A list whose kind lags reports a version from which a watch misses nothing.

Ruled out: hiding lag by delaying answers, because a lagging list must answer at once with old content.

--- /dev/null
+++ b/standins/command.py
@@ -0,0 +1,84 @@
+"""Flags, listening ports and the main loop that the stand-ins share."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from absl import flags
+from twisted.internet.defer import Deferred
+from twisted.web.http import HTTPChannel
+
+from ebonybend.http_server import Handler, HttpLimits, HttpSite
+from ebonybend.settings import split_address
+
+# The platform accepts values up to 1 MB.
+LIMITS = HttpLimits(max_body_bytes=(1 << 20) + 4096, max_connections=5000)
+LISTEN_BACKLOG = 512
+
+
+class TrackingSite(HttpSite):
+    """A site that can cut the connections that are open."""
+
+    def __init__(self, reactor: Any, handler: Handler, limits: HttpLimits = LIMITS):
+        super().__init__(reactor, handler, limits)
+        self.channels: set[HTTPChannel] = set()
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Accept a connection and remember it until it ends."""
+        channel = super().buildProtocol(addr)
+        self.channels = {x for x in self.channels if x.transport is not None}
+        self.channels.add(channel)
+        return channel
+
+    def cut_all(self) -> None:
+        """Reset every open connection."""
+        for channel in self.channels:
+            cut(channel)
+        self.channels.clear()
+
+
+def cut(channel: Any) -> None:
+    """Reset a connection."""
+    if channel is not None and channel.transport is not None:
+        channel.transport.abortConnection()
+
+
+def listen(reactor: Any, address: str, site: HttpSite) -> Any:
+    """Listen on "ip:port" and return the port."""
+    host, port = split_address(address)
+    return reactor.listenTCP(port, site, backlog=LISTEN_BACKLOG, interface=host)
+
+
+def sleep(reactor: Any, seconds: float) -> Deferred[None]:
+    """Return a Deferred that fires after some seconds."""
+    done: Deferred[None] = Deferred(lambda _: call.cancel())
+    call = reactor.callLater(seconds, done.callback, None)
+    return done
+
+
+def parse_flags(
+    define: Callable[[flags.FlagValues], None], arguments: Sequence[str]
+) -> flags.FlagValues:
+    """Parse the command line; exit with status 2 when it is wrong."""
+    values = flags.FlagValues()
+    define(values)
+    try:
+        rest = values(list(arguments))
+    except flags.Error as error:
+        raise SystemExit(f"error: {error}") from error
+    if len(rest) > 1:
+        raise SystemExit(f"error: unexpected argument {rest[1]!r}")
+    return values
+
+
+def run(reactor: Any, start: Callable[[], Awaitable[None]]) -> None:
+    """Run the reactor until the process is stopped; exit 1 if the start fails."""
+    failures = []
+
+    def failed(failure: Any) -> None:
+        failures.append(failure.getErrorMessage())
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: Deferred.fromCoroutine(start()).addErrback(failed))
+    reactor.run()
+    if failures:
+        raise SystemExit(f"error: {failures[0]}")
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,167 @@
+"""Versioned objects with conditional updates and lists that may lag."""
+
+from collections import deque
+from typing import Any
+
+from attrs import evolve, field, frozen
+from msgspec import Raw
+from twisted.internet.defer import Deferred
+
+KINDS = ("deployment", "instance", "server", "rules", "audit", "clientmap")
+LAGGING_KINDS = ("instance", "server")
+NULL = Raw(b"null")
+
+
+@frozen
+class StoredObject:
+    """One object; the value is JSON."""
+
+    name: str
+    # Store version of the last change, 0 when the object doesn't exist.
+    version: int
+    value: Raw = NULL
+    deleted: bool = False
+
+
+@frozen
+class ObjectList:
+    """The objects of one kind, or those changed since a version."""
+
+    version: int
+    items: tuple[StoredObject, ...]
+
+
+class VersionConflict(Exception):
+    """The expected version is not the object's version."""
+
+    def __init__(self, current: StoredObject):
+        super().__init__(f"object is at version {current.version}")
+        self.current = current
+
+
+@frozen
+class _Pending:
+    """A change that readers don't see yet."""
+
+    due: float
+    change: StoredObject
+
+
+class KindStore:
+    """The objects of one kind: as written, and as readers see them."""
+
+    def __init__(self) -> None:
+        self.written: dict[str, StoredObject] = {}
+        self.visible: dict[str, StoredObject] = {}
+        self.pending: deque[_Pending] = deque()
+        self.watchers: list[Deferred[None]] = []
+
+    def publish(self, now: float) -> None:
+        """Show readers the changes that are due, in the order of writing."""
+        changed = False
+        while self.pending and self.pending[0].due <= now:
+            change = self.pending.popleft().change
+            self.visible[change.name] = change
+            changed = True
+        if not changed:
+            return
+        watchers, self.watchers = self.watchers, []
+        for watcher in watchers:
+            watcher.callback(None)
+
+    def list_version(self, store_version: int) -> int:
+        """Return the version that a reader may watch from without a gap."""
+        if self.pending:
+            return self.pending[0].change.version - 1
+        return store_version
+
+
+@frozen
+class ObjectStore:
+    """All objects under one growing version."""
+
+    reactor: Any
+    kinds: dict[str, KindStore] = field(
+        factory=lambda: {kind: KindStore() for kind in KINDS}
+    )
+    versions: list[int] = field(factory=lambda: [0])
+    lag: dict[str, float] = field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the last change."""
+        return self.versions[0]
+
+    def get(self, kind: str, name: str) -> StoredObject:
+        """Return an object as readers see it; version 0 when there is none."""
+        found = self.kinds[kind].visible.get(name)
+        if found is None or found.deleted:
+            return StoredObject(name, 0)
+        return found
+
+    def list(self, kind: str) -> ObjectList:
+        """Return the existing objects of a kind as readers see them."""
+        store = self.kinds[kind]
+        items = tuple(x for x in store.visible.values() if not x.deleted)
+        return ObjectList(store.list_version(self.version), items)
+
+    def changes(self, kind: str, since: int) -> ObjectList:
+        """Return the objects changed since a version, deleted ones included."""
+        store = self.kinds[kind]
+        items = tuple(x for x in store.visible.values() if x.version > since)
+        return ObjectList(store.list_version(self.version), items)
+
+    def put(
+        self, kind: str, name: str, value: bytes, expected: int | None
+    ) -> StoredObject:
+        """Write an object; raise VersionConflict if the version doesn't match."""
+        return self._write(kind, StoredObject(name, 0, Raw(value)), expected)
+
+    def delete(self, kind: str, name: str, expected: int | None) -> StoredObject:
+        """Delete an object; raise VersionConflict if the version doesn't match."""
+        return self._write(kind, StoredObject(name, 0, deleted=True), expected)
+
+    def _write(
+        self, kind: str, change: StoredObject, expected: int | None
+    ) -> StoredObject:
+        store = self.kinds[kind]
+        current = store.written.get(change.name, StoredObject(change.name, 0))
+        if current.deleted:
+            current = StoredObject(change.name, 0)
+        if expected is not None and expected != current.version:
+            raise VersionConflict(current)
+        self.versions[0] += 1
+        change = evolve(change, version=self.version)
+        store.written[change.name] = change
+        lag = self.lag.get(kind, 0.0)
+        now = self.reactor.seconds()
+        store.pending.append(_Pending(now + lag, change))
+        if lag > 0:
+            self.reactor.callLater(lag, self._publish, store)
+        store.publish(now)
+        return change
+
+    def _publish(self, store: KindStore) -> None:
+        store.publish(self.reactor.seconds())
+
+    def set_lag(self, seconds: float) -> None:
+        """Set for how long changes of the lists stay invisible."""
+        for kind in LAGGING_KINDS:
+            self.lag[kind] = seconds
+            self._release(self.kinds[kind], seconds)
+
+    def _release(self, store: KindStore, lag: float) -> None:
+        """Bring forward the waiting changes when the lag becomes shorter."""
+        now = self.reactor.seconds()
+        waiting = [_Pending(min(x.due, now + lag), x.change) for x in store.pending]
+        store.pending = deque(waiting)
+        if waiting and lag > 0:
+            self.reactor.callLater(lag, self._publish, store)
+        store.publish(now)
+
+    def changed(self, kind: str) -> Deferred[None]:
+        """Return a Deferred that fires at the next visible change of a kind."""
+        watchers = self.kinds[kind].watchers
+        watcher: Deferred[None] = Deferred(lambda x: watchers.remove(x))
+        watchers.append(watcher)
+        return watcher
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,255 @@
+"""Serve the platform's object API, with faults on request."""
+
+import sys
+from typing import Any, Literal
+
+from absl import flags
+from attrs import define, field, frozen
+from msgspec import DecodeError, json
+from twisted.internet.defer import CancelledError, Deferred
+
+from ebonybend.codec import from_json
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_server import (
+    IncomingRequest,
+    OutgoingAnswer,
+    Router,
+    json_answer,
+)
+from standins.command import TrackingSite, cut, listen, parse_flags, run, sleep
+from standins.object_store import KINDS, ObjectList, ObjectStore, VersionConflict
+
+OBJECTS_PATH = "/v1/objects/"
+WATCH_PATH = "/v1/watch/"
+MAX_VALUE_BYTES = 1 << 20
+DEFAULT_WATCH_MS = 10_000
+LONGEST_WATCH_MS = 60_000
+
+
+@frozen
+class PlatformFaults:
+    """The faults in effect; a POST to /faults replaces them all."""
+
+    # "refuse" closes the port and every connection; "hang" answers nothing.
+    down: Literal["no", "refuse", "hang"] = "no"
+    # Delay of every answer.
+    delay_ms: float = 0.0
+    # Apply this many further writes and cut the connection instead of answering.
+    lose_answers: int = 0
+    # Time for which changes of the instance and server lists stay invisible.
+    list_lag_s: float = 0.0
+
+
+@define
+class CallCounts:
+    """Calls received; a waiting watch counts as one read."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    peak_reads_per_second: int = 0
+    peak_writes_per_second: int = 0
+    seconds: dict[int, list[int]] = field(factory=dict)
+
+    def count(self, second: int, write: bool) -> None:
+        """Count one call in a second of the clock."""
+        now = self.seconds.setdefault(second, [0, 0])
+        if write:
+            self.writes += 1
+            now[1] += 1
+            self.peak_writes_per_second = max(self.peak_writes_per_second, now[1])
+        else:
+            self.reads += 1
+            now[0] += 1
+            self.peak_reads_per_second = max(self.peak_reads_per_second, now[0])
+
+
+class Platform:
+    """The object API and its faults."""
+
+    def __init__(self, reactor: Any, address: str):
+        self.reactor = reactor
+        self.address = address
+        self.store = ObjectStore(reactor)
+        self.faults = PlatformFaults()
+        self.lose_answers = 0
+        self.counts = CallCounts()
+        self.hanging: list[Deferred[None]] = []
+        self.site = TrackingSite(reactor, self.handle)
+        self.port: Any = None
+
+    async def handle(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer one call, with the faults in effect."""
+        write = request.method in ("PUT", "DELETE")
+        self.counts.count(int(self.reactor.seconds()), write)
+        if self.faults.down == "hang":
+            self.hanging.append(Deferred())
+            await self.hanging[-1]
+        if self.faults.delay_ms > 0:
+            await sleep(self.reactor, self.faults.delay_ms / 1000)
+        answer = await self._answer(request)
+        if write and self.lose_answers > 0:
+            self.lose_answers -= 1
+            cut(request.raw.channel)
+        return answer
+
+    async def _answer(self, request: IncomingRequest) -> OutgoingAnswer:
+        if request.path.startswith(WATCH_PATH):
+            return await self._watch(request)
+        if not request.path.startswith(OBJECTS_PATH):
+            raise SteeringError(ErrorKind.UNKNOWN_PATH, request.path)
+        kind, _, name = request.path.removeprefix(OBJECTS_PATH).partition("/")
+        check_kind(kind)
+        if not name and request.method == "GET":
+            return list_answer(self.store.list(kind))
+        if not name:
+            raise SteeringError(ErrorKind.METHOD_NOT_ALLOWED, "a list is read-only")
+        if request.method == "GET":
+            return self._get(kind, name)
+        return self._write(kind, name, request)
+
+    def _get(self, kind: str, name: str) -> OutgoingAnswer:
+        found = self.store.get(kind, name)
+        return json_answer(found, 200 if found.version else 404)
+
+    def _write(self, kind: str, name: str, request: IncomingRequest) -> OutgoingAnswer:
+        expected = expected_version(request)
+        try:
+            if request.method == "PUT":
+                check_value(request.body)
+                written = self.store.put(kind, name, request.body, expected)
+            elif request.method == "DELETE":
+                written = self.store.delete(kind, name, expected)
+            else:
+                raise SteeringError(ErrorKind.METHOD_NOT_ALLOWED, request.method)
+        except VersionConflict as conflict:
+            return json_answer(conflict.current, 412)
+        return json_answer(written)
+
+    async def _watch(self, request: IncomingRequest) -> OutgoingAnswer:
+        kind = request.path.removeprefix(WATCH_PATH)
+        check_kind(kind)
+        self.counts.watches += 1
+        since = int(request.argument("since") or "0")
+        timeout_ms = int(request.argument("timeout_ms") or DEFAULT_WATCH_MS)
+        deadline = self.reactor.seconds() + min(timeout_ms, LONGEST_WATCH_MS) / 1000
+        while not self.store.changes(kind, since).items:
+            left = deadline - self.reactor.seconds()
+            if left <= 0:
+                break
+            await self._change_or_timeout(kind, left, request)
+            if getattr(request.raw, "gone", False):
+                break
+        return list_answer(self.store.changes(kind, since))
+
+    async def _change_or_timeout(
+        self, kind: str, seconds: float, request: IncomingRequest
+    ) -> None:
+        changed = self.store.changed(kind)
+        timer = self.reactor.callLater(seconds, changed.cancel)
+        request.raw.notifyFinish().addErrback(lambda _: changed.cancel())
+        try:
+            await changed
+        except CancelledError:
+            return
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the faults in effect."""
+        self.faults = faults
+        self.lose_answers = faults.lose_answers
+        self.store.set_lag(faults.list_lag_s)
+        if faults.down == "refuse":
+            self._close()
+        else:
+            self.open()
+        if faults.down != "hang":
+            hanging, self.hanging = self.hanging, []
+            for waiting in hanging:
+                waiting.callback(None)
+
+    def open(self) -> None:
+        """Listen for callers."""
+        if self.port is None:
+            self.port = listen(self.reactor, self.address, self.site)
+
+    def _close(self) -> None:
+        if self.port is not None:
+            self.port.stopListening()
+            self.port = None
+        self.site.cut_all()
+
+
+def list_answer(found: ObjectList) -> OutgoingAnswer:
+    """Return a list of objects as an answer."""
+    return json_answer(found)
+
+
+def check_kind(kind: str) -> None:
+    """Raise UNKNOWN_PATH unless the platform has the kind."""
+    if kind not in KINDS:
+        raise SteeringError(ErrorKind.UNKNOWN_PATH, f"no such kind: {kind}")
+
+
+def check_value(value: bytes) -> None:
+    """Raise an error unless the value is JSON of at most 1 MB."""
+    if len(value) > MAX_VALUE_BYTES:
+        raise SteeringError(ErrorKind.BODY_TOO_LARGE, f"{len(value)} bytes")
+    try:
+        json.decode(value)
+    except DecodeError as error:
+        raise SteeringError(ErrorKind.BAD_REQUEST, str(error)) from error
+
+
+def expected_version(request: IncomingRequest) -> int | None:
+    """Return the version in If-Match, or None for an unconditional write."""
+    text = request.header("If-Match")
+    if text is None:
+        return None
+    try:
+        return int(text.strip('"'))
+    except ValueError as error:
+        raise SteeringError(ErrorKind.BAD_REQUEST, f"If-Match: {text}") from error
+
+
+def admin_router(platform: Platform) -> Router:
+    """Return the handler of the admin port."""
+
+    async def post_faults(request: IncomingRequest) -> OutgoingAnswer:
+        platform.set_faults(from_json(request.body, PlatformFaults))
+        return json_answer(platform.faults)
+
+    async def get_counts(_request: IncomingRequest) -> OutgoingAnswer:
+        return json_answer(platform.counts)
+
+    router = Router()
+    router.add("POST", "/faults", post_faults)
+    router.add("GET", "/counts", get_counts)
+    return router
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of the stand-in."""
+    flags.DEFINE_string("listen", "127.0.0.1:7000", "Object API.", flag_values=values)
+    flags.DEFINE_string("faults", "127.0.0.1:7001", "Admin port.", flag_values=values)
+
+
+def main(arguments: list[str]) -> None:
+    """Run the platform stand-in until the process is stopped."""
+    from twisted.internet import reactor
+
+    values = parse_flags(define_flags, arguments)
+
+    async def start() -> None:
+        platform = Platform(reactor, values["listen"].value)
+        platform.open()
+        site = TrackingSite(reactor, admin_router(platform))
+        listen(reactor, values["faults"].value, site)
+
+    run(reactor, start)
+
+
+if __name__ == "__main__":
+    main(sys.argv)
