--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,357 @@
+"""Run a fleet: platform, fault proxy, backend servers and entry instances."""
+
+import signal
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from attrs import evolve, frozen
+
+from bench.addresses import AddressPlan, reserve_fleet
+from bench.deployments import DeploymentPlan
+from bench.http_calls import call, must_call
+from bench.processes import ProcessGroup, ProcessSpec
+from ebonybend.codec import to_json
+from ebonybend.world import BackendServer, Instance, LifeState
+from standins.backend_server import ServerFaults
+from standins.platform import PlatformFaults
+from standins.proxy_rules import ProxyRule
+
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+ROLES = ("entry", "control")
+SEEDS_PER_CONTROL = 3
+
+
+@frozen(kw_only=True)
+class FleetOptions:
+    """What runs and how it is set."""
+
+    # Names of the instances that run; None for all.
+    instances: tuple[str, ...] | None = None
+    service_ms: float = 20.0
+    cold_s: float = 1.0
+    server_restart_s: float | None = 1.0
+    # Further flags of every daemon.
+    daemon_flags: tuple[str, ...] = ()
+    # Directory for logs and histories; None for a temporary one.
+    directory: Path | None = None
+
+
+@frozen
+class FleetEvent:
+    """Something that was done to the fleet."""
+
+    # Seconds of the machine's monotonic clock.
+    at: float
+    event: str
+    name: str
+
+
+class Fleet:
+    """The processes of one deployment on this machine."""
+
+    addresses: AddressPlan
+    processes: ProcessGroup
+
+    def __init__(self, plan: DeploymentPlan, options: FleetOptions | None = None):
+        self.plan = plan
+        self.options = options or FleetOptions()
+        self.stack = ExitStack()
+        self.events: list[FleetEvent] = []
+        self.faults: dict[str, ProxyRule] = {}
+        self.directory = Path()
+
+    def __enter__(self) -> "Fleet":
+        with ExitStack() as stack:
+            number, lock = reserve_fleet()
+            stack.callback(lock.close)
+            self.addresses = AddressPlan(number, self.plan)
+            self.directory = self.options.directory or Path(
+                stack.enter_context(TemporaryDirectory(prefix="ebonybend-fleet-"))
+            )
+            self.processes = stack.enter_context(ProcessGroup(self.directory))
+            self.stack = stack.pop_all()
+        try:
+            self._start()
+        except BaseException:
+            self.stack.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stack.close()
+
+    @property
+    def instances(self) -> tuple[str, ...]:
+        """Return the names of the instances that run."""
+        return self.options.instances or self.plan.instances
+
+    def note(self, event: str, name: str) -> None:
+        """Record something that was done to the fleet."""
+        self.events.append(FleetEvent(monotonic(), event, name))
+
+    # Start
+
+    def _start(self) -> None:
+        self._start_platform()
+        self._start_proxy()
+        for server in self.plan.servers:
+            self._start_server(server.name)
+        for instance in self.instances:
+            self.start_instance(instance)
+        self.wait_until(self._servers_ready, "backend servers are ready")
+        self.wait_until(self.instances_ready, "instances are ready")
+
+    def _start_platform(self) -> None:
+        self._start_process(
+            "platform",
+            "standins.platform",
+            f"--listen={self.addresses.platform.listen}",
+            f"--faults={self.addresses.platform_faults}",
+        )
+        self.wait_until(
+            lambda: (
+                call("GET", self.addresses.platform_faults, "/counts").status == 200
+            ),
+            "the platform is ready",
+        )
+        self.write_object("deployment", "main", self.plan.deployment)
+        for server in self.plan.servers:
+            self.list_server(server.name, LifeState.LIVE)
+
+    def _platform_ready(self) -> bool:
+        return call("GET", self.addresses.platform_faults, "/counts").status == 200
+
+    def _start_proxy(self) -> None:
+        path = self.directory / "proxy.json"
+        path.write_bytes(to_json(self.addresses.proxy_config()))
+        self._start_process(
+            "proxy",
+            "standins.fault_proxy",
+            f"--faults={self.addresses.proxy_faults}",
+            f"--config={path}",
+        )
+
+    def _start_process(self, name: str, module: str, *arguments: str) -> None:
+        self.processes.start(ProcessSpec(name, module, arguments))
+
+    def _start_server(self, name: str) -> None:
+        server = next(x for x in self.plan.servers if x.name == name)
+        arguments = (
+            f"--name={name}",
+            f"--listen={self.addresses.server(name).listen}",
+            f"--faults={self.addresses.server_faults(name)}",
+            f"--slots={server.slots}",
+            f"--service_ms={self.options.service_ms}",
+            f"--cold_s={self.options.cold_s}",
+            f"--history={self.server_history(name)}",
+        )
+        module = "standins.backend_server"
+        restart = self.options.server_restart_s
+        self.processes.start(ProcessSpec(name, module, arguments, restart))
+
+    def start_instance(self, name: str) -> None:
+        """Start an instance's two processes and list it as live."""
+        self.list_instance(name, LifeState.LIVE)
+        for role in ROLES:
+            arguments = self._daemon_arguments(name, role)
+            spec = ProcessSpec(f"{name}-{role}", "ebonybend.daemon", arguments)
+            self.processes.start(spec)
+
+    def _daemon_arguments(self, name: str, role: str) -> tuple[str, ...]:
+        addresses = self.addresses
+        domain = self.plan.deployment.domain_of_instance(name)
+        public, peer = addresses.public(name), addresses.peer(name)
+        exchange = addresses.exchange(name)
+        return (
+            f"--role={role}",
+            f"--instance={name}",
+            f"--failure_domain={domain.name}",
+            f"--source_address={addresses.instance_host(name)}",
+            f"--control_listen={addresses.control(name)}",
+            f"--public_listen={public.listen}",
+            f"--public_advertise={public.advertise}",
+            f"--peer_listen={peer.listen}",
+            f"--peer_advertise={peer.advertise}",
+            f"--exchange_listen={exchange.listen}",
+            f"--exchange_advertise={exchange.advertise}",
+            f"--admin_listen={addresses.admin(name)}",
+            f"--platform_address={addresses.platform.advertise}",
+            f"--seeds={','.join(self._seeds(name))}",
+            *self.options.daemon_flags,
+        )
+
+    def _seeds(self, name: str) -> tuple[str, ...]:
+        others = [x for x in self.instances if x != name][:SEEDS_PER_CONTROL]
+        return tuple(self.addresses.exchange(x).advertise for x in others)
+
+    # Readiness
+
+    def wait_until(
+        self, done: Callable[[], bool], what: str, timeout_s: float = READY_TIMEOUT_S
+    ) -> float:
+        """Wait until something holds; return the seconds or raise TimeoutError."""
+        started = monotonic()
+        while not done():
+            if monotonic() - started > timeout_s:
+                raise TimeoutError(f"not in {timeout_s:.0f} s: {what}")
+            sleep(POLL_S)
+        return monotonic() - started
+
+    def _servers_ready(self) -> bool:
+        return all(self.server_ready(x.name) for x in self.plan.servers)
+
+    def server_ready(self, name: str) -> bool:
+        """Return whether a backend server answers."""
+        return call("GET", self.addresses.server(name).listen, "/health").status == 200
+
+    def instances_ready(self) -> bool:
+        """Return whether every instance serves callers."""
+        return all(self.instance_ready(name) for name in self.instances)
+
+    def instance_ready(self, name: str) -> bool:
+        """Return whether both processes of an instance are ready."""
+        entry = self.addresses.public(name).listen
+        return all(
+            call("GET", address, "/readyz").status == 200
+            for address in (entry, self.addresses.admin(name))
+        )
+
+    # The platform's lists
+
+    def write_object(self, kind: str, name: str, value: object) -> None:
+        """Write an object as the platform's own machinery does, despite faults."""
+        path = f"/v1/objects/{kind}/{name}"
+        must_call("PUT", self.addresses.platform_faults, path, to_json(value))
+
+    def delete_object(self, kind: str, name: str) -> None:
+        """Delete an object as the platform's own machinery does."""
+        path = f"/v1/objects/{kind}/{name}"
+        must_call("DELETE", self.addresses.platform_faults, path)
+
+    def list_instance(self, name: str, state: LifeState) -> None:
+        """Put an instance on the platform's list."""
+        domain = self.plan.deployment.domain_of_instance(name)
+        address = self.addresses.exchange(name).advertise
+        instance = Instance(name, domain.name, address, state)
+        self.write_object("instance", name, instance)
+
+    def list_server(self, name: str, state: LifeState) -> None:
+        """Put a backend server on the platform's list."""
+        server = next(x for x in self.plan.servers if x.name == name)
+        address = self.addresses.server(name).advertise
+        listed = BackendServer(
+            name,
+            server.service,
+            server.failure_domain,
+            address,
+            server.slots,
+            state=state,
+        )
+        self.write_object("server", name, listed)
+
+    # Disturbances
+
+    def kill_instance(self, name: str) -> None:
+        """End an instance's processes at once."""
+        self.note("kill_instance", name)
+        for role in ROLES:
+            self.processes.kill(f"{name}-{role}")
+
+    def kill_role(self, name: str, role: str) -> None:
+        """End one process of an instance at once."""
+        self.note(f"kill_{role}", name)
+        self.processes.kill(f"{name}-{role}")
+
+    def restart_instance(self, name: str) -> None:
+        """Start an instance again under its name."""
+        self.note("restart_instance", name)
+        self.start_instance(name)
+
+    def pause_instance(self, name: str) -> None:
+        """Stop an instance's processes from running."""
+        self.note("pause_instance", name)
+        for role in ROLES:
+            self.processes.signal(f"{name}-{role}", signal.SIGSTOP)
+
+    def resume_instance(self, name: str) -> None:
+        """Let a paused instance run again."""
+        self.note("resume_instance", name)
+        for role in ROLES:
+            self.processes.signal(f"{name}-{role}", signal.SIGCONT)
+
+    def unlist_instance(self, name: str) -> None:
+        """Take an instance that has gone off the platform's list."""
+        self.note("unlist_instance", name)
+        self.delete_object("instance", name)
+
+    def stop_instance(
+        self, name: str, timeout_s: float = 30.0
+    ) -> dict[str, int | None]:
+        """Stop an instance gracefully; return its processes' exit statuses."""
+        self.note("stop_instance", name)
+        self.list_instance(name, LifeState.LEAVING)
+        names = [f"{name}-{role}" for role in ROLES]
+        for process in names:
+            self.processes.terminate(process)
+        statuses = {x: self.processes.wait(x, timeout_s) for x in names}
+        self.unlist_instance(name)
+        return statuses
+
+    def set_server_faults(self, name: str, faults: ServerFaults) -> None:
+        """Replace a backend server's faults."""
+        must_call("POST", self.addresses.server_faults(name), "/faults", faults)
+
+    def drain_server(self, name: str) -> None:
+        """Let a backend server leave: it drains, and the list has it as leaving."""
+        self.note("drain_server", name)
+        self.set_server_faults(name, ServerFaults(draining=True))
+        self.list_server(name, LifeState.LEAVING)
+
+    def remove_server(self, name: str) -> None:
+        """End a backend server and take it off the platform's list."""
+        self.note("remove_server", name)
+        self.processes.kill(name)
+        self.delete_object("server", name)
+
+    def kill_server(self, name: str) -> None:
+        """End a backend server at once, as a crash: it starts again after a delay."""
+        self.note("kill_server", name)
+        self.processes.signal(name, signal.SIGKILL)
+
+    def set_platform_faults(self, faults: PlatformFaults) -> None:
+        """Replace the platform's faults."""
+        self.note("platform_faults", str(faults))
+        must_call("POST", self.addresses.platform_faults, "/faults", faults)
+
+    def add_proxy_rules(self, *rules: ProxyRule) -> None:
+        """Add faults between addresses; a rule replaces the one of the same name."""
+        for rule in rules:
+            self.note("proxy_rule", rule.name)
+            self.faults[rule.name] = rule
+        self._configure_proxy()
+
+    def clear_proxy_rules(self) -> None:
+        """Remove all faults between addresses."""
+        self.note("proxy_rules_cleared", "")
+        self.faults.clear()
+        self._configure_proxy()
+
+    def _configure_proxy(self) -> None:
+        config = self.addresses.proxy_config()
+        rules = (*config.rules, *self.faults.values())
+        config = evolve(config, rules=rules)
+        must_call("POST", self.addresses.proxy_faults, "/config", config)
+
+    # Records
+
+    def server_history(self, name: str) -> Path:
+        """Return the file of a backend server's history."""
+        return self.directory / f"{name}.history.jsonl"
+
+    def server_histories(self) -> list[Path]:
+        """Return the histories of all backend servers."""
+        return [self.server_history(x.name) for x in self.plan.servers]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -87,13 +87,14 @@
             await self.hanging[-1]
         if self.faults.delay_ms > 0:
             await sleep(self.reactor, self.faults.delay_ms / 1000)
-        answer = await self._answer(request)
+        answer = await self.answer(request)
         if write and self.lose_answers > 0:
             self.lose_answers -= 1
             cut(request.raw.channel)
         return answer
 
-    async def _answer(self, request: IncomingRequest) -> OutgoingAnswer:
+    async def answer(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer one call without faults and uncounted."""
         if request.path.startswith(WATCH_PATH):
             return await self._watch(request)
         if not request.path.startswith(OBJECTS_PATH):
@@ -227,6 +228,8 @@
     router = Router()
     router.add("POST", "/faults", post_faults)
     router.add("GET", "/counts", get_counts)
+    # The platform's own machinery updates its lists while callers see faults.
+    router.add("*", "/v1/", platform.answer)
     return router
 
 
