Add a thin entry process: look-up and forwarding of reads

Cause: other packages integrate against a running entry, so look-up and reads come first, with a table given over gRPC by a control.

The HTTP client now takes a connection by its idle age, read when the connection is taken; the pool's timer alone runs late in a process that was paused. It also gets a mode that uses a new connection for each request. Cancelling a request from outside was reported as a lost connection and cancelling a body failed, because a body's transport has no abortConnection; both are an AnswerTimeout now.

--- /dev/null
+++ b/ebonybend/entry/answers.py
@@ -0,0 +1,51 @@
+"""Turn served answers and errors into HTTP answers, and back."""
+
+from ebonybend.entry.requests import ServedAnswer
+from ebonybend.errors import ANSWERS, ErrorKind, Outcome, SteeringError
+from ebonybend.http_client import HttpAnswer
+from ebonybend.http_server import OutgoingAnswer
+
+ANSWERED = Outcome.ANSWERED.value
+
+
+def outgoing(answer: ServedAnswer, request_id: str) -> OutgoingAnswer:
+    """Return the HTTP answer that passes on a backend server's answer."""
+    headers = {
+        "Ebonybend-Outcome": ANSWERED,
+        "Request-Id": request_id,
+        "Served-By": answer.served_by,
+        "Served-Region": answer.region,
+    }
+    if answer.content_type is not None:
+        headers["Content-Type"] = answer.content_type
+    return OutgoingAnswer(answer.status, answer.body, headers)
+
+
+def from_entry(answer: HttpAnswer) -> ServedAnswer:
+    """Return the answer that another entry passed on; raise what it refused with."""
+    kind = answer.header("Ebonybend-Error")
+    if kind is not None:
+        raise _refusal(answer, kind)
+    if answer.header("Ebonybend-Outcome") != ANSWERED:
+        raise SteeringError(ErrorKind.ANSWER_LOST, "the other entry gave no outcome")
+    return ServedAnswer(
+        answer.status,
+        answer.header("Content-Type"),
+        answer.body,
+        answer.header("Served-By") or "",
+        answer.header("Served-Region") or "",
+    )
+
+
+def _refusal(answer: HttpAnswer, kind_name: str) -> SteeringError:
+    try:
+        kind = ErrorKind(kind_name)
+    except ValueError:
+        kind = ErrorKind.OUTCOME_UNKNOWN
+    stated = answer.header("Ebonybend-Outcome")
+    if stated != ANSWERS[kind].outcome.value:
+        # A kind that doesn't fit its outcome comes from another version.
+        kind = ErrorKind.OUTCOME_UNKNOWN
+    retry_after = answer.header("Retry-After-Ms") or ""
+    wait = int(retry_after) if retry_after.isdigit() else None
+    return SteeringError(kind, f"another entry answered {kind_name}", wait)
--- /dev/null
+++ b/ebonybend/entry/control_client.py
@@ -0,0 +1,127 @@
+"""The client of this instance's control process."""
+
+from asyncio import CancelledError, ensure_future
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from grpc import RpcError
+from grpc.aio import insecure_channel
+from twisted.internet.defer import Deferred, succeed
+
+from ebonybend.codec import pack, unpack
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.logs import get_logger
+from ebonybend.steering.table import (
+    ClientMapRequest,
+    ClientMapShard,
+    EntryReport,
+    TableReply,
+)
+
+EXCHANGE_METHOD = "/ebonybend.Control/Exchange"
+CLIENT_MAP_METHOD = "/ebonybend.Control/ClientMap"
+REPORT_INTERVAL_S = 0.25
+EXCHANGE_TIMEOUT_S = 1.0
+# A table of 520 nodes is larger than gRPC's default limit of 4 MB.
+MAX_MESSAGE_BYTES = 64 << 20
+CHANNEL_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    # The default back-off grows to two minutes, so a restarted control would be
+    # found late.
+    ("grpc.initial_reconnect_backoff_ms", 250),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
+
+
+class ControlClient:
+    """Send reports and hand the replies to a receiver."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        make_report: Callable[[], EntryReport],
+        accept: Callable[[TableReply], None],
+    ):
+        self.reactor = reactor
+        self.address = address
+        self.make_report = make_report
+        self.accept = accept
+        self.channel: Any = None
+        self.reachable = False
+        self._timer: Any = None
+        self._running: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Open the channel and start reporting."""
+        self.channel = insecure_channel(self.address, options=CHANNEL_OPTIONS)
+        self._exchange = self._method(EXCHANGE_METHOD, TableReply)
+        self._client_map = self._method(CLIENT_MAP_METHOD, ClientMapShard)
+        self._tick()
+
+    def _method(self, path: str, reply: type) -> Any:
+        return self.channel.unary_unary(
+            path,
+            request_serializer=pack,
+            response_deserializer=partial(unpack, kind=reply),
+        )
+
+    def stop(self) -> Deferred[Any]:
+        """Stop reporting and close the channel."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self.channel is None:
+            return succeed(None)
+        channel, self.channel = self.channel, None
+        return Deferred.fromFuture(ensure_future(channel.close(None)))
+
+    def _tick(self) -> None:
+        self._timer = self.reactor.callLater(REPORT_INTERVAL_S, self._tick)
+        if self._running is None:
+            self._running = self.report_now()
+            self._running.addBoth(self._finished)
+
+    def _finished(self, _result: Any) -> None:
+        self._running = None
+
+    def report_now(self) -> Deferred[bool]:
+        """Send a report at once; the result tells whether the control took it."""
+        return Deferred.fromCoroutine(self._report())
+
+    async def _report(self) -> bool:
+        if self.channel is None:
+            return False
+        call = self._exchange(self.make_report(), timeout=EXCHANGE_TIMEOUT_S)
+        try:
+            reply = await Deferred.fromFuture(ensure_future(_result(call)))
+        except (RpcError, SteeringError) as error:
+            self._set_reachable(False, repr(error))
+            return False
+        self._set_reachable(True)
+        self.accept(reply)
+        return True
+
+    def _set_reachable(self, reachable: bool, reason: str = "") -> None:
+        if reachable != self.reachable:
+            self.reachable = reachable
+            get_logger().info("control_reachable", reachable=reachable, reason=reason)
+
+    async def fetch_shard(self, version: int, shard: int) -> ClientMapShard | None:
+        """Return a shard of the client map, or None if the control has none."""
+        request = ClientMapRequest(version, shard)
+        call = self._client_map(request, timeout=EXCHANGE_TIMEOUT_S)
+        try:
+            return await Deferred.fromFuture(ensure_future(_result(call)))
+        except (RpcError, SteeringError):
+            return None
+
+
+async def _result(call: Any) -> Any:
+    """Await a call; a call that ends with its channel is an error like any other."""
+    try:
+        return await call
+    except CancelledError as error:
+        raise SteeringError(ErrorKind.INTERNAL, "the channel was closed") from error
--- /dev/null
+++ b/ebonybend/entry/requests.py
@@ -0,0 +1,57 @@
+"""Requests of callers as the entry handles them, and the answers of backend servers."""
+
+from typing import Any
+
+from attrs import define, field, frozen
+
+from ebonybend.logs import get_logger
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
+
+
+@define(eq=False)
+class SteeredRequest:
+    """A checked request on its way to a backend server."""
+
+    service: str
+    method: str
+    # Path and query below the service, starting with "/".
+    path: str
+    body: bytes
+    content_type: str | None
+    # End of the caller's deadline on the process's monotonic clock, in seconds.
+    deadline: float
+    request_id: str
+    key: str | None = None
+    # Set when the caller has closed its connection.
+    caller_gone: bool = False
+    fingerprint: str = ""
+    _log: Any = field(default=None, init=False)
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.method in IDEMPOTENT_METHODS
+
+    @property
+    def log(self) -> Any:
+        """Return the logger that adds the request id to every line."""
+        if self._log is None:
+            self._log = get_logger().bind(
+                request_id=self.request_id, service=self.service, method=self.method
+            )
+        return self._log
+
+
+@frozen
+class ServedAnswer:
+    """A whole answer of a backend server."""
+
+    status: int
+    content_type: str | None
+    body: bytes
+    # Name of the backend server.
+    served_by: str
+    # Region of the backend server.
+    region: str = ""
+    draining: bool = False
--- /dev/null
+++ b/ebonybend/entry/rules_state.py
@@ -0,0 +1,63 @@
+"""The rules in force, grouped by what the forwarder asks."""
+
+from collections.abc import Iterable
+
+from ebonybend.rules.model import (
+    CapRule,
+    DrainRule,
+    PardonRule,
+    RefuseRule,
+    Rule,
+    ShiftRule,
+    WeightsRule,
+)
+
+try:
+    from ebonybend.rules.compile import compile_rules
+except ImportError:
+
+    def compile_rules(text: str, now: float) -> tuple[Rule, ...]:
+        """Return no rules while the compiler is not part of the tree."""
+        return ()
+
+
+class RulesInForce:
+    """The valid rules of one revision."""
+
+    def __init__(self, rules: Iterable[Rule]):
+        self.rules = tuple(rules)
+        self.refusals = self._bodies(RefuseRule)
+        self.pardons = tuple(body.fingerprint for body in self._bodies(PardonRule))
+        self.weights = {body.service: body for body in self._bodies(WeightsRule)}
+        drains = self._bodies(DrainRule)
+        self.drained_instances = frozenset(
+            body.name for body in drains if body.target_kind == "instance"
+        )
+        self.drained_servers = frozenset(
+            body.name for body in drains if body.target_kind == "backend"
+        )
+        self.shifts = tuple(r for r in self.rules if isinstance(r.body, ShiftRule))
+        self.caps = tuple(r for r in self.rules if isinstance(r.body, CapRule))
+        ends = [rule.until for rule in self.rules if rule.until is not None]
+        self.next_end = min(ends, default=None)
+
+    def _bodies(self, kind: type) -> tuple:
+        return tuple(r.body for r in self.rules if isinstance(r.body, kind))
+
+    @classmethod
+    def from_text(cls, text: str, now: float) -> "RulesInForce":
+        """Return the rules of a text that are valid at a wall-clock time in seconds."""
+        return cls(compile_rules(text, now))
+
+    def expired(self, now: float) -> bool:
+        """Tell whether a rule's validity has ended."""
+        return self.next_end is not None and now >= self.next_end
+
+    def refuses(self, service: str, method: str, path: str) -> RefuseRule | None:
+        """Return the rule that refuses a request, or None."""
+        for rule in self.refusals:
+            if rule.service != service or rule.method not in (None, method):
+                continue
+            if path.startswith(rule.path):
+                return rule
+        return None
--- /dev/null
+++ b/ebonybend/entry/table_state.py
@@ -0,0 +1,91 @@
+"""The routing table in force on this entry, and what is derived from it."""
+
+import time
+from collections.abc import Callable
+
+from ebonybend.clock import Clock
+from ebonybend.entry.rules_state import RulesInForce
+from ebonybend.steering.table import InstanceView, ServerView, Table, TableReply
+from ebonybend.world import LifeState
+
+MS = 1000.0
+
+
+class TableState:
+    """Hold the newest table; derived values are built once per table."""
+
+    def __init__(self, own: str, clock: Clock, wall: Callable[[], float] = time.time):
+        self.own = own
+        self.clock = clock
+        self.wall = wall
+        self.table: Table | None = None
+        self.rules = RulesInForce(())
+        self.servers: dict[str, tuple[ServerView, ...]] = {}
+        self.instances: dict[str, InstanceView] = {}
+        self.services: frozenset[str] = frozenset()
+        self.region = ""
+        self.listeners: list[Callable[[Table], None]] = []
+        self._news_at = clock.monotonic()
+
+    def accept(self, reply: TableReply) -> None:
+        """Take a reply of the control; an older table or revision is not taken."""
+        table = reply.table
+        if table is not None and self._is_older(table):
+            return
+        self._news_at = self.clock.monotonic() - reply.age_ms / MS
+        if table is None:
+            return
+        self.table = table
+        self._derive(table)
+        for listener in self.listeners:
+            listener(table)
+
+    def _is_older(self, table: Table) -> bool:
+        old = self.table
+        if old is None:
+            return False
+        if table.rules_revision < old.rules_revision:
+            return True
+        same_control = table.control_incarnation == old.control_incarnation
+        return same_control and table.serial < old.serial
+
+    def _derive(self, table: Table) -> None:
+        self.rules = RulesInForce.from_text(table.rules_text, self.wall())
+        by_service: dict[str, list[ServerView]] = {}
+        for server in table.servers:
+            by_service.setdefault(server.service, []).append(server)
+        self.servers = {name: tuple(views) for name, views in by_service.items()}
+        self.instances = {view.name: view for view in table.instances}
+        self.services = frozenset(s.name for s in table.deployment.services)
+        self.region = self.region_of(table.failure_domain)
+
+    def refresh_rules(self) -> None:
+        """Drop the rules whose validity has ended."""
+        if self.table is not None and self.rules.expired(self.wall()):
+            self.rules = RulesInForce.from_text(self.table.rules_text, self.wall())
+
+    def region_of(self, domain_name: str) -> str:
+        """Return the region of a failure domain, or an empty name."""
+        domain = self.table.deployment.domain(domain_name) if self.table else None
+        return domain.region if domain else ""
+
+    @property
+    def age_ms(self) -> float:
+        """Return the age of the newest news behind the table."""
+        return (self.clock.monotonic() - self._news_at) * MS
+
+    @property
+    def revision(self) -> int:
+        """Return the rules revision in force, or 0 without a table."""
+        return self.table.rules_revision if self.table else 0
+
+    def usable_instances(self, domain: str | None = None) -> tuple[InstanceView, ...]:
+        """Return the ready instances that are not leaving, of one domain or of all."""
+        return tuple(
+            view
+            for view in self.instances.values()
+            if view.ready
+            and view.state is LifeState.LIVE
+            and view.name not in self.rules.drained_instances
+            and (domain is None or view.failure_domain == domain)
+        )
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -1,10 +1,11 @@
 """An HTTP client that tells a request that was not sent from one that may have run."""
 
 from collections.abc import Mapping
+from enum import Enum
 from typing import Any
 
 from attrs import frozen
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, gatherResults, succeed
 from twisted.internet.error import (
     ConnectError,
     ConnectingCancelledError,
@@ -13,12 +14,12 @@
 )
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
+from twisted.web._newclient import RequestNotSent
 from twisted.web.client import (
     Agent,
     HTTPConnectionPool,
     ResponseDone,
     ResponseFailed,
-    ResponseNeverReceived,
 )
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
@@ -27,9 +28,22 @@
 # Shorter than the idle time-out of the servers, so that a connection is not reused
 # while the other side closes it.
 IDLE_CONNECTION_S = 15.0
+# Longest idle age of a connection that carries a request which must not be sent twice.
+# Entries close no connection that was used within the last look-up lifetime, so a
+# younger one can't be closed by the other side while the request is under way.
+RECENT_CONNECTION_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 
 
+class Reuse(Enum):
+    """Which idle connections a request may use."""
+
+    ANY = "any"
+    RECENT = "recent"
+    # A new connection, closed after the answer.
+    NEVER = "never"
+
+
 @frozen
 class HttpAnswer:
     """A whole answer."""
@@ -105,8 +119,9 @@
         self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
 
     def abort(self) -> None:
+        # The transport of a body has no abortConnection.
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
         self.size += len(data)
@@ -130,6 +145,41 @@
             self.done.callback(b"".join(self.chunks))
 
 
+class _AgedPool(HTTPConnectionPool):
+    """Keep idle connections, and use none over a maximal idle age.
+
+    The age is read when a connection is taken, because the timers of a paused process
+    run late.
+    """
+
+    def __init__(self, reactor: Any, max_idle_s: float, connections_per_host: int):
+        super().__init__(reactor, persistent=True)
+        # The pool's own retry would send a request twice.
+        self.retryAutomatically = False
+        self.maxPersistentPerHost = connections_per_host
+        self.cachedConnectionTimeout = max_idle_s
+
+    def getConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:
+        """Return the connection that was used last, or a new one."""
+        connections = self._connections.get(key)
+        while connections:
+            connection = connections.pop()
+            timer = self._timeouts.pop(connection)
+            fresh = timer.getTime() > self._reactor.seconds()
+            timer.cancel()
+            if connection.state != "QUIESCENT":
+                continue
+            if fresh:
+                return succeed(connection)
+            connection.transport.loseConnection()
+        return self._newConnection(key, endpoint)
+
+
+def _was_cancelled(error: ResponseFailed) -> bool:
+    """Tell whether this process itself ended the request."""
+    return any(reason.check(CancelledError) for reason in error.reasons)
+
+
 class HttpClient:
     """Send requests over persistent connections from one source address."""
 
@@ -140,18 +190,21 @@
         connections_per_host: int = 64,
     ):
         self.reactor = reactor
-        self.pool = HTTPConnectionPool(reactor, persistent=True)
-        # The pool's own retry would send a request twice.
-        self.pool.retryAutomatically = False
-        self.pool.maxPersistentPerHost = connections_per_host
-        self.pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         bind = (source_address, 0) if source_address else None
-        self.agent = Agent(
-            reactor,
-            connectTimeout=CONNECT_TIMEOUT_S,
-            bindAddress=bind,
-            pool=self.pool,
-        )
+        self.pools = {
+            Reuse.ANY: _AgedPool(reactor, IDLE_CONNECTION_S, connections_per_host),
+            Reuse.RECENT: _AgedPool(reactor, RECENT_CONNECTION_S, connections_per_host),
+            Reuse.NEVER: HTTPConnectionPool(reactor, persistent=False),
+        }
+        self.agents = {
+            reuse: Agent(
+                reactor,
+                connectTimeout=CONNECT_TIMEOUT_S,
+                bindAddress=bind,
+                pool=pool,
+            )
+            for reuse, pool in self.pools.items()
+        }
 
     async def request(
         self,
@@ -162,11 +215,12 @@
         body: bytes = b"",
         timeout: float = 5.0,
         max_body: int = 1 << 20,
+        reuse: Reuse = Reuse.ANY,
     ) -> HttpAnswer:
         """Return the whole answer, or raise a RequestFailed that says what is known."""
         raw = Headers({name: [value] for name, value in (headers or {}).items()})
         producer = _BytesProducer(body) if body or method == "POST" else None
-        started = self.agent.request(
+        started = self.agents[reuse].request(
             method.encode(), f"http://{address}{path}".encode(), raw, producer
         )
         timer = self.reactor.callLater(timeout, started.cancel)
@@ -180,11 +234,11 @@
             raise NotSent(f"{address} refused the connection", True) from error
         except (ConnectError, DNSLookupError) as error:
             raise NotSent(f"no connection to {address}: {error}") from error
-        except ResponseNeverReceived as error:
-            if not timer.active():
-                raise AnswerTimeout(f"no answer in {timeout:.3f} s") from error
-            raise AnswerLost(f"connection to {address} lost") from error
+        except RequestNotSent as error:
+            raise NotSent(f"connection to {address} was not usable") from error
         except ResponseFailed as error:
+            if _was_cancelled(error):
+                raise AnswerTimeout(f"no answer in {timeout:.3f} s") from error
             raise AnswerLost(f"connection to {address} lost: {error}") from error
         except OSError as error:
             raise NotSent(f"no connection to {address}: {error}") from error
@@ -214,4 +268,6 @@
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
-        return self.pool.closeCachedConnections()
+        return gatherResults(
+            [pool.closeCachedConnections() for pool in self.pools.values()]
+        ).addCallback(lambda _: None)
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -142,3 +142,21 @@
     # Age of the newest news behind the table, in milliseconds.
     age_ms: float = 0.0
     audit: tuple[str, ...] = field(default=())
+
+
+@frozen
+class ClientMapRequest:
+    """Ask for one shard of a version of the client map."""
+
+    version: int
+    shard: int
+
+
+@frozen
+class ClientMapShard:
+    """One shard of the client map."""
+
+    version: int
+    # Number of shards of this version.
+    shards: int
+    body: bytes
