--- a/ebonybend/entry/parsing.py
+++ b/ebonybend/entry/parsing.py
@@ -45,7 +45,7 @@
     ):
         raise SteeringError(
             ErrorKind.BAD_REQUEST,
-            f"Request-Id must be 1 to {MAX_REQUEST_ID_LENGTH} printable ASCII characters",
+            f"Request-Id must be 1 to {MAX_REQUEST_ID_LENGTH} printable ASCII bytes",
         )
     return text
 
--- /dev/null
+++ b/ebonybend/steering/keys.py
@@ -0,0 +1,417 @@
+"""At-most-once registry of idempotency keys, bound to one process incarnation."""
+
+from collections import deque
+from enum import Enum
+
+from attrs import define, evolve, field, frozen
+
+from ebonybend.clock import Clock
+from ebonybend.errors import ErrorKind, SteeringError
+
+EPOCH_S = 60.0
+# Keys of older epochs are not dispatched, and their records are dropped.
+KEPT_EPOCHS = 60
+# Larger answers are not kept: only that the request was answered.
+KEPT_ANSWER_BYTES = 64 << 10
+# Bodies kept by one process; above it the oldest are dropped.
+KEPT_TOTAL_BYTES = 64 << 20
+# About 100 MB of records. Above it new keys are refused, because dropping a record
+# would allow a second dispatch.
+MAX_RECORDS = 200_000
+
+
+@frozen
+class KeyPrefix:
+    """The part of a key that names its owner."""
+
+    instance: str
+    incarnation: int
+    epoch: int
+
+    def __str__(self) -> str:
+        return f"{self.instance}~{self.incarnation}~{self.epoch}"
+
+    @classmethod
+    def parse(cls, key: str) -> "KeyPrefix":
+        """Return the prefix of a key; raise BAD_KEY if it has none."""
+        parts = key.split("~", 3)
+        if len(parts) != 4 or not parts[0] or not parts[3]:
+            raise _bad_key(key)
+        if not _is_number(parts[1]) or not _is_number(parts[2]):
+            raise _bad_key(key)
+        prefix = cls(parts[0], int(parts[1]), int(parts[2]))
+        if not key.startswith(f"{prefix}~"):
+            # Two spellings of one number would make two keys of one.
+            raise _bad_key(key)
+        return prefix
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 18
+
+
+def _bad_key(key: str) -> SteeringError:
+    return SteeringError(
+        ErrorKind.BAD_KEY,
+        f"key {key!r} is not <instance>~<incarnation>~<epoch>~<caller id>",
+    )
+
+
+@frozen
+class StoredAnswer:
+    """An answer that is given again when its request is sent again."""
+
+    # Identifies the request, so that a key can't be used for another one.
+    fingerprint: str
+    status: int
+    content_type: str | None
+    # None when the answer is too large to be kept.
+    body: bytes | None
+    served_by: str
+    region: str = ""
+
+    def within_limit(self) -> "StoredAnswer":
+        """Return the answer without its body if the body is too large."""
+        if self.body is not None and len(self.body) > KEPT_ANSWER_BYTES:
+            return evolve(self, body=None)
+        return self
+
+
+@frozen
+class OutcomeRecord:
+    """A key's final outcome as it is handed to a peer."""
+
+    key: str
+    # None when the outcome is unknown.
+    answer: StoredAnswer | None
+
+
+@frozen
+class SealedIncarnation:
+    """A statement that an incarnation dispatches nothing more."""
+
+    instance: str
+    incarnation: int
+    # Epochs that the records cover, both included.
+    oldest_epoch: int
+    newest_epoch: int
+    # Number of outcome records; a peer that holds fewer can't tell what did not run.
+    outcomes: int
+
+
+class ReservationState(Enum):
+    """What the registry knows about a key."""
+
+    NEW = "new"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    EXPIRED = "expired"
+    NOT_OWNED = "not_owned"
+    # The key's epoch is in the future, so this process did not give it out.
+    NOT_ISSUED = "not_issued"
+    # The key was used for another request.
+    MISMATCH = "mismatch"
+    SEALED = "sealed"
+    FULL = "full"
+
+
+@frozen
+class Reservation:
+    """The registry's answer to a request under a key."""
+
+    state: ReservationState
+    answer: StoredAnswer | None = None
+
+
+class _State(Enum):
+    RESERVED = "reserved"
+    DISPATCHED = "dispatched"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+@define
+class _Record:
+    epoch: int
+    fingerprint: str
+    state: _State = _State.RESERVED
+    answer: StoredAnswer | None = None
+    # Place in the log of final outcomes, or None.
+    logged: int | None = None
+
+
+@frozen
+class FinishedSince:
+    """Outcomes after a mark, and the mark after them."""
+
+    outcomes: tuple[OutcomeRecord, ...]
+    mark: int
+
+
+@define
+class _BodyBudget:
+    """Keep the newest bodies within a total size."""
+
+    sizes: deque[tuple[str, int]] = field(factory=deque)
+    total: int = 0
+
+    def add(self, key: str, size: int) -> list[str]:
+        """Count a body; return the keys whose bodies must be dropped."""
+        self.sizes.append((key, size))
+        self.total += size
+        dropped = []
+        while self.total > KEPT_TOTAL_BYTES:
+            old, old_size = self.sizes.popleft()
+            self.total -= old_size
+            dropped.append(old)
+        return dropped
+
+
+class KeyRegistry:
+    """Allow at most one dispatch per key of one process incarnation."""
+
+    def __init__(self, own: str, incarnation: int, clock: Clock):
+        self.own = own
+        self.incarnation = incarnation
+        self.clock = clock
+        self.started = clock.monotonic()
+        self.sealed = False
+        self._records: dict[str, _Record] = {}
+        self._by_epoch: dict[int, set[str]] = {}
+        self._purged_epoch = 0
+        self._bodies = _BodyBudget()
+        # Keys with a final outcome, by their place in the order of completion.
+        self._log: dict[int, str] = {}
+        self._log_end = 0
+
+    def epoch(self) -> int:
+        """Return the minutes since the start of this process."""
+        return int((self.clock.monotonic() - self.started) / EPOCH_S)
+
+    def prefix(self) -> KeyPrefix:
+        """Return the prefix of keys that are given out now."""
+        return KeyPrefix(self.own, self.incarnation, self.epoch())
+
+    def owns(self, prefix: KeyPrefix) -> bool:
+        """Tell whether this incarnation is the key's owner."""
+        return (prefix.instance, prefix.incarnation) == (self.own, self.incarnation)
+
+    def reserve(self, key: str, fingerprint: str = "") -> Reservation:
+        """Reserve a key for a request, or return what is known about it."""
+        self._purge()
+        prefix = KeyPrefix.parse(key)
+        refusal = self._refusal(prefix)
+        if refusal is not None:
+            return Reservation(refusal)
+        record = self._records.get(key)
+        if record is not None:
+            return self._known(record, fingerprint)
+        if self.sealed:
+            return Reservation(ReservationState.SEALED)
+        if len(self._records) >= MAX_RECORDS:
+            return Reservation(ReservationState.FULL)
+        self._records[key] = _Record(prefix.epoch, fingerprint)
+        self._by_epoch.setdefault(prefix.epoch, set()).add(key)
+        return Reservation(ReservationState.NEW)
+
+    def _refusal(self, prefix: KeyPrefix) -> ReservationState | None:
+        if not self.owns(prefix):
+            return ReservationState.NOT_OWNED
+        epoch = self.epoch()
+        if prefix.epoch > epoch:
+            return ReservationState.NOT_ISSUED
+        if prefix.epoch < epoch - KEPT_EPOCHS:
+            return ReservationState.EXPIRED
+        return None
+
+    def _known(self, record: _Record, fingerprint: str) -> Reservation:
+        if record.fingerprint != fingerprint:
+            return Reservation(ReservationState.MISMATCH)
+        if record.state is _State.FINISHED:
+            return Reservation(ReservationState.FINISHED, record.answer)
+        if record.state is _State.UNKNOWN:
+            return Reservation(ReservationState.UNKNOWN)
+        return Reservation(ReservationState.RUNNING)
+
+    def dispatched(self, key: str) -> bool:
+        """Allow the dispatch of a reserved key; return False if it must not run."""
+        self._purge()
+        record = self._records.get(key)
+        if record is None or record.state is not _State.RESERVED or self.sealed:
+            return False
+        record.state = _State.DISPATCHED
+        return True
+
+    def finished(self, key: str, answer: StoredAnswer) -> None:
+        """Store the answer of a dispatched key."""
+        record = self._records.get(key)
+        if record is None or record.state is not _State.DISPATCHED:
+            return
+        record.state = _State.FINISHED
+        record.answer = answer.within_limit()
+        self._append_log(key, record)
+        if record.answer.body is not None:
+            for old in self._bodies.add(key, len(record.answer.body)):
+                self._drop_body(old)
+
+    def _drop_body(self, key: str) -> None:
+        record = self._records.get(key)
+        if record is not None and record.answer is not None:
+            record.answer = evolve(record.answer, body=None)
+
+    def unknown(self, key: str) -> None:
+        """Record that a dispatched request may have run without an answer."""
+        record = self._records.get(key)
+        if record is not None and record.state is _State.DISPATCHED:
+            record.state = _State.UNKNOWN
+            self._append_log(key, record)
+
+    def _append_log(self, key: str, record: _Record) -> None:
+        record.logged = self._log_end
+        self._log[self._log_end] = key
+        self._log_end += 1
+
+    def not_run(self, key: str) -> None:
+        """Release a key whose request provably did not run."""
+        record = self._records.get(key)
+        if record is None or record.state in (_State.FINISHED, _State.UNKNOWN):
+            return
+        del self._records[key]
+        self._by_epoch[record.epoch].discard(key)
+
+    def finished_since(self, mark: int, most: int = 256) -> FinishedSince:
+        """Return outcomes after a mark, oldest first, at most a number of them."""
+        end = min(mark + most, self._log_end)
+        keys = [self._log[place] for place in range(mark, end) if place in self._log]
+        outcomes = tuple(OutcomeRecord(key, self._records[key].answer) for key in keys)
+        return FinishedSince(outcomes, end)
+
+    def seal(self) -> SealedIncarnation:
+        """Dispatch nothing from now on; what still runs counts as unknown."""
+        self._purge()
+        self.sealed = True
+        for key, record in self._records.items():
+            if record.state is _State.DISPATCHED:
+                record.state = _State.UNKNOWN
+                self._append_log(key, record)
+        epoch = self.epoch()
+        final = sum(r.state is not _State.RESERVED for r in self._records.values())
+        oldest = max(0, epoch - KEPT_EPOCHS)
+        return SealedIncarnation(self.own, self.incarnation, oldest, epoch, final)
+
+    def _purge(self) -> None:
+        """Drop the records of expired epochs."""
+        oldest = self.epoch() - KEPT_EPOCHS
+        if oldest <= self._purged_epoch:
+            return
+        self._purged_epoch = oldest
+        for epoch in [e for e in self._by_epoch if e < oldest]:
+            for key in self._by_epoch.pop(epoch):
+                record = self._records.pop(key)
+                if record.logged is not None:
+                    del self._log[record.logged]
+
+
+class FoundState(Enum):
+    """What a peer knows about a key of another incarnation."""
+
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    # The incarnation is sealed and did not dispatch the key.
+    NOT_RUN = "not_run"
+
+
+@frozen
+class Found:
+    """A peer's knowledge of a key."""
+
+    state: FoundState
+    answer: StoredAnswer | None = None
+
+
+@define
+class _Incarnation:
+    """Outcomes of one process incarnation, with the times of their receipt."""
+
+    outcomes: dict[str, tuple[float, StoredAnswer | None]] = field(factory=dict)
+    sealed: SealedIncarnation | None = None
+    sealed_at: float = 0.0
+
+
+class OutcomeStore:
+    """Outcomes and sealed incarnations received from peers."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self._incarnations: dict[tuple[str, int], _Incarnation] = {}
+        self._bodies = _BodyBudget()
+
+    def add(self, instance: str, incarnation: int, records: tuple) -> None:
+        """Keep the outcomes that an owner replicated."""
+        now = self.clock.monotonic()
+        self._expire(now)
+        owner = self._incarnations.setdefault((instance, incarnation), _Incarnation())
+        for record in records:
+            answer = record.answer.within_limit() if record.answer else None
+            owner.outcomes[record.key] = (now, answer)
+            if answer is not None and answer.body is not None:
+                for old in self._bodies.add(record.key, len(answer.body)):
+                    self._drop_body(old)
+
+    def _drop_body(self, key: str) -> None:
+        prefix = KeyPrefix.parse(key)
+        owner = self._incarnations.get((prefix.instance, prefix.incarnation))
+        if owner is None or key not in owner.outcomes:
+            return
+        received, answer = owner.outcomes[key]
+        if answer is not None:
+            owner.outcomes[key] = (received, evolve(answer, body=None))
+
+    def seal(self, sealed: SealedIncarnation) -> bool:
+        """Take a seal; return False if outcomes that it counts are missing."""
+        name = (sealed.instance, sealed.incarnation)
+        owner = self._incarnations.setdefault(name, _Incarnation())
+        covered = [key for key in owner.outcomes if self._covers(sealed, key)]
+        if len(covered) < sealed.outcomes:
+            return False
+        owner.sealed = sealed
+        owner.sealed_at = self.clock.monotonic()
+        return True
+
+    @staticmethod
+    def _covers(sealed: SealedIncarnation, key: str) -> bool:
+        epoch = KeyPrefix.parse(key).epoch
+        return sealed.oldest_epoch <= epoch <= sealed.newest_epoch
+
+    def find(self, key: str, fingerprint: str = "") -> Found | None:
+        """Return what is known about a key, or None."""
+        self._expire(self.clock.monotonic())
+        prefix = KeyPrefix.parse(key)
+        owner = self._incarnations.get((prefix.instance, prefix.incarnation))
+        if owner is None:
+            return None
+        if key in owner.outcomes:
+            answer = owner.outcomes[key][1]
+            if answer is None or answer.fingerprint != fingerprint:
+                return Found(FoundState.UNKNOWN)
+            return Found(FoundState.FINISHED, answer)
+        if owner.sealed is not None and self._covers(owner.sealed, key):
+            return Found(FoundState.NOT_RUN)
+        return None
+
+    def _expire(self, now: float) -> None:
+        """Drop old outcomes; a seal and its outcomes are dropped together."""
+        keep_s = KEPT_EPOCHS * EPOCH_S
+        for name, owner in list(self._incarnations.items()):
+            if owner.sealed is not None:
+                if now - owner.sealed_at > keep_s:
+                    del self._incarnations[name]
+                continue
+            while owner.outcomes:
+                key = next(iter(owner.outcomes))
+                if now - owner.outcomes[key][0] <= keep_s:
+                    break
+                del owner.outcomes[key]
+            if not owner.outcomes:
+                del self._incarnations[name]
--- /dev/null
+++ b/ebonybend/steering/tests/test_retries.py
@@ -0,0 +1,34 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.clock import ManualClock
+from ebonybend.steering.retries import RetryBudget
+
+
+class RetryBudgetTest(TestWithScenarios, TestCase):
+    """Guards against retries that multiply an overload, and against none at all."""
+
+    scenarios = [
+        ("quiet", {"rate": 0, "seconds": 10, "least": 30, "most": 33}),
+        ("slow", {"rate": 5, "seconds": 10, "least": 30, "most": 38}),
+        ("busy", {"rate": 1000, "seconds": 10, "least": 900, "most": 1033}),
+    ]
+
+    def test_retries_over_time(self):
+        clock = ManualClock()
+        budget = RetryBudget(clock)
+        taken = 0
+        for _ in range(self.seconds * 100):
+            clock.advance(0.01)
+            for _ in range(self.rate // 100):
+                budget.first_attempt()
+            taken += budget.take()
+            taken += budget.take()
+        self.assertGreaterEqual(taken, self.least)
+        self.assertLessEqual(taken, self.most)
+
+    def test_idle_time_does_not_collect(self):
+        clock = ManualClock()
+        budget = RetryBudget(clock)
+        clock.advance(3600.0)
+        self.assertEqual(3, sum(budget.take() for _ in range(10)))
