--- /dev/null
+++ b/ebonybend/steering/choice.py
@@ -0,0 +1,333 @@
+"""Choose a backend server within a failure domain, and a domain for a request."""
+
+from collections.abc import Collection
+from random import Random
+
+from attrs import field, frozen
+
+from ebonybend.clock import Clock
+from ebonybend.steering.admission import Admission
+from ebonybend.steering.freshness import FRESH_MS, age_weight, remote_window_factor
+from ebonybend.steering.table import ServerView
+
+# Weight of a new latency in the moving average; about the last ten requests count.
+LATENCY_GAIN = 0.2
+# Latency that is assumed while no candidate has been measured.
+UNMEASURED_LATENCY_S = 0.02
+# Scores within this factor of the best are drawn from at random, so that the entries
+# of a domain don't all take the same server.
+NEAR_EQUAL = 1.05
+
+# A domain view older than this is used only when no other domain is left.
+LAST_RESORT_MS = 15_000.0
+# Latency that counts as 1 in the score of a domain.
+LATENCY_UNIT_MS = 100.0
+FIRST_WINDOW = 4.0
+LOWEST_WINDOW = 1.0
+HIGHEST_WINDOW = 1000.0
+# One burst of refusals counts once; refusals arrive a round trip after sending, which
+# is up to 110 ms between regions.
+WINDOW_CUT_INTERVAL_S = 0.2
+
+
+@frozen
+class ServerScore:
+    """Why a backend server was or was not chosen; the lowest score is best."""
+
+    server: str
+    score: float
+    in_flight: int
+    limit: int
+    latency_ms: float
+    failures: float
+    # Weight of the server's measurements by their age, 0 to 1.
+    weight: float
+    free: bool
+
+
+class ServerChooser:
+    """Chooses the backend server with the shortest expected wait."""
+
+    def __init__(self, admission: Admission, clock: Clock, random: Random):
+        self.admission = admission
+        self.clock = clock
+        self.random = random
+        # Moving average in seconds and time of the last measurement.
+        self.latencies: dict[str, float] = {}
+        self.observed_at: dict[str, float] = {}
+
+    def observe(self, server: str, latency_s: float) -> None:
+        """Take in the latency of an answer."""
+        known = self.latencies.get(server)
+        if known is None:
+            self.latencies[server] = latency_s
+        else:
+            self.latencies[server] = known + LATENCY_GAIN * (latency_s - known)
+        self.observed_at[server] = self.clock.monotonic()
+
+    def latency_ms(self, server: str) -> float:
+        """Return the average latency of a server, 0 if it was not measured."""
+        return self.latencies.get(server, 0.0) * 1000
+
+    def choose(
+        self, candidates: tuple[ServerView, ...], exclude: Collection[str] = ()
+    ) -> ServerView | None:
+        """Return a server with a free slot, or None if there is none."""
+        free = self._free(candidates, exclude)
+        if not free:
+            return None
+        scored = self._score(free)
+        worst = min(scored)[0] * NEAR_EQUAL
+        near = [index for score, index in scored if score <= worst]
+        pick = near[0]
+        if len(near) > 1:
+            pick = near[int(self.random.random() * len(near))]
+        return free[pick][0]
+
+    def explain(self, candidates: tuple[ServerView, ...]) -> tuple[ServerScore, ...]:
+        """Return the scores of all candidates, best first."""
+        ledger = self.admission.ledger
+        entries = [
+            (server, ledger.in_flight(server.name), self.admission.limit(server.name))
+            for server in candidates
+        ]
+        weights = self._weights(entries)
+        scores = [
+            ServerScore(
+                server=entries[index][0].name,
+                score=score,
+                in_flight=entries[index][1],
+                limit=entries[index][2],
+                latency_ms=self.latency_ms(entries[index][0].name),
+                failures=self.admission.failures(entries[index][0].name),
+                weight=weights[index],
+                free=entries[index][1] < entries[index][2],
+            )
+            for score, index in self._score(entries)
+        ]
+        return tuple(sorted(scores, key=lambda s: (not s.free, s.score)))
+
+    def _free(
+        self, candidates: tuple[ServerView, ...], exclude: Collection[str]
+    ) -> list[tuple[ServerView, int, int]]:
+        """Return the candidates with a free slot, their in-flight count and limit."""
+        limit_of = self.admission.limit
+        in_flight_of = self.admission.ledger.in_flight
+        found = []
+        for server in candidates:
+            name = server.name
+            if name in exclude:
+                continue
+            limit = limit_of(name)
+            if limit == 0:
+                continue
+            in_flight = in_flight_of(name)
+            if in_flight < limit:
+                found.append((server, in_flight, limit))
+        return found
+
+    def _score(
+        self, entries: list[tuple[ServerView, int, int]]
+    ) -> list[tuple[float, int]]:
+        """Return the score and position of each entry."""
+        latencies = self.latencies
+        measured = [
+            latencies[entry[0].name] for entry in entries if entry[0].name in latencies
+        ]
+        # An unmeasured server counts as the fastest, so that it is tried.
+        unmeasured = min(measured, default=UNMEASURED_LATENCY_S)
+        weights = self._weights(entries)
+        scored = []
+        for index, (server, in_flight, limit) in enumerate(entries):
+            name = server.name
+            score = latencies.get(name, unmeasured) * (in_flight + 1) / max(limit, 1)
+            if server.reported_in_flight and server.slots:
+                load = server.reported_in_flight / server.slots
+                score *= 1 + load * age_weight(server.reported_age_ms)
+            score *= 1 + self.admission.failures(name)
+            scored.append((score / weights[index], index))
+        return scored
+
+    def _weights(self, entries: list[tuple[ServerView, int, int]]) -> list[float]:
+        """Return the weight of each server by the age of its measurements."""
+        if all(entry[0].reported_age_ms <= FRESH_MS for entry in entries):
+            return [1.0] * len(entries)
+        now = self.clock.monotonic()
+        weights = [self._weight(entry[0], now) for entry in entries]
+        # When all measurements stop at once, the fault is the observer's.
+        if max(weights) < 1.0:
+            return [1.0] * len(entries)
+        return weights
+
+    def _weight(self, server: ServerView, now: float) -> float:
+        observed_at = self.observed_at.get(server.name)
+        if observed_at is None:
+            return age_weight(server.reported_age_ms)
+        own_age_ms = (now - observed_at) * 1000
+        return age_weight(min(server.reported_age_ms, own_age_ms))
+
+
+@frozen
+class DomainOption:
+    """A failure domain that can answer a service, as last described."""
+
+    domain: str
+    one_way_latency_ms: float
+    service_latency_ms: float
+    slots: int
+    in_flight: int
+    # Use of the link to the domain's region, 0 to 1; 0 inside the own region.
+    link_utilisation: float = 0.0
+    age_ms: float = 0.0
+
+
+@frozen
+class DomainQuery:
+    """A request's service with the domains and weights to choose by."""
+
+    service: str
+    own_domain: str
+    options: tuple[DomainOption, ...]
+    latency_weight: float
+    headroom_weight: float
+    table_age_ms: float = 0.0
+    exclude: frozenset[str] = field(default=frozenset())
+
+
+@frozen
+class DomainScore:
+    """Why a failure domain was or was not chosen; the lowest score is best."""
+
+    domain: str
+    score: float
+    latency_part: float
+    headroom_part: float
+    age_ms: float
+    in_flight: int
+    # Most requests that this entry may have in flight there; 0 for no limit.
+    window: int
+    usable: bool
+    # Why it is not usable, or an empty string.
+    reason: str = ""
+
+
+class DomainWindow:
+    """How many requests an entry may have in flight in another domain."""
+
+    __slots__ = ("size", "in_flight", "cut_at")
+
+    def __init__(self):
+        self.size = FIRST_WINDOW
+        self.in_flight = 0
+        self.cut_at = float("-inf")
+
+
+class DomainChooser:
+    """Chooses the failure domain that answers a request."""
+
+    def __init__(self, clock: Clock, random: Random):
+        self.clock = clock
+        self.random = random
+        self.windows: dict[tuple[str, str], DomainWindow] = {}
+
+    def choose(self, query: DomainQuery) -> DomainScore | None:
+        """Return the best usable domain, or None if there is none."""
+        usable = [s for s in self._scores(query) if s.usable]
+        if not usable:
+            return None
+        return min(usable, key=lambda s: self._order(query, s))
+
+    def explain(self, query: DomainQuery) -> tuple[DomainScore, ...]:
+        """Return the scores of all domains, best first."""
+        scores = self._scores(query)
+        return tuple(sorted(scores, key=lambda s: self._order(query, s)))
+
+    def started(self, domain: str, service: str) -> None:
+        """Count a request that was sent to a domain."""
+        self._window(domain, service).in_flight += 1
+
+    def finished(self, domain: str, service: str) -> None:
+        """Count a request to a domain that ended."""
+        self._window(domain, service).in_flight -= 1
+
+    def admitted(self, domain: str, service: str) -> None:
+        """Raise the window, by one for each windowful of admitted requests."""
+        window = self._window(domain, service)
+        window.size = min(window.size + 1 / window.size, HIGHEST_WINDOW)
+
+    def refused(self, domain: str, service: str) -> None:
+        """Halve the window, once for a burst of refusals."""
+        window = self._window(domain, service)
+        now = self.clock.monotonic()
+        if now - window.cut_at < WINDOW_CUT_INTERVAL_S:
+            return
+        window.size = max(window.size / 2, LOWEST_WINDOW)
+        window.cut_at = now
+
+    def window(self, domain: str, service: str, table_age_ms: float = 0.0) -> int:
+        """Return the most requests that may be in flight in another domain."""
+        size = self._window(domain, service).size
+        return max(1, int(size * remote_window_factor(table_age_ms)))
+
+    def _window(self, domain: str, service: str) -> DomainWindow:
+        key = (domain, service)
+        window = self.windows.get(key)
+        if window is None:
+            window = DomainWindow()
+            self.windows[key] = window
+        return window
+
+    def _order(self, query: DomainQuery, score: DomainScore) -> tuple:
+        """Order by use, age, score; ties go to the own domain, then at random."""
+        return (
+            not score.usable,
+            score.age_ms > LAST_RESORT_MS,
+            score.score,
+            score.domain != query.own_domain,
+            self.random.random(),
+        )
+
+    def _scores(self, query: DomainQuery) -> list[DomainScore]:
+        return [self._score(query, option) for option in query.options]
+
+    def _score(self, query: DomainQuery, option: DomainOption) -> DomainScore:
+        remote = option.domain != query.own_domain
+        state = self._window(option.domain, query.service)
+        window = 0
+        if remote:
+            window = self.window(option.domain, query.service, query.table_age_ms)
+        reason = self._obstacle(query, option, state.in_flight, window)
+        latency_ms = 2 * option.one_way_latency_ms + option.service_latency_ms
+        latency_part = query.latency_weight * latency_ms / LATENCY_UNIT_MS
+        # The view may not show this entry's own requests yet.
+        busy = max(option.in_flight, state.in_flight)
+        utilisation = busy / option.slots if option.slots else 1.0
+        load = utilisation**2 + option.link_utilisation**2
+        headroom_part = query.headroom_weight * load
+        return DomainScore(
+            domain=option.domain,
+            score=(latency_part + headroom_part) / age_weight(option.age_ms),
+            latency_part=latency_part,
+            headroom_part=headroom_part,
+            age_ms=option.age_ms,
+            in_flight=state.in_flight,
+            window=window,
+            usable=not reason,
+            reason=reason,
+        )
+
+    def _obstacle(
+        self, query: DomainQuery, option: DomainOption, in_flight: int, window: int
+    ) -> str:
+        """Return why a domain can't be used, or an empty string."""
+        if option.domain in query.exclude:
+            return "excluded"
+        if option.slots == 0:
+            return "no slots"
+        if not window:
+            return ""
+        if in_flight >= window:
+            return "window full"
+        if option.in_flight >= option.slots and option.age_ms <= FRESH_MS:
+            return "domain full"
+        return ""
--- /dev/null
+++ b/ebonybend/steering/tests/test_choice.py
@@ -0,0 +1,184 @@
+from random import Random
+
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.clock import ManualClock
+from ebonybend.steering import (
+    Admission,
+    DomainChooser,
+    DomainOption,
+    DomainQuery,
+    ServerChooser,
+    ServerResult,
+)
+from ebonybend.steering.table import ServerView
+from ebonybend.steering.tests.test_admission import only_member
+from ebonybend.world import ServerState
+
+SERVERS = tuple(
+    ServerView(f"s{number}", "rides", f"127.0.0.1:{number}", 4, 300, ServerState.READY)
+    for number in range(1, 4)
+)
+
+
+class ServerChooserTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.ledger = only_member(self.clock, {s.name: s.slots for s in SERVERS})
+        self.admission = Admission(self.ledger, self.clock)
+        self.chooser = ServerChooser(self.admission, self.clock, Random(1))
+        for server in SERVERS:
+            self.admission.limit(server.name)
+            self.chooser.observe(server.name, 0.02)
+        self.clock.advance(1.0)
+        self.ledger.tick()
+
+    def picks(self, candidates=SERVERS, count=60):
+        return {self.chooser.choose(candidates).name for _ in range(count)}
+
+    def test_equal_servers_are_all_used(self):
+        """Guards against entries that all choose the same server."""
+        self.assertEqual({"s1", "s2", "s3"}, self.picks())
+
+    def test_slow_server_is_avoided(self):
+        """Guards against a choice that ignores latency."""
+        for _ in range(10):
+            self.chooser.observe("s1", 0.2)
+        self.assertEqual({"s2", "s3"}, self.picks())
+
+    def test_busy_server_is_avoided(self):
+        """Guards against a choice that ignores requests in flight."""
+        self.admission.start("s2")
+        self.assertEqual({"s1", "s3"}, self.picks())
+
+    def test_failing_server_is_avoided_then_tried_again(self):
+        """Guards against a failing server that looks fast, and one never used again."""
+        self.admission.start("s1")
+        self.admission.finish("s1", ServerResult.TIMEOUT, 0.001)
+        self.assertEqual({"s2", "s3"}, self.picks())
+        for _ in range(90):
+            self.clock.advance(0.25)
+            self.ledger.tick()
+        self.assertEqual({"s1", "s2", "s3"}, self.picks())
+
+    def test_reported_load_counts_less_with_age(self):
+        """Guards against a stale report that keeps an idle server unused."""
+        loaded = evolve(SERVERS[0], reported_in_flight=4)
+        self.assertNotIn("s1", self.picks((loaded, *SERVERS[1:])))
+        fresh, stale = (
+            self.chooser.explain((evolve(loaded, reported_age_ms=age_ms),))[0].score
+            for age_ms in (0, 30_000)
+        )
+        self.assertLess(stale, fresh)
+
+    def test_server_without_measurements_loses_weight(self):
+        """Guards against trust in a server whose measurements stopped."""
+        old = evolve(SERVERS[0], reported_age_ms=9000)
+        for _ in range(9):
+            self.clock.advance(1)
+            self.ledger.tick()
+        self.assertEqual({"s2", "s3"}, self.picks((old, *SERVERS[1:])))
+
+    def test_all_measurements_stopped_keeps_the_last_state(self):
+        """Guards against an observer's fault that is blamed on the servers."""
+        for _ in range(9):
+            self.clock.advance(1)
+            self.ledger.tick()
+        ages = zip(SERVERS, (6000, 9000, 30_000), strict=True)
+        old = tuple(evolve(server, reported_age_ms=age) for server, age in ages)
+        self.assertEqual({"s1", "s2", "s3"}, self.picks(old))
+
+    def test_excluded_and_full_servers_are_not_chosen(self):
+        """Guards against a retry on the same server."""
+        for _ in range(4):
+            self.admission.start("s3")
+        self.assertEqual("s2", self.chooser.choose(SERVERS, {"s1"}).name)
+        self.assertIsNone(self.chooser.choose(SERVERS, {"s1", "s2"}))
+
+
+NEAR = DomainOption("kingston-1", 0.0, 20.0, slots=16, in_flight=14)
+FAR = DomainOption("montego-1", 55.0, 20.0, slots=16, in_flight=2)
+QUERY = DomainQuery("rides", "kingston-1", (NEAR, FAR), 0.8, 0.2)
+
+
+class DomainWeightTest(TestWithScenarios, TestCase):
+    """Guards against weights that do not change the choice."""
+
+    scenarios = [
+        ("latency", {"latency": 0.8, "headroom": 0.2, "expected": "kingston-1"}),
+        ("headroom", {"latency": 0.2, "headroom": 0.8, "expected": "montego-1"}),
+    ]
+
+    def test_weights(self):
+        chooser = DomainChooser(ManualClock(), Random(1))
+        query = evolve(
+            QUERY, latency_weight=self.latency, headroom_weight=self.headroom
+        )
+        self.assertEqual(self.expected, chooser.choose(query).domain)
+
+
+class DomainChooserTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.chooser = DomainChooser(self.clock, Random(1))
+
+    def choose(self, *options, **changes):
+        score = self.chooser.choose(evolve(QUERY, options=options, **changes))
+        return score and score.domain
+
+    def test_tie_goes_to_the_own_domain(self):
+        """Guards against needless hops between equal domains."""
+        twins = (evolve(NEAR, domain="other"), NEAR)
+        for _ in range(20):
+            self.assertEqual("kingston-1", self.choose(*twins))
+
+    def test_loaded_link_is_avoided(self):
+        """Guards against a choice that ignores the link."""
+        other = evolve(FAR, domain="mandeville-1")
+        full = evolve(FAR, link_utilisation=0.9)
+        for _ in range(20):
+            self.assertEqual("mandeville-1", self.choose(full, other))
+
+    def test_old_view_loses_weight_and_is_the_last_resort(self):
+        """Guards against trust in a domain that is no longer heard."""
+        other = evolve(FAR, domain="mandeville-1", one_way_latency_ms=70.0)
+        self.assertEqual("montego-1", self.choose(FAR, other))
+        self.assertEqual("mandeville-1", self.choose(evolve(FAR, age_ms=9000), other))
+        lost = evolve(FAR, in_flight=0, age_ms=16_000)
+        self.assertEqual("mandeville-1", self.choose(lost, other))
+        self.assertEqual("montego-1", self.choose(lost))
+
+    def test_full_domain_is_not_chosen(self):
+        """Guards against a domain that is overloaded from afar."""
+        self.assertIsNone(self.choose(evolve(FAR, in_flight=16)))
+        self.assertIsNone(self.choose(evolve(FAR, slots=0)))
+
+    def test_window_bounds_requests_in_flight(self):
+        """Guards against more requests than another domain admits."""
+        for _ in range(4):
+            self.assertEqual("montego-1", self.choose(FAR))
+            self.chooser.started("montego-1", "rides")
+        self.assertIsNone(self.choose(FAR))
+        self.chooser.finished("montego-1", "rides")
+        self.assertEqual("montego-1", self.choose(FAR))
+
+    def test_window_grows_by_steps_and_shrinks_by_half(self):
+        """Guards against a window that does not adapt to refusals."""
+        for _ in range(30):
+            self.chooser.admitted("montego-1", "rides")
+        grown = self.chooser.window("montego-1", "rides")
+        self.assertGreater(grown, 6)
+        for _ in range(5):
+            self.chooser.refused("montego-1", "rides")
+        self.assertEqual(grown // 2, self.chooser.window("montego-1", "rides"))
+        self.assertEqual(1, self.chooser.window("montego-1", "rides", 60_000))
+
+    def test_explain_gives_the_reason(self):
+        """Guards against a choice that operators can't follow."""
+        scores = self.chooser.explain(evolve(QUERY, exclude=frozenset(["kingston-1"])))
+        self.assertEqual(["montego-1", "kingston-1"], [s.domain for s in scores])
+        self.assertEqual("excluded", scores[1].reason)
