--- a/ebonybend/rules/model.py
+++ b/ebonybend/rules/model.py
@@ -5,6 +5,15 @@
 from attrs import frozen
 
 
+@frozen
+class RuleError:
+    """A fault in a rules text; lines and columns count from 1."""
+
+    line: int
+    column: int
+    message: str
+
+
 @frozen(kw_only=True)
 class WeightsRule:
     """Replace the contract's weights for one service."""
