Define the answers of the administration API

Change: ebonybend/control/admin_messages.py holds the answers as attrs classes and, in its doc comment, the headers and statuses of each call. PUT also takes the reason in a Reason header; author and reason are percent-encoded, since header values are limited to Latin-1. A Change-Id that was accepted before is answered with its revision, so that a repeated PUT after a lost answer is safe.

--- /dev/null
+++ b/ebonybend/control/admin_messages.py
@@ -0,0 +1,182 @@
+"""The answers of the administration API.
+
+GET  /v1/rules        RulesAnswer, ETag: "<revision>"
+PUT  /v1/rules        body: rules text (UTF-8); If-Match: "<revision>", Author, Reason,
+                      Change-Id. 200 ApplyAnswer; 412 ConflictAnswer; 422 CheckAnswer.
+                      Author and Reason are percent-encoded UTF-8. A Change-Id that
+                      was accepted before is answered 200 with its revision, whatever
+                      If-Match says; 503 platform_unavailable if that isn't known.
+POST /v1/rules/check  body: rules text (UTF-8). 200 CheckAnswer.
+GET  /v1/status       StatusAnswer
+GET  /v1/history      HistoryAnswer; ?limit=N, newest first
+GET  /v1/where        WhereAnswer; ?client=IP&service=NAME&method=GET, each optional,
+                      but at least one of client and service
+Every other refusal is an ErrorBody of ebonybend.http_server.
+"""
+
+from attrs import frozen
+
+from ebonybend.rules.model import RuleError
+
+
+@frozen
+class RulesAnswer:
+    """The rules text that was accepted last."""
+
+    revision: int
+    text: str
+    author: str
+    reason: str
+    change_id: str
+    # Time of acceptance, seconds since the epoch.
+    at: float
+
+
+@frozen
+class ApplyAnswer:
+    """The change was accepted as a revision."""
+
+    revision: int
+    change_id: str
+
+
+@frozen
+class ConflictAnswer:
+    """Another change was accepted first."""
+
+    # The revision in the platform, with its author and reason.
+    revision: int
+    author: str
+    reason: str
+    # Lines of diff_rules from the accepted text to the refused one.
+    difference: tuple[str, ...] = ()
+
+
+@frozen
+class CheckAnswer:
+    """What is wrong with a text; nothing if it can be applied."""
+
+    errors: tuple[RuleError, ...] = ()
+
+
+@frozen
+class InstanceStatus:
+    """One instance of the roster or of the platform's list."""
+
+    name: str
+    failure_domain: str
+    # live, leaving, or unknown if nothing was heard of it.
+    state: str
+    # Revision that its entry process reported; 0 if nothing was heard of it.
+    rules_revision: int
+    # Time since it was last heard of; negative if never.
+    age_ms: float
+    reachable: bool
+
+
+@frozen
+class ServerStatus:
+    """One backend server as its failure domain's entries use it."""
+
+    name: str
+    service: str
+    failure_domain: str
+    # ready, cold, draining or down.
+    state: str
+    in_flight: int
+    limit: int
+
+
+@frozen
+class ShiftStatus:
+    """What was sent under one shift or cap, over all senders."""
+
+    # Canonical text of the rule.
+    rule: str
+    cap_per_second: int
+    sent_last_second: int
+
+
+@frozen
+class SuspectStatus:
+    """One request that was running when a backend server crashed."""
+
+    fingerprint: str
+    crashes: int
+    refused: bool
+    # Time since the last crash.
+    age_ms: float
+
+
+@frozen
+class StatusAnswer:
+    """The state of the whole system as one control sees it."""
+
+    # The newest accepted revision that this control knows.
+    revision: int
+    in_force_everywhere: bool
+    instances: tuple[InstanceStatus, ...] = ()
+    servers: tuple[ServerStatus, ...] = ()
+    shifts: tuple[ShiftStatus, ...] = ()
+    suspects: tuple[SuspectStatus, ...] = ()
+    platform_reachable: bool = True
+
+
+@frozen
+class AuditEntry:
+    """One recorded change or event."""
+
+    # Seconds since the epoch.
+    at: float
+    author: str
+    # For example rules_applied, instance_drained, suspect_refused.
+    event: str
+    # 0 if the event is not a change of the rules.
+    revision: int = 0
+    change_id: str = ""
+    reason: str = ""
+    detail: str = ""
+
+
+@frozen
+class HistoryAnswer:
+    """Recorded changes and events, newest first."""
+
+    entries: tuple[AuditEntry, ...] = ()
+
+
+@frozen
+class DomainChoice:
+    """One failure domain in the order of choice."""
+
+    name: str
+    score: float
+    # The figures and the rules behind the score, for people.
+    why: str = ""
+
+
+@frozen
+class ServerChoice:
+    """One backend server of the chosen failure domain in the order of choice."""
+
+    name: str
+    score: float
+    why: str = ""
+
+
+@frozen
+class WhereAnswer:
+    """Why a look-up or a request goes where it goes."""
+
+    client: str | None = None
+    # Site of the client's block, or None if the block isn't known.
+    site: str | None = None
+    # Names of the instances that a look-up lists, best first.
+    instances: tuple[str, ...] = ()
+    service: str | None = None
+    # Rules that bear on the choice, with author and reason.
+    rules: tuple[str, ...] = ()
+    domains: tuple[DomainChoice, ...] = ()
+    servers: tuple[ServerChoice, ...] = ()
+    # The reasoning in full lines, for people.
+    explanation: tuple[str, ...] = ()
