Add the command-line tool

Cause: operators need to change rules, drain machines and learn whether a change is in force everywhere.

Ruled out: twisted's HTTP client, since the calls are plain and one after the other and http.client keeps the tool synchronous; removing rules that are over by the operator's clock, which may be wrong, so RulesAnswer carries the control's time.

Change: ebonybend/cli.py and ebonybend/tool/ with the verbs check, show, diff, apply, status, drain, undrain, pardon, history and where. Rules whose end has passed are removed by the editing verbs, since the check refuses them and would otherwise block a drain.

--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -30,6 +30,9 @@
     change_id: str
     # Time of acceptance, seconds since the epoch.
     at: float
+    # The control's time, seconds since the epoch. The tool decides by it which rules
+    # are over, since an operator's machine may be wrong; 0 if not given.
+    now: float = 0.0
 
 
 @frozen
--- a/ebonybend/errors.py
+++ b/ebonybend/errors.py
@@ -47,6 +47,7 @@
     CONFLICT = "conflict"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CONFIRMATION_TIMEOUT = "confirmation_timeout"
+    CONTROL_UNREACHABLE = "control_unreachable"
     BAD_SETTING = "bad_setting"
     INTERNAL = "internal"
 
@@ -117,6 +118,11 @@
             Outcome.ANSWERED,
             "The change is accepted but not confirmed in force everywhere.",
         ),
+        ErrorKind.CONTROL_UNREACHABLE: Answer(
+            503,
+            Outcome.NOT_RUN,
+            "No control process answered. Give other addresses with --admin.",
+        ),
         ErrorKind.BAD_SETTING: Answer(500, Outcome.NOT_RUN, _CORRECT),
         ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN, _CHECK),
     }
--- /dev/null
+++ b/ebonybend/tool/files.py
@@ -0,0 +1,48 @@
+"""Read the files that operators name."""
+
+import sys
+from pathlib import Path
+
+from attrs import frozen
+
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.rules.parse import REVISION_HEADER
+from ebonybend.tool.options import usage_error
+
+
+@frozen
+class RulesFile:
+    """A rules text without the header line that `show` writes."""
+
+    text: str
+    # Revision named by the header, or None without one.
+    revision: int | None
+    # Lines before the text.
+    header_lines: int
+
+
+def read_text(name: str) -> str:
+    """Return a file's text, or standard input's for "-"; raise SteeringError."""
+    try:
+        data = sys.stdin.buffer.read() if name == "-" else Path(name).read_bytes()
+    except OSError as error:
+        raise usage_error(f"can't read {name}: {error.strerror}") from error
+    try:
+        return data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        message = f"{name} is not UTF-8: byte {error.start}"
+        raise SteeringError(ErrorKind.INVALID_RULES, message) from error
+
+
+def split_header(text: str) -> RulesFile:
+    """Return the text and the revision of its header line."""
+    first, _, rest = text.removeprefix("\ufeff").partition("\n")
+    match = REVISION_HEADER.fullmatch(first.strip())
+    if match is None:
+        return RulesFile(text, None, 0)
+    return RulesFile(rest, int(match[1]), 1)
+
+
+def add_header(text: str, revision: int) -> str:
+    """Return the text below a header line that names its revision."""
+    return f"# revision: {revision}\n{text}"
--- /dev/null
+++ b/ebonybend/tool/rules_verbs.py
@@ -0,0 +1,130 @@
+"""The verbs for whole rules texts: check, show, diff, apply."""
+
+from datetime import UTC, datetime
+
+from attrs import evolve, frozen
+from returns.result import Failure
+
+from ebonybend.codec import from_json
+from ebonybend.control.admin_messages import RulesAnswer
+from ebonybend.rules import RuleError, check_rules, diff_rules, parse_rules
+from ebonybend.tool.admin_client import Change
+from ebonybend.tool.context import DONE, REFUSED, Context, VerbResult
+from ebonybend.tool.files import RulesFile, add_header, split_header
+from ebonybend.tool.options import usage_error
+from ebonybend.tool.submit import (
+    accepted,
+    error_lines,
+    refused,
+    required_author,
+    submit,
+)
+from ebonybend.world import Deployment
+
+
+@frozen
+class CheckResult:
+    """What is wrong with a file."""
+
+    file: str
+    rules: int
+    errors: tuple[RuleError, ...]
+
+
+@frozen
+class DiffResult:
+    """What applying a file would change."""
+
+    revision: int
+    base: int | None
+    changes: tuple[str, ...]
+
+
+def check(context: Context) -> VerbResult:
+    """Check a rules file without a connection."""
+    name = context.operand
+    file = split_header(context.read_file(name))
+    count, errors = _file_errors(context, file)
+    value = CheckResult(name, count, errors)
+    if errors:
+        return VerbResult(REFUSED, error_lines(name, errors), value)
+    return VerbResult(DONE, (f"{name}: {count} rules, no errors",), value)
+
+
+def _file_errors(
+    context: Context, file: RulesFile
+) -> tuple[int, tuple[RuleError, ...]]:
+    """Return the number of rules and the errors, with lines as in the file."""
+    parsed = parse_rules(file.text)
+    if isinstance(parsed, Failure):
+        count, errors = 0, parsed.failure()
+    else:
+        rules = parsed.unwrap()
+        count, errors = len(rules), ()
+        if context.options.deployment:
+            text = context.read_file(context.options.deployment)
+            deployment = from_json(text.encode(), Deployment)
+            errors = check_rules(rules, deployment, ())
+    return count, tuple(evolve(e, line=e.line + file.header_lines) for e in errors)
+
+
+def show(context: Context) -> VerbResult:
+    """Show the rules that were accepted last."""
+    answer = context.client.rules()
+    context.progress(_heading(answer))
+    lines = add_header(answer.text, answer.revision).removesuffix("\n").split("\n")
+    return VerbResult(DONE, tuple(lines), answer)
+
+
+def _heading(answer: RulesAnswer) -> str:
+    if not answer.revision:
+        return "revision 0: no rules were applied yet"
+    moment = datetime.fromtimestamp(answer.at, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+    return f"revision {answer.revision}, {moment}, by {answer.author}: {answer.reason}"
+
+
+def diff(context: Context) -> VerbResult:
+    """Show what applying a file would change."""
+    file = split_header(context.read_file(context.operand))
+    answer = context.client.rules()
+    base = file.revision if context.options.base is None else context.options.base
+    changes = diff_rules(answer.text, file.text)
+    lines = changes or (f"no change from revision {answer.revision}",)
+    if base is not None and base != answer.revision:
+        note = (
+            f"the file was made from revision {base}, but revision "
+            f"{answer.revision} by {answer.author} ({answer.reason}) is newer"
+        )
+        lines = (*lines, note)
+    return VerbResult(DONE, lines, DiffResult(answer.revision, base, changes))
+
+
+def apply(context: Context) -> VerbResult:
+    """Make a file's text the rules."""
+    name, options = context.operand, context.options
+    author, reason = required_author(context)
+    file = split_header(context.read_file(name))
+    base = file.revision if options.base is None else options.base
+    if base is None:
+        raise usage_error(
+            f"{name} doesn't start with a line `# revision: N`: start from "
+            "`ebonybend show`, or give --base=N"
+        )
+    _, errors = _file_errors(context, file)
+    if errors:
+        value = CheckResult(name, 0, errors)
+        return VerbResult(REFUSED, error_lines(name, errors), value)
+    changes = _changes(context, base, file)
+    change_id = options.change_id or context.new_change_id()
+    result = submit(context, Change(file.text, base, author, reason, change_id))
+    if isinstance(result, Failure):
+        return refused(result.failure(), base, name, file.header_lines)
+    done = accepted(context, result.unwrap(), changes)
+    hint = f"{name} is out of date now: run `ebonybend show` before the next change"
+    return evolve(done, lines=(*done.lines, hint))
+
+
+def _changes(context: Context, base: int, file: RulesFile) -> tuple[str, ...]:
+    """Return what the file changes, if its base is the newest revision."""
+    answer = context.client.rules()
+    return diff_rules(answer.text, file.text) if answer.revision == base else ()
--- /dev/null
+++ b/ebonybend/tool/state_verbs.py
@@ -0,0 +1,136 @@
+"""The verbs that show state: status, history, where."""
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+from attrs import evolve
+
+from ebonybend.control.admin_messages import StatusAnswer, WhereAnswer
+from ebonybend.tool.confirm import classify, confirmation_lines
+from ebonybend.tool.context import DONE, REFUSED, Context, VerbResult
+from ebonybend.tool.options import usage_error
+
+
+def status(context: Context) -> VerbResult:
+    """Show the revision in force, instances, backend servers, shifts, suspects."""
+    answer = context.client.status()
+    found = classify(answer, answer.revision)
+    everywhere = found.in_force_everywhere and answer.in_force_everywhere
+    found = evolve(found, in_force_everywhere=everywhere)
+    lines = [
+        *confirmation_lines(found),
+        f"platform: {'reachable' if answer.platform_reachable else 'NOT REACHABLE'}",
+        *_instance_lines(answer),
+        *_server_lines(answer),
+        *_shift_lines(answer),
+        *_suspect_lines(answer),
+    ]
+    return VerbResult(DONE if everywhere else REFUSED, tuple(lines), answer)
+
+
+def history(context: Context) -> VerbResult:
+    """Show recorded changes and events, newest first."""
+    answer = context.client.history(context.options.limit)
+    rows = [
+        (
+            _moment(entry.at),
+            f"r{entry.revision}" if entry.revision else "-",
+            entry.event,
+            entry.author,
+            entry.reason,
+            entry.detail,
+        )
+        for entry in answer.entries
+    ]
+    heads = ("TIME (UTC)", "REVISION", "EVENT", "AUTHOR", "REASON", "DETAIL")
+    return VerbResult(DONE, tuple(table(heads, rows)), answer)
+
+
+def where(context: Context) -> VerbResult:
+    """Explain a look-up or a choice."""
+    options = context.options
+    if options.client is None and options.service is None:
+        raise usage_error("where needs --client=IP, --service=NAME or both")
+    answer = context.client.where(
+        client=options.client, service=options.service, method=options.method
+    )
+    return VerbResult(DONE, tuple(_where_lines(answer)), answer)
+
+
+def table(heads: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
+    """Return rows in aligned columns below their heads."""
+    cells = [tuple(heads), *(tuple(row) for row in rows)]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(heads))]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in cells
+    ]
+
+
+def _moment(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+
+def _age(age_ms: float) -> str:
+    return "never" if age_ms < 0 else f"{age_ms / 1000:.1f} s"
+
+
+def _instance_lines(answer: StatusAnswer) -> list[str]:
+    rows = [
+        (
+            i.name,
+            i.failure_domain,
+            i.state,
+            str(i.rules_revision),
+            _age(i.age_ms),
+            "yes" if i.reachable else "NO",
+        )
+        for i in answer.instances
+    ]
+    heads = ("INSTANCE", "FAILURE DOMAIN", "STATE", "REVISION", "HEARD", "REACHABLE")
+    return ["", *table(heads, rows)]
+
+
+def _server_lines(answer: StatusAnswer) -> list[str]:
+    rows = [
+        (s.name, s.service, s.failure_domain, s.state, str(s.in_flight), str(s.limit))
+        for s in answer.servers
+    ]
+    heads = ("BACKEND SERVER", "SERVICE", "FAILURE DOMAIN", "STATE", "IN FLIGHT")
+    return ["", *table((*heads, "LIMIT"), rows)] if rows else []
+
+
+def _shift_lines(answer: StatusAnswer) -> list[str]:
+    rows = [
+        (f"{s.cap_per_second}/s", f"{s.sent_last_second}/s", s.rule)
+        for s in answer.shifts
+    ]
+    return ["", *table(("CAP", "SENT", "SHIFT OR CAP"), rows)] if rows else []
+
+
+def _suspect_lines(answer: StatusAnswer) -> list[str]:
+    rows = [
+        (s.fingerprint, str(s.crashes), "yes" if s.refused else "no", _age(s.age_ms))
+        for s in answer.suspects
+    ]
+    heads = ("SUSPECT", "CRASHES", "REFUSED", "LAST CRASH")
+    return ["", *table(heads, rows)] if rows else []
+
+
+def _where_lines(answer: WhereAnswer) -> list[str]:
+    lines = []
+    if answer.client is not None:
+        lines.append(f"client {answer.client}: site {answer.site or 'not known'}")
+        lines.append(f"look-up lists: {', '.join(answer.instances) or 'nothing'}")
+    if answer.service is not None:
+        lines.append(f"service {answer.service}")
+    lines += [f"rule: {rule}" for rule in answer.rules]
+    for title, choices in (
+        ("FAILURE DOMAIN", answer.domains),
+        ("BACKEND SERVER", answer.servers),
+    ):
+        rows = [(c.name, f"{c.score:.3f}", c.why) for c in choices]
+        lines += ["", *table((title, "SCORE", "WHY"), rows)] if rows else []
+    return [*lines, *answer.explanation]
--- /dev/null
+++ b/ebonybend/tool/submit.py
@@ -0,0 +1,107 @@
+"""Apply a change once, also when answers are lost."""
+
+from attrs import evolve, frozen
+from returns.result import Failure, Result
+
+from ebonybend.control.admin_messages import ApplyAnswer, CheckAnswer, ConflictAnswer
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.rules import RuleError
+from ebonybend.tool.admin_client import Change
+from ebonybend.tool.confirm import Confirmation, confirmation_lines, wait_in_force
+from ebonybend.tool.context import DONE, REFUSED, Context, VerbResult
+from ebonybend.tool.options import usage_error
+
+# Waits before asking again whether a change was accepted.
+REPEAT_DELAYS_S = (0.1, 0.5, 1.0, 2.0)
+
+
+@frozen
+class ChangeResult:
+    """What became of a change."""
+
+    accepted: bool
+    revision: int = 0
+    change_id: str = ""
+    changes: tuple[str, ...] = ()
+    confirmation: Confirmation | None = None
+    errors: tuple[RuleError, ...] = ()
+    conflict: ConflictAnswer | None = None
+
+
+def required_author(context: Context) -> tuple[str, str]:
+    """Return the author and the reason; raise BAD_SETTING if one is missing."""
+    options = context.options
+    if not options.author or not options.why:
+        raise usage_error(f"{options.verb} needs --author=NAME and --why=REASON")
+    return options.author, options.why
+
+
+def submit(
+    context: Context, change: Change
+) -> Result[ApplyAnswer, ConflictAnswer | CheckAnswer]:
+    """Apply a change; ask again with the same change id when the answer is lost."""
+    for delay in (*REPEAT_DELAYS_S, None):
+        try:
+            return context.client.put_rules(change)
+        except SteeringError as error:
+            if error.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                raise
+            if delay is None:
+                raise _still_unknown(change, error) from error
+            context.progress(f"no answer ({error.message}); asking again")
+            context.sleep(delay)
+    raise AssertionError("the last try returns or raises")
+
+
+def _still_unknown(change: Change, error: SteeringError) -> SteeringError:
+    return SteeringError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"the change may or may not have been accepted: {error.message}; run the "
+        f"same command again with --change_id={change.change_id}",
+    )
+
+
+def accepted(
+    context: Context, answer: ApplyAnswer, changes: tuple[str, ...]
+) -> VerbResult:
+    """Wait for a change to be in force and return what is known."""
+    revision, change_id = answer.revision, answer.change_id
+    context.progress(f"accepted as revision {revision} (change {change_id})")
+    found = wait_in_force(context, revision)
+    status = DONE if found.in_force_everywhere else REFUSED
+    value = ChangeResult(True, revision, change_id, changes, found)
+    return VerbResult(status, (*changes, *confirmation_lines(found)), value)
+
+
+def refused(
+    failure: ConflictAnswer | CheckAnswer, base: int, name: str, header_lines: int = 0
+) -> VerbResult:
+    """Return a refusal, with error lines counted as in the named file."""
+    if isinstance(failure, ConflictAnswer):
+        return _conflict(failure, base)
+    errors = tuple(evolve(e, line=e.line + header_lines) for e in failure.errors)
+    value = ChangeResult(False, errors=errors)
+    return VerbResult(REFUSED, error_lines(name, errors), value)
+
+
+def error_lines(name: str, errors: tuple[RuleError, ...]) -> tuple[str, ...]:
+    """Return one line for each error in the form that editors jump to."""
+    return tuple(f"{name}:{e.line}:{e.column}: {e.message}" for e in errors)
+
+
+def _conflict(conflict: ConflictAnswer, base: int) -> VerbResult:
+    lines = (
+        f"conflict: revision {conflict.revision} by {conflict.author} "
+        f"({conflict.reason}) was accepted first; your text was made from "
+        f"revision {base}",
+        f"difference from revision {conflict.revision} to your text:",
+        *(f"  {line}" for line in conflict.difference),
+        "nothing was changed; get the newest rules with `ebonybend show`, make your "
+        "change again and apply it",
+    )
+    return VerbResult(REFUSED, lines, ChangeResult(False, conflict=conflict))
+
+
+def is_conflict(result: Result) -> bool:
+    """Return whether another change was accepted first."""
+    return isinstance(result, Failure) and isinstance(result.failure(), ConflictAnswer)
--- /dev/null
+++ b/ebonybend/tool/tests/test_tool.py
@@ -0,0 +1,336 @@
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
+from json import loads
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest.mock import patch
+
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.cli import main
+from ebonybend.codec import to_json
+from ebonybend.control.admin_messages import (
+    InstanceStatus,
+    ServerStatus,
+    StatusAnswer,
+    SuspectStatus,
+    WhereAnswer,
+)
+from ebonybend.rules import parse_rules
+from ebonybend.tool import VERBS
+from ebonybend.tool.tests.fake_admin import FakeAdmin, serve
+from ebonybend.world import Deployment, Region, Service
+
+BY = ("--author=Ágnes", "--why=flood: cellar 2", "--wait=0")
+CAP = "# Ben: narrow link\ncap from=A to=B rate=5/s\n"
+# A closed port of the loopback network, so the connection is refused.
+CLOSED = "127.0.0.1:9"
+FINGERPRINT = "0123456789abcdef" * 2
+STATUS = StatusAnswer(
+    0,
+    True,
+    (
+        InstanceStatus("a-1", "a", "live", 0, 100.0, True),
+        InstanceStatus("b-1", "b", "live", 0, 100.0, True),
+    ),
+    (ServerStatus("s-01", "s", "a", "ready", 1, 4),),
+    suspects=(SuspectStatus(FINGERPRINT, 2, True, 1000.0),),
+)
+
+
+class ToolCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.admin = FakeAdmin(status=STATUS)
+        self.address = serve(self.admin, self.addCleanup)
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        delays = patch("ebonybend.tool.submit.REPEAT_DELAYS_S", (0.01, 0.01))
+        delays.start()
+        self.addCleanup(delays.stop)
+
+    def run_tool(self, *arguments, admin=None):
+        """Return the exit status, standard output and standard error."""
+        out, err = StringIO(), StringIO()
+        environment = {"EBONYBEND_ADMIN": admin or self.address}
+        with redirect_stdout(out), redirect_stderr(err):
+            status = main(arguments, environment)
+        return status, out.getvalue(), err.getvalue()
+
+    def write(self, text):
+        path = self.directory / "rules.txt"
+        path.write_text(text)
+        return str(path)
+
+
+class ApplyTest(ToolCase):
+    """Guards against changes that are lost, doubled or reported too early."""
+
+    def test_shown_text_can_be_edited_and_applied(self):
+        self.admin.accept(CAP, "Ben", "narrow link", "c1")
+        status, text, _ = self.run_tool("show")
+        self.assertEqual((0, f"# revision: 1\n{CAP}"), (status, text))
+        file = self.write(text.replace("5/s", "7/s"))
+        status, out, _ = self.run_tool("apply", file, *BY)
+        self.assertEqual(0, status, out)
+        self.assertIn("~ cap from=A to=B rate=7/s", out)
+        self.assertIn("revision 2 is in force everywhere (2 of 2 instances)", out)
+        self.assertEqual(CAP.replace("5/s", "7/s"), self.admin.rules.text)
+        self.assertEqual("Ágnes", self.admin.rules.author)
+        self.assertEqual("flood: cellar 2", self.admin.rules.reason)
+
+    def test_missing_confirmations_are_named(self):
+        self.admin.stuck = frozenset({"a-1", "b-1"})
+        gone = evolve(STATUS.instances[1], reachable=False)
+        third = evolve(STATUS.instances[0], name="c-1")
+        self.admin.status = evolve(STATUS, instances=(STATUS.instances[0], gone, third))
+        status, out, _ = self.run_tool("apply", self.write(CAP), "--base=0", *BY)
+        self.assertEqual(1, status)
+        self.assertIn("NOT in force everywhere (1 of 3 instances)", out)
+        self.assertIn("in force:    c-1", out)
+        self.assertIn("behind:      a-1", out)
+        self.assertIn("unreachable: b-1", out)
+
+    def test_no_listed_instance_is_not_in_force(self):
+        self.admin.status = evolve(STATUS, instances=())
+        status, out, _ = self.run_tool("apply", self.write(CAP), "--base=0", *BY)
+        self.assertEqual(1, status)
+        self.assertIn("NOT in force", out)
+
+    def test_conflict_names_the_other_change_and_the_difference(self):
+        self.admin.accept(CAP, "Eva", "mine", "c1")
+        file = self.write("# revision: 0\n# Ben: x\ndrain backend=s-01\n")
+        status, out, _ = self.run_tool("apply", file, *BY)
+        self.assertEqual(1, status)
+        self.assertIn("revision 1 by Eva (mine)", out)
+        self.assertIn("+ drain backend=s-01 (Ben: x)", out)
+        self.assertIn("- cap from=A to=B rate=5/s", out)
+        self.assertEqual(CAP, self.admin.rules.text)
+
+    def test_lost_answer_is_asked_again_and_applied_once(self):
+        for lost in ("lose_after", "lose_before"):
+            before = self.admin.rules.revision
+            setattr(self.admin, lost, 1)
+            base = f"--base={before}"
+            status, out, err = self.run_tool("apply", self.write(CAP), base, *BY)
+            self.assertEqual(0, status, out + err)
+            self.assertEqual(before + 1, self.admin.rules.revision)
+
+    def test_unknown_outcome_is_resolved_by_its_change_id(self):
+        self.admin.lose_after = 3
+        file = self.write(CAP)
+        status, _, err = self.run_tool("apply", file, "--base=0", *BY)
+        self.assertEqual(2, status)
+        self.assertIn("outcome_unknown", err)
+        flag = err[err.index("--change_id=") :].split()[0]
+        status, out, _ = self.run_tool("apply", file, "--base=0", flag, *BY)
+        self.assertEqual((0, 1), (status, self.admin.rules.revision))
+        self.assertIn("revision 1 is in force everywhere", out)
+
+    def test_errors_are_counted_as_in_the_file(self):
+        file = self.write("# revision: 0\n\ndrain backend=x\n")
+        status, out, _ = self.run_tool("apply", file, *BY)
+        self.assertEqual(1, status)
+        self.assertTrue(out.startswith(f"{file}:3:1: a rule needs its own"), out)
+
+    def test_file_without_revision_is_not_applied(self):
+        status, _, err = self.run_tool("apply", self.write(CAP), *BY)
+        self.assertEqual(2, status)
+        self.assertIn("--base", err)
+        self.assertEqual(0, self.admin.rules.revision)
+
+
+class EditTest(ToolCase):
+    """Guards against an edit that loses another operator's change."""
+
+    def test_drain_finds_the_kind_and_undrain_restores_the_text(self):
+        self.admin.accept(CAP, "Ben", "narrow link", "c1")
+        for name, kind in (("a-1", "instance"), ("s-01", "backend")):
+            status, out, err = self.run_tool("drain", name, *BY)
+            self.assertEqual(0, status, out + err)
+            self.assertIn(f"+ drain {kind}={name} (Ágnes: flood: cellar 2)", out)
+            self.assertEqual(0, self.run_tool("undrain", name, *BY)[0])
+            self.assertEqual(CAP, self.admin.rules.text)
+
+    def test_conflict_is_retried_on_the_newest_rules(self):
+        self.admin.overtaken = 2
+        self.assertEqual(0, self.run_tool("drain", "a-1", *BY)[0])
+        rules = parse_rules(self.admin.rules.text).unwrap()
+        self.assertEqual(
+            ["drain backend=e1", "drain backend=e0", "drain instance=a-1"],
+            [rule.text for rule in rules],
+        )
+
+    def test_endless_conflicts_end_as_refused(self):
+        self.admin.overtaken = 100
+        status, out, _ = self.run_tool("drain", "a-1", *BY)
+        self.assertEqual(1, status)
+        self.assertIn("conflict:", out)
+        self.assertNotIn("a-1", self.admin.rules.text)
+
+    def test_end_counts_from_the_controls_time_and_can_be_changed(self):
+        for until, written in (("2h", "2027-01-15T10:00:00Z"), ("1d", "2027-01-16T08")):
+            self.run_tool("drain", "a-1", f"--until={until}", *BY)
+            (rule,) = parse_rules(self.admin.rules.text).unwrap()
+            self.assertIn(f"drain instance=a-1 until={written}", rule.text)
+
+    def test_second_drain_changes_nothing(self):
+        self.run_tool("drain", "a-1", *BY)
+        status, out, _ = self.run_tool("drain", "a-1", *BY)
+        self.assertEqual((0, 1), (status, self.admin.rules.revision))
+        self.assertIn("nothing to do", out)
+
+    def test_rules_that_are_over_do_not_block_a_drain(self):
+        over = "# Eva: test\ndrain backend=x until=2027-01-15T07:59:59Z\n"
+        self.admin.accept(over + CAP, "Eva", "test", "c1")
+        status, out, _ = self.run_tool("drain", "a-1", *BY)
+        self.assertEqual(0, status)
+        self.assertIn("- drain backend=x", out)
+        self.assertNotIn("backend=x", self.admin.rules.text)
+        self.assertIn(CAP, self.admin.rules.text)
+
+    def test_names_that_mean_nothing_or_two_things_are_refused(self):
+        self.assertEqual(1, self.run_tool("drain", "z-9", *BY)[0])
+        self.assertEqual(1, self.run_tool("undrain", "a-1", *BY)[0])
+        twin = evolve(STATUS.servers[0], name="a-1")
+        self.admin.status = evolve(STATUS, servers=(twin,))
+        self.assertEqual(2, self.run_tool("drain", "a-1", *BY)[0])
+        self.assertEqual(0, self.run_tool("drain", "a-1", "--backend", *BY)[0])
+        self.assertIn("drain backend=a-1", self.admin.rules.text)
+
+    def test_pardon_completes_a_fingerprint(self):
+        self.assertEqual(0, self.run_tool("pardon", "0123", *BY)[0])
+        self.assertIn(f"pardon fingerprint={FINGERPRINT}", self.admin.rules.text)
+        self.assertEqual(1, self.run_tool("pardon", "ff", *BY)[0])
+
+
+class StateTest(ToolCase):
+    """Guards against state that is shown wrongly or not at all."""
+
+    def test_status_tells_whether_the_rules_are_in_force(self):
+        status, out, _ = self.run_tool("status")
+        self.assertEqual(0, status)
+        for part in ("a-1", "s-01", FINGERPRINT, "platform: reachable"):
+            self.assertIn(part, out)
+        self.admin.status = evolve(STATUS, revision=1, platform_reachable=False)
+        status, out, _ = self.run_tool("status")
+        self.assertEqual(1, status)
+        self.assertIn("behind:      a-1, b-1", out)
+        self.assertIn("platform: NOT REACHABLE", out)
+
+    def test_json_is_the_answer(self):
+        status, out, err = self.run_tool("status", "--json")
+        self.assertEqual((0, ""), (status, err))
+        self.assertEqual(loads(to_json(STATUS)), loads(out))
+
+    def test_where_passes_its_query_and_explains(self):
+        lines = ("a is nearest",)
+        self.admin.where = WhereAnswer("192.0.2.7", "x", ("a-1",), explanation=lines)
+        arguments = ("--client=192.0.2.7", "--service=ride history")
+        status, out, _ = self.run_tool("where", *arguments)
+        self.assertEqual(0, status)
+        self.assertIn("a is nearest", out)
+        self.assertIn("look-up lists: a-1", out)
+        path = "GET /v1/where?client=192.0.2.7&service=ride+history"
+        self.assertEqual([path], self.admin.calls)
+
+    def test_history_passes_its_limit(self):
+        status, out, _ = self.run_tool("history", "--limit=3")
+        self.assertEqual(0, status)
+        self.assertIn("2027-01-15 08:00:00  r3", out)
+        self.assertEqual(["GET /v1/history?limit=3"], self.admin.calls)
+
+    def test_diff_warns_of_a_newer_revision(self):
+        self.admin.accept(CAP, "Eva", "mine", "c1")
+        status, out, _ = self.run_tool("diff", self.write("# revision: 0\n"))
+        self.assertEqual(0, status)
+        self.assertIn("- cap from=A to=B rate=5/s", out)
+        self.assertIn("revision 1 by Eva (mine) is newer", out)
+
+    def test_next_control_is_asked(self):
+        admin = f"{CLOSED},{self.address}"
+        self.assertEqual(0, self.run_tool("status", admin=admin)[0])
+        status, out, _ = self.run_tool("status", "--json", admin=CLOSED)
+        self.assertEqual(2, status)
+        self.assertEqual("control_unreachable", loads(out)["kind"])
+
+
+class CheckTest(ToolCase):
+    """Guards against a check that needs a connection or misses the deployment."""
+
+    def test_works_offline_with_and_without_a_deployment(self):
+        file = self.write(CAP)
+        self.assertEqual(0, self.run_tool("check", file, admin=CLOSED)[0])
+        deployment = self.directory / "deployment.json"
+        value = Deployment((Region("A"),), (), (), (Service("s", "c"),), ())
+        deployment.write_bytes(to_json(value))
+        status, out, _ = self.run_tool("check", file, f"--deployment={deployment}")
+        self.assertEqual(1, status)
+        self.assertIn(f"{file}:2:1: unknown region 'B'", out)
+        self.assertEqual([], self.admin.calls)
+
+
+class UsageTest(TestWithScenarios, ToolCase):
+    """Guards against a wrong command line that does something or isn't explained."""
+
+    scenarios = [
+        ("no_verb", {"words": [], "say": "give a verb"}),
+        ("verb", {"words": ["drian", "a-1"], "say": "unknown verb 'drian'"}),
+        ("operand", {"words": ["drain"], "say": "ebonybend drain NAME"}),
+        ("flag", {"words": ["show", "--wait=3"], "say": "show has no flag --wait"}),
+        ("unknown_flag", {"words": ["show", "--colour"], "say": "colour"}),
+        ("author", {"words": ["drain", "a-1", "--why=x"], "say": "--author"}),
+        ("range", {"words": ["show", "--timeout_ms=1"], "say": "10 to 600000"}),
+        ("address", {"words": ["show", "--admin=host:1"], "say": "host:1"}),
+        ("file", {"words": ["check", "/nowhere/rules"], "say": "/nowhere/rules"}),
+        ("where", {"words": ["where"], "say": "--client"}),
+        (
+            "until",
+            {
+                "words": ["drain", "a-1", "--author=b", "--why=c", "--until=soon"],
+                "say": "--until='soon'",
+            },
+        ),
+    ]
+
+    def test_exit_status_2_and_one_line(self):
+        status, out, err = self.run_tool(*self.words)
+        self.assertEqual((2, ""), (status, out))
+        self.assertIn(self.say, err)
+        self.assertEqual(1, err.count("\n"), err)
+
+
+class HelpTest(ToolCase):
+    """Guards against verbs and flags without help."""
+
+    def test_every_verb_has_help(self):
+        status, text, _ = self.run_tool("--help")
+        self.assertEqual(0, status)
+        for name, verb in VERBS.items():
+            self.assertIn(verb.summary, text)
+            status, detail, _ = self.run_tool(name, "--help")
+            self.assertEqual(0, status)
+            for flag in verb.flags:
+                self.assertIn(f"--{flag}", detail)
+
+
+class EnvironmentTest(ToolCase):
+    """Guards against a daemon's environment that changes what is drained."""
+
+    def test_environment_sets_flags_but_not_what_is_drained(self):
+        environment = {
+            "EBONYBEND_ADMIN": self.address,
+            "EBONYBEND_AUTHOR": "Eva",
+            "EBONYBEND_WHY": "from the environment",
+            "EBONYBEND_WAIT": "0",
+            "EBONYBEND_INSTANCE": "b-1",
+        }
+        with redirect_stdout(StringIO()), redirect_stderr(StringIO()):
+            status = main(["drain", "s-01", "--author=Ben"], environment)
+        self.assertEqual(0, status)
+        self.assertEqual("Ben", self.admin.rules.author)
+        self.assertEqual("from the environment", self.admin.rules.reason)
+        self.assertIn("drain backend=s-01", self.admin.rules.text)
