--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,195 @@
+"""Show a deployment under load with a kill, a drain and a change of rules."""
+
+import signal
+import sys
+from pathlib import Path
+from time import monotonic, sleep
+from typing import Any
+
+from absl import flags
+from attrs import define, field
+
+from bench.deployments import DEPLOYMENTS, LINK_RATE_FACTOR, DeploymentPlan
+from bench.fleet import Fleet
+from bench.history import Report, read_server_events
+from bench.http_calls import call
+from bench.load import LoadShape, Operation
+from bench.lookup_cache import LookupAnswer
+from bench.playing import check_run, play
+from bench.rules_tool import apply_rules
+from bench.tables import HEADINGS, format_table, operation_rows
+from ebonybend.codec import from_json
+from ebonybend.errors import SteeringError
+from standins.command import parse_flags
+
+LOAD_S = 24.0
+BEFORE_KILL_S = 5.0
+BEFORE_DRAIN_S = 5.0
+BEFORE_RULE_S = 4.0
+EFFECT_TIMEOUT_S = 10.0
+POLL_S = 0.05
+AUTHOR = "Ben (operations)"
+
+
+@define
+class Timings:
+    """When each event of the demonstration took effect, in seconds after it."""
+
+    fleet_start_s: float = 0.0
+    rules_in_force_s: float = 0.0
+    kill_unlisted_s: float | None = None
+    rule_in_force_s: float | None = None
+    last_new_work_s: float = 0.0
+    drain_s: float = 0.0
+    problems: list[str] = field(factory=list)
+
+
+def rules_path(plan: DeploymentPlan) -> Path:
+    """Return the rules file of a deployment."""
+    return Path(__file__).parent / "rules" / f"{plan.name}.rules"
+
+
+def changed_rules(plan: DeploymentPlan, directory: Path) -> Path:
+    """Write and return the rules file that the demonstration changes to."""
+    regions = [region.name for region in plan.deployment.regions]
+    service = plan.deployment.services[0].name
+    shift = (
+        f"# {AUTHOR}: move readers while {regions[0]} is patched\n"
+        f"shift service={service} from={regions[0]} to={regions[2]} "
+        "share=30% cap=20/s\n"
+    )
+    path = directory / "changed.rules"
+    path.write_text(rules_path(plan).read_text() + shift)
+    return path
+
+
+def wait_unlisted(fleet: Fleet, name: str, asked: str) -> float | None:
+    """Return the seconds until look-ups no longer list an instance."""
+    started = monotonic()
+    while monotonic() - started < EFFECT_TIMEOUT_S:
+        if name not in listed(fleet, asked):
+            return monotonic() - started
+        sleep(POLL_S)
+    return None
+
+
+def listed(fleet: Fleet, asked: str) -> tuple[str, ...]:
+    """Return the instances that an instance's look-up answer names."""
+    region = fleet.plan.deployment.regions[0].name
+    client = f"{fleet.addresses.caller_network(region)}1"
+    address = fleet.addresses.public(asked).listen
+    answer = call("GET", address, f"/v1/lookup?client={client}")
+    try:
+        found = from_json(answer.body, LookupAnswer)
+    except SteeringError:
+        return ()
+    return tuple(x.name for x in found.instances)
+
+
+def disturb(fleet: Fleet, timings: Timings) -> None:
+    """Kill an instance, drain a backend server and change a rule."""
+    asked, killed = fleet.plan.instances[:2]
+    sleep(BEFORE_KILL_S)
+    fleet.kill_instance(killed)
+    fleet.unlist_instance(killed)
+    timings.kill_unlisted_s = wait_unlisted(fleet, killed, asked)
+    sleep(BEFORE_DRAIN_S)
+    fleet.drain_server(fleet.plan.servers[0].name)
+    sleep(BEFORE_RULE_S)
+    path = changed_rules(fleet.plan, fleet.directory)
+    started = monotonic()
+    try:
+        apply_rules(
+            fleet.addresses.admin(asked), path, AUTHOR, "patch the first region"
+        )
+        timings.rule_in_force_s = monotonic() - started
+    except RuntimeError as error:
+        timings.problems.append(str(error))
+
+
+def measure_drain(fleet: Fleet, timings: Timings) -> None:
+    """Find when the drained server got its last new work and ended its last request."""
+    drained = next(x for x in fleet.events if x.event == "drain_server")
+    events = read_server_events([fleet.server_history(drained.name)])
+    after = [x for x in events if x.at > drained.at]
+    received = [x.at - drained.at for x in after if x.event == "received"]
+    ended = [x.at - drained.at for x in after if x.event in ("finished", "cancelled")]
+    timings.last_new_work_s = max(received, default=0.0)
+    timings.drain_s = max(ended, default=0.0)
+
+
+def seconds(value: float | None) -> str:
+    """Return a time for people."""
+    return "not seen" if value is None else f"{value:.2f} s"
+
+
+def show(
+    plan: DeploymentPlan, timings: Timings, operations: list[Operation], report: Report
+) -> None:
+    """Print the table, the events and the last line."""
+    print(format_table(HEADINGS, operation_rows(operations)))
+    print()
+    print(f"fleet ready after            {seconds(timings.fleet_start_s)}")
+    print(f"first rules in force after   {seconds(timings.rules_in_force_s)}")
+    print(f"killed instance unlisted in  {seconds(timings.kill_unlisted_s)}")
+    print(f"changed rule in force after  {seconds(timings.rule_in_force_s)}")
+    print(f"last new work after drain    {seconds(timings.last_new_work_s)}")
+    print(f"drain time (last work ended) {seconds(timings.drain_s)}")
+    print(f"requests started on servers  {report.started}, shed {report.sheds}")
+    print(f"above the slots              {report.over_slots}")
+    print(f"late work on leaving servers {report.late_work}")
+    print(f"untruthful refusals          {report.untruthful}")
+    print(f"answers without a run        {report.invented}")
+    print(f"link rates and budgets are scaled by {LINK_RATE_FACTOR:g}")
+    for name, examples in report.examples.items():
+        print(f"{name}: {'; '.join(examples)}")
+    for problem in timings.problems:
+        print(f"problem: {problem}")
+    print(report.line())
+
+
+def run_demo(plan: DeploymentPlan) -> int:
+    """Run the demonstration and return the exit status."""
+    timings = Timings()
+    started = monotonic()
+    with Fleet(plan) as fleet:
+        timings.fleet_start_s = monotonic() - started
+        admin = fleet.addresses.admin(plan.instances[0])
+        started = monotonic()
+        apply_rules(admin, rules_path(plan), AUTHOR, "first rules")
+        timings.rules_in_force_s = monotonic() - started
+        load = play(fleet, LoadShape(), LOAD_S)
+        disturb(fleet, timings)
+        load.wait()
+        measure_drain(fleet, timings)
+        report = check_run(fleet, [load])
+        show(plan, timings, load.operations(), report)
+    broken = report.wrong or report.duplicates or report.untruthful
+    return 1 if broken or not report.sent else 0
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of the demonstration."""
+    flags.DEFINE_enum(
+        "deployment",
+        "blue-mahoe",
+        sorted(DEPLOYMENTS),
+        "Deployment to run.",
+        flag_values=values,
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demonstration."""
+
+    def terminated(*_: Any) -> None:
+        raise SystemExit(1)
+
+    # As an exception, so that the fleet's processes are ended.
+    signal.signal(signal.SIGTERM, terminated)
+    values = parse_flags(define_flags, arguments)
+    return run_demo(DEPLOYMENTS[values["deployment"].value]())
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -87,7 +87,9 @@
     @property
     def instances(self) -> tuple[str, ...]:
         """Return the names of the instances that run."""
-        return self.options.instances or self.plan.instances
+        if self.options.instances is None:
+            return self.plan.instances
+        return self.options.instances
 
     def note(self, event: str, name: str) -> None:
         """Record something that was done to the fleet."""
--- /dev/null
+++ b/bench/playing.py
@@ -0,0 +1,59 @@
+"""Play a load against a fleet and gather the records of the run."""
+
+from pathlib import Path
+
+from attrs import frozen
+
+from bench.fleet import Fleet
+from bench.history import Report, check, read_server_events
+from bench.load import LoadPlan, LoadShape, Operation, read_operations, region_loads
+from bench.processes import ProcessSpec
+from ebonybend.codec import to_json
+
+# A load ends this long after its last arrival at the latest: the longest deadline
+# plus the time for the last answer.
+LAST_ANSWERS_S = 10.0
+
+
+@frozen
+class PlayedLoad:
+    """A load that runs, or has run, in a process of callers."""
+
+    fleet: Fleet
+    process: str
+    records: Path
+    duration_s: float
+
+    def wait(self) -> None:
+        """Wait for the last answers; raise RuntimeError if the callers failed."""
+        limit = self.duration_s + LAST_ANSWERS_S
+        status = self.fleet.processes.wait(self.process, limit)
+        if status != 0:
+            log = self.fleet.directory / f"{self.process}.log"
+            raise RuntimeError(f"callers: status {status}: {log.read_text()[-2000:]}")
+
+    def operations(self) -> list[Operation]:
+        """Return what the callers recorded."""
+        return list(read_operations(self.records))
+
+
+def play(
+    fleet: Fleet, shape: LoadShape, duration_s: float, seed: int = 1
+) -> PlayedLoad:
+    """Start callers in all regions."""
+    name = f"callers-{seed}"
+    records = fleet.directory / f"{name}.records.jsonl"
+    loads = region_loads(fleet.addresses, shape)
+    plan = LoadPlan(loads, str(records), duration_s, seed)
+    path = fleet.directory / f"{name}.plan.json"
+    path.write_bytes(to_json(plan))
+    fleet.processes.start(ProcessSpec(name, "bench.caller", (str(path),)))
+    return PlayedLoad(fleet, name, records, duration_s)
+
+
+def check_run(fleet: Fleet, loads: list[PlayedLoad]) -> Report:
+    """Check the records of the callers against those of the backend servers."""
+    operations = [x for load in loads for x in load.operations()]
+    events = read_server_events(fleet.server_histories())
+    leaving = {x.name: x.at for x in fleet.events if x.event == "drain_server"}
+    return check(operations, events, leaving)
