--- /dev/null
+++ b/bench/tests/test_history.py
@@ -0,0 +1,66 @@
+from testtools import TestCase
+
+from bench.history import check
+from bench.load import Attempt, Operation
+from standins.server_history import ServerEvent
+
+
+def operation(result, attempts=("answered",), method="POST", fault=""):
+    tried = tuple(
+        Attempt(1.0, f"op1.{number}", "a", "k", outcome)
+        for number, outcome in enumerate(attempts, 1)
+    )
+    path = "/file?op=op1"
+    return Operation(
+        "op1", "c", "r", "s", method, path, 1.0, 2.0, 2000, result, tried, fault
+    )
+
+
+def event(kind="started", request_id="op1.1", server="s1", at=1.5, in_flight=1):
+    path = "/file?op=op1"
+    return ServerEvent(
+        at, server, 1, kind, request_id, "k", "f", "POST", path, in_flight, 3
+    )
+
+
+class HistoryTest(TestCase):
+    def test_one_run_of_an_answered_write_is_no_fault(self):
+        report = check([operation("whole")], [event(), event("finished")])
+        self.assertTrue(report.ok)
+        self.assertEqual((1, 1), (report.sent, report.whole))
+
+    def assert_found(self, fault, operations, events, leaving=None):
+        report = check(operations, events, leaving)
+        self.assertEqual(1, getattr(report, fault))
+        self.assertFalse(report.ok)
+
+    def test_finds_a_write_that_ran_twice(self):
+        events = [event(), event(request_id="op1.2", server="s2")]
+        self.assert_found("duplicates", [operation("whole")], events)
+
+    def test_finds_a_refused_write_that_ran(self):
+        refused = operation("not_run", ("unknown", "not_run"))
+        self.assert_found("untruthful", [refused], [event()])
+
+    def test_finds_a_refused_attempt_that_ran_although_a_later_one_was_answered(self):
+        answered = operation("whole", ("not_run", "answered"), "GET")
+        events = [event(), event(request_id="op1.2")]
+        self.assert_found("untruthful", [answered], events)
+
+    def test_finds_an_answer_that_is_not_the_callers(self):
+        wrong = operation("wrong", fault="answer to /other")
+        self.assert_found("wrong", [wrong], [event()])
+
+    def test_finds_a_write_answered_without_a_run(self):
+        self.assert_found("invented", [operation("whole")], [])
+
+    def test_finds_more_requests_in_flight_than_slots(self):
+        self.assert_found("over_slots", [operation("whole")], [event(in_flight=4)])
+
+    def test_finds_new_work_on_a_server_that_leaves(self):
+        events = [event(), event("received", at=14.0)]
+        self.assert_found("late_work", [operation("whole")], events, {"s1": 10.5})
+
+    def test_a_read_whose_earlier_attempt_was_lost_is_no_untruthful_refusal(self):
+        refused = operation("not_run", ("lost", "not_run"), "GET")
+        self.assertTrue(check([refused], [event()]).ok)
