--- /dev/null
+++ b/ebonybend/entry/domains.py
@@ -0,0 +1,143 @@
+"""Describe the failure domains that can answer a service."""
+
+from ebonybend.clock import Clock
+from ebonybend.entry.attempts import Search
+from ebonybend.entry.table_state import TableState
+from ebonybend.steering.admission import Admission
+from ebonybend.steering.choice import DomainOption, DomainQuery
+from ebonybend.steering.table import DomainView, ServiceLoad, Table
+
+# The options of a service are built once in this time. Requests of the same time
+# differ only in this entry's own load, which the chooser counts itself.
+OPTIONS_LIFETIME_S = 0.02
+
+
+class DomainOptions:
+    """Build the query for the choice of a failure domain."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        table_state: TableState,
+        admission: Admission,
+        link_utilisation,
+    ):
+        self.clock = clock
+        self.table_state = table_state
+        self.admission = admission
+        self.link_utilisation = link_utilisation
+        self._built: dict[str, tuple[float, DomainQuery]] = {}
+        self._domains_of: dict[str, frozenset[str]] = {}
+        self._no_hits: dict[str, frozenset[str]] = {}
+        table_state.listeners.append(self._table_changed)
+
+    def _table_changed(self, table: Table) -> None:
+        self._built.clear()
+        regions = {d.region for d in table.deployment.failure_domains}
+        self._domains_of = {
+            region: frozenset(
+                d.name for d in table.deployment.failure_domains if d.region == region
+            )
+            for region in regions
+        }
+
+    def domains_of(self, region: str) -> frozenset[str]:
+        """Return the names of a region's failure domains."""
+        return self._domains_of.get(region, frozenset())
+
+    def query(self, service: str, search: Search) -> DomainQuery:
+        """Return the query for a service without the domains that a search excludes."""
+        base = self._base(service)
+        exclude = search.domains
+        if search.shifted_to is not None:
+            target = self.domains_of(search.shifted_to)
+            exclude = exclude | {o.domain for o in base.options} - target
+        if not exclude:
+            return base
+        return DomainQuery(
+            service,
+            base.own_domain,
+            base.options,
+            base.latency_weight,
+            base.headroom_weight,
+            base.table_age_ms,
+            frozenset(exclude),
+        )
+
+    def _base(self, service: str) -> DomainQuery:
+        now = self.clock.monotonic()
+        built = self._built.get(service)
+        if built is not None and now - built[0] < OPTIONS_LIFETIME_S:
+            return built[1]
+        query = self._build(service)
+        self._built[service] = (now, query)
+        return query
+
+    def _build(self, service: str) -> DomainQuery:
+        state = self.table_state
+        table = state.table
+        latency_weight, headroom_weight = self._weights(service)
+        age_ms = state.age_ms
+        options = [self._own_option(service, table)]
+        for view in table.domains:
+            if view.name == table.failure_domain:
+                continue
+            load = _load_of(view, service)
+            if load is not None:
+                options.append(self._option(view, load, age_ms))
+        return DomainQuery(
+            service,
+            table.failure_domain,
+            tuple(options),
+            latency_weight,
+            headroom_weight,
+            age_ms,
+        )
+
+    def _weights(self, service: str) -> tuple[float, float]:
+        rule = self.table_state.rules.weights.get(service)
+        if rule is not None:
+            return rule.latency, rule.headroom
+        contract = self.table_state.table.deployment.contract_of(service)
+        return contract.latency_weight, contract.headroom_weight
+
+    def _option(
+        self, view: DomainView, load: ServiceLoad, table_age_ms: float
+    ) -> DomainOption:
+        table = self.table_state.table
+        region = view.region
+        same = region == self.table_state.region
+        return DomainOption(
+            domain=view.name,
+            one_way_latency_ms=table.deployment.one_way_latency_ms(
+                table.failure_domain, view.name
+            ),
+            service_latency_ms=load.latency_ms,
+            slots=load.slots,
+            in_flight=load.in_flight,
+            link_utilisation=0.0 if same else self.link_utilisation(region),
+            age_ms=view.age_ms + table_age_ms,
+        )
+
+    def _own_option(self, service: str, table: Table) -> DomainOption:
+        """Describe the own domain by what this entry owns, which is known exactly."""
+        views = self.table_state.servers.get(service, ())
+        ledger = self.admission.ledger
+        limit = sum(self.admission.limit(view.name) for view in views)
+        busy = sum(ledger.in_flight(view.name) for view in views)
+        latency_ms = 0.0
+        own = next((d for d in table.domains if d.name == table.failure_domain), None)
+        load = _load_of(own, service) if own else None
+        if load is not None:
+            latency_ms = load.latency_ms
+        return DomainOption(
+            domain=table.failure_domain,
+            one_way_latency_ms=0.0,
+            service_latency_ms=latency_ms,
+            slots=limit,
+            in_flight=busy,
+        )
+
+
+def _load_of(view: DomainView, service: str) -> ServiceLoad | None:
+    return next((load for load in view.services if load.service == service), None)
--- a/ebonybend/entry/parsing.py
+++ b/ebonybend/entry/parsing.py
@@ -15,6 +15,8 @@
 def split_service(uri: str, prefix: str) -> tuple[str, str]:
     """Return the service and the path with its query below a prefix."""
     service, slash, path = uri.removeprefix(prefix).partition("/")
+    if not uri.isprintable():
+        raise SteeringError(ErrorKind.BAD_REQUEST, "the path has control characters")
     if not service or not slash or "?" in service:
         raise SteeringError(
             ErrorKind.UNKNOWN_PATH, f"expected {prefix}<service>/<path>"
--- a/ebonybend/entry/requests.py
+++ b/ebonybend/entry/requests.py
@@ -5,6 +5,7 @@
 from attrs import define, field, frozen
 
 from ebonybend.logs import get_logger
+from ebonybend.steering.suspects import Verdict
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 
@@ -26,6 +27,7 @@
     # Set when the caller has closed its connection.
     caller_gone: bool = False
     fingerprint: str = ""
+    verdict: Verdict = Verdict.ALLOW
     _log: Any = field(default=None, init=False)
 
     @property
@@ -33,6 +35,11 @@
         """Tell whether the request may run more than once."""
         return self.method in IDEMPOTENT_METHODS
 
+    @property
+    def alone(self) -> bool:
+        """Tell whether the request may only run on a server that runs nothing else."""
+        return self.verdict is not Verdict.ALLOW
+
     @property
     def log(self) -> Any:
         """Return the logger that adds the request id to every line."""
@@ -54,4 +61,3 @@
     served_by: str
     # Region of the backend server.
     region: str = ""
-    draining: bool = False
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -6,9 +6,12 @@
 from ebonybend.clock import Clock
 from ebonybend.entry.rules_state import RulesInForce
 from ebonybend.steering.table import InstanceView, ServerView, Table, TableReply
-from ebonybend.world import LifeState
+from ebonybend.world import LifeState, ServerState
 
 MS = 1000.0
+# A server that said in an answer that it is draining is not used for this time, within
+# which probes (every 500 ms) and the table show its state.
+DRAINING_MEMORY_S = 5.0
 
 
 class TableState:
@@ -26,6 +29,7 @@
         self.region = ""
         self.listeners: list[Callable[[Table], None]] = []
         self._news_at = clock.monotonic()
+        self._draining_until: dict[str, float] = {}
 
     def accept(self, reply: TableReply) -> None:
         """Take a reply of the control; an older table or revision is not taken."""
@@ -69,6 +73,17 @@
         domain = self.table.deployment.domain(domain_name) if self.table else None
         return domain.region if domain else ""
 
+    def note_draining(self, server: str) -> None:
+        """Remember that a server said that it is draining."""
+        self._draining_until[server] = self.clock.monotonic() + DRAINING_MEMORY_S
+
+    def server_state(self, view: ServerView) -> ServerState:
+        """Return a server's state; its own statement goes before an older table."""
+        until = self._draining_until.get(view.name)
+        if until is not None and self.clock.monotonic() < until:
+            return ServerState.DRAINING
+        return view.state
+
     @property
     def age_ms(self) -> float:
         """Return the age of the newest news behind the table."""
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -1,26 +1,26 @@
 """An HTTP client that tells a request that was not sent from one that may have run."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any
 
 from attrs import frozen
 from twisted.internet.defer import CancelledError, Deferred, gatherResults, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
     ConnectingCancelledError,
     ConnectionRefusedError,
-    DNSLookupError,
 )
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web._newclient import RequestNotSent
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    ResponseDone,
-    ResponseFailed,
+from twisted.web._newclient import (
+    Request,
+    RequestGenerationFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
 )
+from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
@@ -71,6 +71,10 @@
         self.refused = refused
 
 
+class SendTooLate(NotSent):
+    """The connection was ready only after the request was to be sent."""
+
+
 class AnswerLost(RequestFailed):
     """The connection ended after the request may have been received."""
 
@@ -190,21 +194,13 @@
         connections_per_host: int = 64,
     ):
         self.reactor = reactor
-        bind = (source_address, 0) if source_address else None
+        self.bind = (source_address, 0) if source_address else None
         self.pools = {
             Reuse.ANY: _AgedPool(reactor, IDLE_CONNECTION_S, connections_per_host),
             Reuse.RECENT: _AgedPool(reactor, RECENT_CONNECTION_S, connections_per_host),
             Reuse.NEVER: HTTPConnectionPool(reactor, persistent=False),
         }
-        self.agents = {
-            reuse: Agent(
-                reactor,
-                connectTimeout=CONNECT_TIMEOUT_S,
-                bindAddress=bind,
-                pool=pool,
-            )
-            for reuse, pool in self.pools.items()
-        }
+        self.endpoints: dict[str, Any] = {}
 
     async def request(
         self,
@@ -216,36 +212,77 @@
         timeout: float = 5.0,
         max_body: int = 1 << 20,
         reuse: Reuse = Reuse.ANY,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
-        """Return the whole answer, or raise a RequestFailed that says what is known."""
+        """Return the whole answer, or raise a RequestFailed that says what is known.
+
+        may_send is asked once the connection is ready; False raises SendTooLate.
+        """
         raw = Headers({name: [value] for name, value in (headers or {}).items()})
+        raw.setRawHeaders("Host", [address])
         producer = _BytesProducer(body) if body or method == "POST" else None
-        started = self.agents[reuse].request(
-            method.encode(), f"http://{address}{path}".encode(), raw, producer
-        )
-        timer = self.reactor.callLater(timeout, started.cancel)
+        persistent = reuse is not Reuse.NEVER
+        request = Request(method.encode(), path.encode(), raw, producer, persistent)
+        deadline = self.reactor.seconds() + timeout
+        connection = await self._connect(address, reuse, timeout)
+        if may_send is not None and not may_send():
+            connection.transport.loseConnection()
+            raise SendTooLate("the connection was ready too late")
+        response = await self._send(connection, request, address, deadline)
+        return await self._read(response, method, deadline, max_body)
+
+    async def _connect(self, address: str, reuse: Reuse, timeout: float) -> Any:
+        """Return an idle or a new connection."""
+        connecting = self.pools[reuse].getConnection(address, self._endpoint(address))
+        if connecting.called:
+            timer = None
+        else:
+            timer = self.reactor.callLater(timeout, connecting.cancel)
         try:
-            response = await started
-        except CancelledError as error:
-            raise AnswerTimeout(f"no answer in {timeout:.3f} s") from error
-        except ConnectingCancelledError as error:
+            return await connecting
+        except (CancelledError, ConnectingCancelledError) as error:
             raise NotSent(f"no connection to {address} in {timeout:.3f} s") from error
         except ConnectionRefusedError as error:
             raise NotSent(f"{address} refused the connection", True) from error
-        except (ConnectError, DNSLookupError) as error:
+        except (ConnectError, OSError) as error:
             raise NotSent(f"no connection to {address}: {error}") from error
+        finally:
+            if timer is not None and timer.active():
+                timer.cancel()
+
+    def _endpoint(self, address: str) -> Any:
+        endpoint = self.endpoints.get(address)
+        if endpoint is None:
+            host, _, port = address.rpartition(":")
+            kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
+            endpoint = kind(
+                self.reactor, host.strip("[]"), int(port), CONNECT_TIMEOUT_S, self.bind
+            )
+            self.endpoints[address] = endpoint
+        return endpoint
+
+    async def _send(
+        self, connection: Any, request: Request, address: str, deadline: float
+    ) -> Any:
+        """Send a request and return the response once its headers are received."""
+        started = connection.request(request)
+        left = max(deadline - self.reactor.seconds(), 0.0)
+        timer = self.reactor.callLater(left, started.cancel)
+        try:
+            return await started
+        except CancelledError as error:
+            raise AnswerTimeout("no answer in time") from error
         except RequestNotSent as error:
             raise NotSent(f"connection to {address} was not usable") from error
         except ResponseFailed as error:
             if _was_cancelled(error):
-                raise AnswerTimeout(f"no answer in {timeout:.3f} s") from error
+                raise AnswerTimeout("no answer in time") from error
+            raise AnswerLost(f"connection to {address} lost: {error}") from error
+        except (RequestGenerationFailed, RequestTransmissionFailed) as error:
             raise AnswerLost(f"connection to {address} lost: {error}") from error
-        except OSError as error:
-            raise NotSent(f"no connection to {address}: {error}") from error
         finally:
             if timer.active():
                 timer.cancel()
-        return await self._read(response, method, timer.getTime(), max_body)
 
     async def _read(
         self, response: Any, method: str, deadline: float, max_body: int
