Add suspects, the client map and the ranking of instances

Ruled out: merging crash counts by maximum alone. Two entries that each saw one crash on a different server agreed on a count of one, so the request crashed a third server. Ruled out: counting each lost connection, because several entries use one server and see the same crash.

--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -10,19 +10,33 @@
     ServerScore,
 )
 from ebonybend.steering.freshness import age_weight, remote_window_factor
+from ebonybend.steering.lookup import (
+    ClientMap,
+    ClientShard,
+    LookupRanker,
+    encode_shard,
+)
 from ebonybend.steering.slots import Heartbeat, SlotLedger
+from ebonybend.steering.suspects import SuspectRegistry, Verdict, fingerprint
 
 __all__ = [
     "Admission",
+    "ClientMap",
+    "ClientShard",
     "DomainChooser",
     "DomainOption",
     "DomainQuery",
     "DomainScore",
     "Heartbeat",
+    "LookupRanker",
     "ServerChooser",
     "ServerResult",
     "ServerScore",
     "SlotLedger",
+    "SuspectRegistry",
+    "Verdict",
     "age_weight",
+    "encode_shard",
+    "fingerprint",
     "remote_window_factor",
 ]
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -71,6 +71,8 @@
     refused: bool
     # Time since the last crash, in milliseconds.
     age_ms: float = 0.0
+    # The servers that crashed; they tell two crashes from two reports of one.
+    servers: tuple[str, ...] = ()
 
 
 @frozen
