Add caps with lending, ramps and link budgets

Ruled out: additive loans with numbers. They can't be renewed, so lent units are idle for 1.25 s of each 3.25 s; a loan that replaces the earlier one from the same lender is renewed without a gap and may be delivered twice. Ruled out: opening a new incarnation's share after HOLD (2 s): loans of its predecessor end up to 2 s after its start and stay in the window for 1 s more, so it opens after 3.25 s.

Change: shares.py and links.py. CapShare.lend names its borrower. CapShare.configure lowers a share at once and raises it after 5 s; CapShare.throttle applies a ramp. A link budget counts 11 buckets, because a window of 1 s touches that many, and opens after a window, because an earlier incarnation may have filled it.

--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -10,17 +10,28 @@
     ServerScore,
 )
 from ebonybend.steering.freshness import age_weight, remote_window_factor
+from ebonybend.steering.links import LinkBudget
 from ebonybend.steering.lookup import (
     ClientMap,
     ClientShard,
     LookupRanker,
     encode_shard,
 )
+from ebonybend.steering.shares import (
+    CapShare,
+    CapUsage,
+    Loan,
+    Ramp,
+    WindowLimiter,
+    split_units,
+)
 from ebonybend.steering.slots import Heartbeat, SlotLedger
 from ebonybend.steering.suspects import SuspectRegistry, Verdict, fingerprint
 
 __all__ = [
     "Admission",
+    "CapShare",
+    "CapUsage",
     "ClientMap",
     "ClientShard",
     "DomainChooser",
@@ -28,15 +39,20 @@
     "DomainQuery",
     "DomainScore",
     "Heartbeat",
+    "LinkBudget",
+    "Loan",
     "LookupRanker",
+    "Ramp",
     "ServerChooser",
     "ServerResult",
     "ServerScore",
     "SlotLedger",
     "SuspectRegistry",
     "Verdict",
+    "WindowLimiter",
     "age_weight",
     "encode_shard",
     "fingerprint",
     "remote_window_factor",
+    "split_units",
 ]
--- /dev/null
+++ b/ebonybend/steering/tests/test_shares.py
@@ -0,0 +1,127 @@
+from testtools import TestCase
+
+from ebonybend.clock import ManualClock
+from ebonybend.steering import CapShare, LinkBudget, Ramp, WindowLimiter, split_units
+from ebonybend.steering.shares import LOAN_HOLD_S
+
+NAMES = [f"entry-{number}" for number in range(7)]
+
+
+class SplitTest(TestCase):
+    def test_shares_sum_to_the_cap(self):
+        """Guards against a cap that rounding raises."""
+        for cap in (0, 1, 6, 7, 20, 1000):
+            shares = split_units(cap, NAMES)
+            self.assertEqual(cap, sum(shares.values()))
+            self.assertLessEqual(max(shares.values()) - min(shares.values()), 1)
+
+
+class WindowLimiterTest(TestCase):
+    def test_window_slides(self):
+        """Guards against a double load at the edge of fixed windows."""
+        clock = ManualClock()
+        limiter = WindowLimiter(clock, 1.0)
+        clock.advance(0.9)
+        self.assertEqual([True, True, False], [limiter.take(2) for _ in range(3)])
+        clock.advance(0.95)
+        self.assertFalse(limiter.take(2))
+        clock.advance(0.1)
+        self.assertTrue(limiter.take(2))
+
+
+class CapShareTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.lender, self.borrower = (
+            CapShare(140, name, NAMES, self.clock, 2.0) for name in NAMES[:2]
+        )
+        self.clock.advance(LOAN_HOLD_S)
+
+    def test_loan_moves_units(self):
+        """Guards against units that two senders use."""
+        loan = self.lender.lend(50, "entry-1")
+        self.assertEqual(18, loan.units)
+        self.borrower.borrow(loan, self.clock.monotonic())
+        self.assertEqual((2, 38), (self.lender.units(), self.borrower.units()))
+        self.clock.advance(2.0)
+        self.assertEqual((2, 20), (self.lender.units(), self.borrower.units()))
+        self.clock.advance(1.25)
+        self.assertEqual(20, self.lender.units())
+
+    def test_loan_is_renewed_until_the_lender_needs_it(self):
+        """Guards against a gap between loans, and a lender that starves."""
+        for _ in range(20):
+            loan = self.lender.lend(18, "entry-1")
+            self.assertEqual(18, loan.units)
+            self.clock.advance(1.0)
+        while self.lender.take():
+            pass
+        self.assertEqual(0, self.lender.lend(18, "entry-1").units)
+
+    def test_late_and_repeated_answers_add_nothing(self):
+        """Guards against a loan that is used twice or too late."""
+        sent_at = self.clock.monotonic()
+        loan = self.lender.lend(10, "entry-1")
+        self.borrower.borrow(loan, sent_at)
+        self.borrower.borrow(loan, sent_at)
+        self.assertEqual(30, self.borrower.units())
+        self.clock.advance(2.0)
+        self.borrower.borrow(loan, sent_at)
+        self.assertEqual(20, self.borrower.units())
+
+    def test_changed_cap_is_lowered_first(self):
+        """Guards against old and new shares that exceed both caps together."""
+        self.lender.configure(70, NAMES)
+        self.assertEqual(10, self.lender.units())
+        self.lender.configure(140, NAMES)
+        self.assertEqual(10, self.lender.units())
+        self.clock.advance(5.0)
+        self.assertEqual(20, self.lender.units())
+        self.lender.throttle(14, NAMES)
+        self.assertEqual(2, self.lender.units())
+
+
+class RampTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.ramp = Ramp(100, self.clock)
+
+    def run_to(self, seconds, latency_ms=20.0, refusal_rate=0.0):
+        for _ in range(seconds):
+            self.clock.advance(1.0)
+            self.ramp.observe(latency_ms, refusal_rate)
+
+    def test_ramp_reaches_the_cap(self):
+        """Guards against a shift that arrives at cold caches at once."""
+        self.assertEqual(10, self.ramp.current())
+        self.run_to(4)
+        self.assertEqual(50, self.ramp.current())
+        self.run_to(20)
+        self.assertEqual(100, self.ramp.current())
+
+    def test_cut_and_resume(self):
+        """Guards against a ramp that ignores its receiver, and cuts to nothing."""
+        for trouble in [{"latency_ms": 31.0}, {"refusal_rate": 0.06}]:
+            self.ramp = Ramp(100, self.clock)
+            self.run_to(4)
+            self.ramp.observe(**{"latency_ms": 20.0, "refusal_rate": 0.0, **trouble})
+            self.assertEqual(25, self.ramp.current())
+            self.run_to(4, **trouble)
+            self.assertEqual(25, self.ramp.current())
+            self.run_to(1)
+            self.assertEqual(35, self.ramp.current())
+
+
+class LinkBudgetTest(TestCase):
+    def test_delay_is_long_enough(self):
+        """Guards against paced answers that are refused after their delay."""
+        clock = ManualClock()
+        budget = LinkBudget(7000, 7, clock)
+        self.assertFalse(budget.charge(1))
+        for size in (400, 400, 300, 900, 1000, 50):
+            clock.advance(budget.delay_for(size) + 1e-6)
+            self.assertTrue(budget.charge(size))
+        self.assertEqual(float("inf"), budget.delay_for(1001))
+        self.assertEqual(0.05, budget.utilisation())
