--- /dev/null
+++ b/ebonybend/platform/client.py
@@ -0,0 +1,181 @@
+"""The platform's object API: what it offers, and a client over HTTP."""
+
+from enum import Enum
+from typing import Protocol
+from urllib.parse import quote
+
+from attrs import field, frozen
+from msgspec import Raw
+from returns.result import Failure, Result, Success
+
+from ebonybend.codec import from_json
+from ebonybend.errors import SteeringError
+from ebonybend.http_client import HttpAnswer, HttpClient, NotSent, RequestFailed
+
+CALL_TIMEOUT_S = 2.0
+# Added to the time that the platform may hold a watch before it answers.
+WATCH_MARGIN_S = 2.0
+# Objects are below 1 MB; a list of many stays below this size.
+MAX_ANSWER_BYTES = 64 << 20
+
+
+class StoreFailureKind(Enum):
+    """Why a call to the object store gave no result."""
+
+    # The object has another version than the caller stated; nothing was written.
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    # The platform refused the call for another reason; nothing was written.
+    REJECTED = "rejected"
+    # The call didn't reach the platform.
+    UNAVAILABLE = "unavailable"
+    # The call may have taken effect.
+    ANSWER_LOST = "answer_lost"
+
+
+@frozen
+class StoredObject:
+    """An object of the platform; its value is JSON."""
+
+    name: str
+    version: int
+    value: Raw = field(factory=lambda: Raw(b"null"))
+    deleted: bool = False
+
+
+@frozen
+class ObjectList:
+    """Objects of one kind, and the version up to which they are complete."""
+
+    version: int
+    items: tuple[StoredObject, ...] = ()
+
+
+@frozen
+class StoreFailure:
+    """A failed call to the object store."""
+
+    kind: StoreFailureKind
+    message: str
+    # On a conflict, the object that is stored; None if there is none.
+    current: StoredObject | None = None
+
+
+class ObjectStore(Protocol):
+    """Versioned objects with conditional updates and watches."""
+
+    async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
+        """Return all objects of a kind."""
+        ...
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
+        """Return one object."""
+        ...
+
+    async def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[int, StoreFailure]:
+        """Write JSON if the object has a version (0: doesn't exist); return the new."""
+        ...
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int
+    ) -> Result[ObjectList, StoreFailure]:
+        """Return the objects changed since a version, or none after the time-out."""
+        ...
+
+
+@frozen
+class _Written:
+    """The answer to a successful write."""
+
+    version: int
+
+
+def _failure(answer: HttpAnswer) -> StoreFailure:
+    message = f"platform answered {answer.status}"
+    if answer.status == 404:
+        return StoreFailure(StoreFailureKind.NOT_FOUND, message)
+    if answer.status == 412:
+        return StoreFailure(StoreFailureKind.CONFLICT, message, _current(answer.body))
+    if answer.status >= 500:
+        # A gateway may answer 5xx after the store has run the call.
+        return StoreFailure(StoreFailureKind.ANSWER_LOST, message)
+    return StoreFailure(StoreFailureKind.REJECTED, message)
+
+
+def _current(body: bytes) -> StoredObject | None:
+    try:
+        return from_json(body, StoredObject | None)
+    except SteeringError:
+        return None
+
+
+class PlatformClient:
+    """The object store behind the platform's HTTP API."""
+
+    def __init__(self, http: HttpClient, address: str):
+        self.http = http
+        self.address = address
+        # Calls since the start, for metrics.
+        self.calls = 0
+
+    async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
+        """Return all objects of a kind."""
+        answer = await self._call("GET", f"/v1/objects/{quote(kind)}")
+        return answer.bind(lambda body: _decode(body, ObjectList))
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
+        """Return one object."""
+        answer = await self._call("GET", _path(kind, name))
+        return answer.bind(lambda body: _decode(body, StoredObject))
+
+    async def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[int, StoreFailure]:
+        """Write JSON if the object has a version (0: doesn't exist); return the new."""
+        headers = {"If-Match": str(version), "Content-Type": "application/json"}
+        answer = await self._call("PUT", _path(kind, name), headers, value)
+        written = answer.bind(lambda body: _decode(body, _Written))
+        return written.map(lambda result: result.version)
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int
+    ) -> Result[ObjectList, StoreFailure]:
+        """Return the objects changed since a version, or none after the time-out."""
+        path = f"/v1/watch/{quote(kind)}?since={since}&timeout_ms={timeout_ms}"
+        timeout = timeout_ms / 1000 + WATCH_MARGIN_S
+        answer = await self._call("GET", path, timeout=timeout)
+        return answer.bind(lambda body: _decode(body, ObjectList))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> Result[bytes, StoreFailure]:
+        self.calls += 1
+        try:
+            answer = await self.http.request(
+                method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
+            )
+        except NotSent as error:
+            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
+        except RequestFailed as error:
+            return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
+        if 200 <= answer.status < 300:
+            return Success(answer.body)
+        return Failure(_failure(answer))
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _decode(body: bytes, kind: type) -> Result:
+    try:
+        return Success(from_json(body, kind))
+    except SteeringError as error:
+        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
--- /dev/null
+++ b/ebonybend/platform/watcher.py
@@ -0,0 +1,132 @@
+"""Follow the objects of one kind with a long poll that resumes from its version."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from returns.result import Result, Success
+
+from ebonybend.logs import get_logger
+from ebonybend.platform.client import (
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreFailureKind,
+)
+from ebonybend.tasks import Tasks, Timers
+
+# Short enough that a watch over a dead connection is noticed in about 12 s; long
+# enough that a waiting watch costs the platform 0.1 calls a second.
+WATCH_TIMEOUT_MS = 10_000
+FIRST_BACKOFF_S = 0.2
+# The watch is back at most this time after the platform is.
+LONGEST_BACKOFF_S = 5.0
+
+OnChange = Callable[[str, int, Mapping[str, StoredObject]], None]
+
+
+class Backoff:
+    """Delays that double up to a limit, each with jitter."""
+
+    def __init__(self, random: Random):
+        self.random = random
+        self.delay_s = FIRST_BACKOFF_S
+
+    def reset(self) -> None:
+        """Start again with the first delay."""
+        self.delay_s = FIRST_BACKOFF_S
+
+    def next(self) -> float:
+        """Return the next delay in seconds: half of it is random."""
+        delay = self.delay_s * (0.5 + self.random.random() / 2)
+        self.delay_s = min(self.delay_s * 2, LONGEST_BACKOFF_S)
+        return delay
+
+
+class Watcher:
+    """Keep the objects of one kind up to date and report each change."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        timers: Timers,
+        random: Random,
+        on_change: OnChange,
+    ):
+        self.store = store
+        self.kind = kind
+        self.timers = timers
+        self.on_change = on_change
+        self.backoff = Backoff(random)
+        self.objects: dict[str, StoredObject] = {}
+        # None until the first list; the watch resumes from here.
+        self.version: int | None = None
+        self.last_contact: float | None = None
+        self.failing = False
+        self.tasks: Tasks | None = None
+
+    def start(self) -> None:
+        """Watch until stopped; continue from the version reached before."""
+        if self.tasks is None:
+            self.tasks = Tasks(self.timers)
+            self.tasks.start(self._run(self.tasks))
+
+    def stop(self) -> None:
+        """Stop watching; keep the objects and the version."""
+        if self.tasks is not None:
+            self.tasks.stop()
+            self.tasks = None
+
+    async def read(self) -> bool:
+        """List the objects once; return whether the platform answered."""
+        return self._take(await self.store.list(self.kind), whole=True)
+
+    async def _run(self, tasks: Tasks) -> None:
+        while not tasks.stopped:
+            reached = await self._step()
+            if tasks.stopped:
+                return
+            if reached:
+                self.backoff.reset()
+            else:
+                await tasks.sleep(self.backoff.next())
+
+    async def _step(self) -> bool:
+        if self.version is None:
+            return await self.read()
+        since = self.version
+        answer = await self.store.watch(self.kind, since, WATCH_TIMEOUT_MS)
+        if isinstance(answer, Success) and answer.unwrap().version < since:
+            # The platform lost its state or forgot this version: read everything.
+            self.version = None
+            return True
+        return self._take(answer, whole=False)
+
+    def _take(self, answer: Result[ObjectList, StoreFailure], whole: bool) -> bool:
+        if not isinstance(answer, Success):
+            self._failed(answer.failure())
+            return False
+        found = answer.unwrap()
+        self.last_contact = self.timers.seconds()
+        self.failing = False
+        if whole:
+            self.objects = {item.name: item for item in found.items}
+        changed = whole or bool(found.items)
+        for item in found.items:
+            if item.deleted:
+                self.objects.pop(item.name, None)
+            else:
+                self.objects[item.name] = item
+        self.version = found.version
+        if changed:
+            self.on_change(self.kind, found.version, self.objects)
+        return True
+
+    def _failed(self, failure: StoreFailure) -> None:
+        if not self.failing:
+            get_logger().warning("watch_failed", kind=self.kind, error=failure.message)
+        self.failing = True
+        if failure.kind is StoreFailureKind.REJECTED:
+            # The version may be too old to resume from.
+            self.version = None
