Add a thin control process

The entry process needs a control to integrate with: it reads and watches the platform, probes the backend servers, exchanges records with its peers, answers the entry over gRPC and reports status. msgspec decodes no Raw field of an attrs class whose default comes from a factory, so the default is a constant. The probes use their own small HTTP connection; the general client was ruled out because probes are the most frequent work.

--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -120,6 +120,8 @@
     shifts: tuple[ShiftStatus, ...] = ()
     suspects: tuple[SuspectStatus, ...] = ()
     platform_reachable: bool = True
+    # Listed instances that have not reported the revision from their entry process.
+    waiting_for: tuple[str, ...] = ()
 
 
 @frozen
--- /dev/null
+++ b/ebonybend/control/core.py
@@ -0,0 +1,213 @@
+"""The state of one control process and its loops, without ports or signals."""
+
+from random import Random
+
+from twisted.internet.defer import Deferred
+
+from ebonybend.control.entry_link import EntryLink
+from ebonybend.control.members import Members
+from ebonybend.control.own_records import OwnRecords
+from ebonybend.control.platform_feed import PlatformFeed
+from ebonybend.control.prober import PROBE_PERIOD_S, Connect, Prober
+from ebonybend.control.rules_view import RulesView
+from ebonybend.control.status import StatusReporter
+from ebonybend.control.table_builder import TableBuilder
+from ebonybend.logs import get_logger
+from ebonybend.peers.exchange import PeerExchange, PeerTransport
+from ebonybend.peers.merge import Replica
+from ebonybend.peers.records import Kind, ServerListing, SuspectRecord
+from ebonybend.peers.suspects import SuspectSet
+from ebonybend.platform.client import ObjectStore
+from ebonybend.platform.watcher import Backoff
+from ebonybend.settings import Settings
+from ebonybend.steering.table import EntryReport, SuspectView, TableReply
+from ebonybend.tasks import ReactorClock, Tasks, Timers
+from ebonybend.world import ServerState
+
+RECORD_PERIOD_S = 1.0
+DUTY_PERIOD_S = 0.5
+# The entry waits this long at most until its crash notice is sent on.
+SUSPECT_PUSH_S = 0.3
+
+
+class ControlCore:
+    """Everything that one control process knows and does."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        started_at: float,
+        timers: Timers,
+        random: Random,
+        store: ObjectStore,
+        transport: PeerTransport,
+        connect: Connect,
+    ):
+        clock = ReactorClock(timers)
+        self.settings = settings
+        self.timers = timers
+        self.random = random
+        self.tasks = Tasks(timers)
+        self.synchronised = False
+        self.replica = Replica(clock)
+        self.suspects = SuspectSet(clock)
+        self.rules = RulesView(self.replica)
+        self.members = Members(settings.instance, settings.failure_domain, self.replica)
+        self.entry = EntryLink(clock)
+        self.feed = PlatformFeed(store, self.replica, timers, random)
+        self.exchange = PeerExchange(
+            settings.instance,
+            settings.failure_domain,
+            self.replica,
+            self.suspects,
+            transport,
+            self.members.peers,
+            settings.seeds,
+            timers,
+            random,
+        )
+        self.prober = Prober(clock, connect, self._server_changed)
+        self.builder = TableBuilder(
+            int(started_at * 1000),
+            clock,
+            self.replica,
+            self.members,
+            self.rules,
+            self.suspects,
+            self.prober,
+        )
+        self.own_records = OwnRecords(
+            settings,
+            int(started_at),
+            self.replica,
+            self.members,
+            self.entry,
+            self.rules,
+            self.feed,
+        )
+        self.status = StatusReporter(
+            self.replica,
+            self.members,
+            self.rules,
+            self.entry,
+            self.feed,
+            self.builder,
+        )
+        self.exchange.on_suspects = self.builder.hurry
+        self.replica.listen(Kind.RULES, self._rules_changed)
+        self.replica.listen(Kind.SERVERS, self._servers_listed)
+
+    async def synchronise(self) -> None:
+        """Read the platform and the peers until one of them has answered."""
+        backoff = Backoff(self.random)
+        while not self.synchronised and not self.tasks.stopped:
+            if await self._synchronise_once():
+                self.synchronised = True
+                self.exchange.ready = True
+                get_logger().info("synchronised", revision=self.rules.revision)
+                return
+            await self.tasks.sleep(backoff.next())
+
+    async def _synchronise_once(self) -> bool:
+        """Ask every source, so that no newer revision within reach is missed."""
+        self.own_records.write_instance()
+        asking = Deferred.fromCoroutine(self.exchange.synchronise())
+        read = await self.feed.read()
+        ready_peers = await asking
+        # The platform's list or the first peers may have named more peers.
+        ready_peers += await self.exchange.synchronise()
+        planned = self.replica.get(Kind.DEPLOYMENT) is not None
+        return planned and (read or ready_peers > 0)
+
+    def start(self) -> None:
+        """Start the loops; call once synchronised."""
+        self.tasks.repeat(RECORD_PERIOD_S, self._renew)
+        self.tasks.repeat(DUTY_PERIOD_S, self._check_duty)
+        self.tasks.repeat(PROBE_PERIOD_S, self.prober.round)
+
+    def stop(self) -> None:
+        """Stop all loops."""
+        self.tasks.stop()
+        self.exchange.tasks.stop()
+        self.feed.stop()
+        self.prober.close()
+
+    async def entry_report(self, report: EntryReport) -> TableReply:
+        """Take the entry's report and return what it lacks."""
+        urgent = self.entry.accept(report)
+        if urgent:
+            self.own_records.write()
+        if self._take_suspects(report):
+            self.builder.hurry()
+            await self._push_suspects()
+        return self._reply(report)
+
+    def _reply(self, report: EntryReport) -> TableReply:
+        if not self.synchronised or report.rules_revision > self.rules.revision:
+            # A table with an older revision would be refused by the entry.
+            return TableReply(age_ms=self._age_ms())
+        table = self.builder.current()
+        if table is None:
+            return TableReply(age_ms=self._age_ms())
+        known = (report.table_control_incarnation, report.table_serial)
+        if known == (table.control_incarnation, table.serial):
+            table = None
+        return TableReply(table, self._age_ms())
+
+    def _age_ms(self) -> float:
+        """Return the age of the newest news from probes, peers or the platform."""
+        contacts = self.exchange.contacts.values()
+        ages = [
+            self.prober.newest_age_s(),
+            self.feed.contact_age_s(),
+            *(self.timers.seconds() - time for time in contacts),
+        ]
+        return round(min(min(ages), 86_400.0) * 1000)
+
+    def _take_suspects(self, report: EntryReport) -> bool:
+        changes = [self.suspects.merge(_suspect(view)) for view in report.suspects]
+        changes += [self.suspects.clear(name) for name in report.cleared]
+        return any(changes)
+
+    async def _push_suspects(self) -> None:
+        sent = self.exchange.push_suspects(everywhere=True)
+        waited = self.tasks.sleep(SUSPECT_PUSH_S)
+        done: Deferred[None] = Deferred()
+        for event in (sent, waited):
+            event.addBoth(lambda _: None if done.called else done.callback(None))
+        await done
+        waited.cancel()
+
+    async def _renew(self) -> None:
+        self.suspects.expire()
+        self.own_records.write()
+        self.exchange.round()
+
+    async def _check_duty(self) -> None:
+        should_watch = self.members.should_watch()
+        if should_watch == self.feed.watching:
+            return
+        get_logger().info("watch_duty", watching=should_watch)
+        if should_watch:
+            self.feed.start()
+        else:
+            self.feed.stop()
+
+    def _rules_changed(self, _name: str) -> None:
+        get_logger().info("rules_revision", revision=self.rules.revision)
+        self.suspects.pardon(self.rules.pardoned())
+
+    def _servers_listed(self, name: str) -> None:
+        if name != self.settings.failure_domain:
+            return
+        listing: ServerListing = self.replica.get(Kind.SERVERS, name)
+        self.prober.set_servers(listing.items)
+        self.builder.hurry()
+
+    def _server_changed(self, server: str, state: ServerState) -> None:
+        get_logger().info("server_state", server=server, state=state.value)
+        self.builder.hurry()
+
+
+def _suspect(view: SuspectView) -> SuspectRecord:
+    return SuspectRecord(view.fingerprint, view.crashes, view.refused, view.age_ms)
--- /dev/null
+++ b/ebonybend/control/entry_link.py
@@ -0,0 +1,52 @@
+"""What this instance's entry process last reported."""
+
+from ebonybend.clock import Clock
+from ebonybend.steering.table import EntryReport
+from ebonybend.world import LifeState
+
+# Four missed reports.
+ENTRY_SILENCE_S = 1.0
+
+
+class EntryLink:
+    """Keep the last report of the entry process."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.report: EntryReport | None = None
+        self.received_at = 0.0
+
+    def accept(self, report: EntryReport) -> bool:
+        """Keep a report; return whether the instance record must be renewed."""
+        if self.report is not None and report.incarnation < self.report.incarnation:
+            return False
+        before = self._identity()
+        self.report = report
+        self.received_at = self.clock.monotonic()
+        return before != self._identity()
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the last report; infinite without one."""
+        if self.report is None:
+            return float("inf")
+        return self.clock.monotonic() - self.received_at
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the entry process lives, has a table and takes callers."""
+        if self.report is None or self.age_s > ENTRY_SILENCE_S:
+            return False
+        return self.report.table_serial > 0 and self.report.state is LifeState.LIVE
+
+    @property
+    def rules_revision(self) -> int:
+        """Return the revision in force on the entry process, 0 without a report."""
+        return self.report.rules_revision if self.report else 0
+
+    def _identity(self) -> tuple[int, LifeState, int, bool] | None:
+        if self.report is None:
+            return None
+        report = self.report
+        ready = self.ready
+        return report.incarnation, report.state, report.rules_revision, ready
--- /dev/null
+++ b/ebonybend/control/ports.py
@@ -0,0 +1,19 @@
+"""Open the control process's listening ports."""
+
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+
+from ebonybend.http_server import HttpSite
+from ebonybend.settings import bad_setting, split_address
+
+
+def listen(reactor: Any, flag: str, address: str, site: HttpSite) -> Any:
+    """Return an open port; raise BAD_SETTING naming the flag if it can't listen."""
+    host, port = split_address(address)
+    try:
+        return reactor.listenTCP(port, site, backlog=1024, interface=host)
+    except CannotListenError as error:
+        raise bad_setting(
+            flag, address, f"can't listen: {error.socketError}"
+        ) from error
--- /dev/null
+++ b/ebonybend/peers/exchange.py
@@ -0,0 +1,275 @@
+"""Exchange records with other control processes."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Protocol
+
+from twisted.internet.defer import Deferred, gatherResults
+
+from ebonybend.errors import SteeringError
+from ebonybend.logs import get_logger
+from ebonybend.peers.merge import Replica
+from ebonybend.peers.records import (
+    MAIN,
+    ExchangeReply,
+    ExchangeRequest,
+    Kind,
+    Record,
+    RecordName,
+    SuspectRecord,
+)
+from ebonybend.peers.suspects import SuspectSet
+from ebonybend.tasks import Tasks, Timers
+
+# A second exchange within this time, by either side, says nothing new.
+PAIR_SILENCE_S = 1.5
+FAR_PEERS_PER_ROUND = 2
+FAR_PEERS_FOR_RULES = 3
+# Two, since the one may be dead or cut off.
+FAR_PEERS_PER_DOMAIN_FOR_SUSPECTS = 2
+FAR_PEERS_AT_START = 8
+# A peer that failed is not chosen at random for this time.
+FAILED_PEER_S = 5.0
+RULES = RecordName(Kind.RULES, MAIN)
+
+
+class PeerAddress(Protocol):
+    """Where another control process is reached."""
+
+    name: str
+    failure_domain: str
+    address: str
+
+
+class PeerTransport(Protocol):
+    """Carry one request to one peer."""
+
+    async def send(
+        self, address: str, request: ExchangeRequest
+    ) -> ExchangeReply | None:
+        """Return the reply, or None when there was none."""
+        ...
+
+
+class PeerExchange:
+    """Send and answer exchanges; what is new goes into the replica."""
+
+    def __init__(
+        self,
+        own: str,
+        failure_domain: str,
+        replica: Replica,
+        suspects: SuspectSet,
+        transport: PeerTransport,
+        peers: Callable[[], tuple[PeerAddress, ...]],
+        seeds: Iterable[str],
+        timers: Timers,
+        random: Random,
+    ):
+        self.own = own
+        self.failure_domain = failure_domain
+        self.replica = replica
+        self.suspects = suspects
+        self.transport = transport
+        self.peers = peers
+        self.seeds = tuple(seeds)
+        self.timers = timers
+        self.random = random
+        self.tasks = Tasks(timers)
+        # Set once this control has synchronised.
+        self.ready = False
+        self.on_suspects: Callable[[], None] = lambda: None
+        # Time of the last exchange that a peer started, or that reached it.
+        self.contacts: dict[str, float] = {}
+        self.failures: dict[str, float] = {}
+        self.busy: dict[str, bool] = {}
+        replica.listen(Kind.RULES, self._rules_changed)
+
+    def round(self) -> None:
+        """Exchange once with the own domain's peers and with some of the others."""
+        near, far = self._split()
+        for peer in near:
+            if self.own < peer.name or self._silent(peer.name):
+                self.start(peer.address, peer.name)
+        for peer in self._choose(far, FAR_PEERS_PER_ROUND):
+            self.start(peer.address, peer.name)
+        if not near and not far:
+            for address in self.seeds:
+                self.start(address)
+
+    def push_rules(self) -> None:
+        """Exchange at once with the own domain and some others."""
+        near, far = self._split()
+        for peer in (*near, *self._choose(far, FAR_PEERS_FOR_RULES)):
+            self.start(peer.address, peer.name)
+
+    def push_suspects(self, everywhere: bool) -> Deferred[list[None]]:
+        """Send the suspects to the own domain and, if asked, to all others."""
+        near, far = self._split()
+        chosen = list(near)
+        if everywhere:
+            domains = {peer.failure_domain for peer in far}
+            for domain in sorted(domains):
+                members = [peer for peer in far if peer.failure_domain == domain]
+                chosen += self._choose(members, FAR_PEERS_PER_DOMAIN_FOR_SUSPECTS)
+        sent = [self.start(peer.address, peer.name) for peer in chosen]
+        return gatherResults(sent, consumeErrors=True)
+
+    async def synchronise(self) -> int:
+        """Ask the seeds and known peers for everything; return how many are ready."""
+        near, far = self._split()
+        addresses = {*self.seeds, *(peer.address for peer in near)}
+        chosen = self._choose(far, FAR_PEERS_AT_START)
+        addresses.update(peer.address for peer in chosen)
+        runs = [
+            Deferred.fromCoroutine(self.exchange(address))
+            for address in sorted(addresses)
+        ]
+        replies = await gatherResults(runs, consumeErrors=True)
+        return sum(1 for reply in replies if reply is not None and reply.ready)
+
+    def start(self, address: str, name: str = "") -> Deferred[None]:
+        """Exchange with a peer in the background, once at a time for each peer."""
+        if address in self.busy:
+            # What the running exchange has sent may be out of date already.
+            self.busy[address] = True
+            return Deferred.fromCoroutine(_nothing())
+        self.busy[address] = False
+        return self.tasks.start(self._run(address, name))
+
+    async def _run(self, address: str, name: str) -> None:
+        try:
+            reply = await self.exchange(address)
+            while reply is not None and self.busy[address]:
+                self.busy[address] = False
+                reply = await self.exchange(address)
+        finally:
+            del self.busy[address]
+        if reply is None:
+            self.failures[name] = self.timers.seconds()
+        else:
+            self.failures.pop(name, None)
+            self.contacts[name] = self.timers.seconds()
+
+    async def exchange(self, address: str) -> ExchangeReply | None:
+        """Exchange with the peer at an address; return its first reply."""
+        reply = await self.transport.send(address, self.request())
+        if reply is None:
+            return None
+        self._take(reply.records, reply.suspects, reply.failure_domain)
+        newer, older = [], []
+        if reply.slow:
+            newer, older = self.replica.slow_differences(reply.slow)
+        records = self.replica.records(dict.fromkeys([*reply.wanted, *newer]))
+        differ = reply.suspects_digest != self.suspects.digest()
+        suspects = self.suspects.records() if differ else ()
+        if records or older or suspects:
+            rest = self.request(records, suspects, tuple(older))
+            second = await self.transport.send(address, rest)
+            if second is not None:
+                self._take(second.records, second.suspects, second.failure_domain)
+        return reply
+
+    def request(
+        self,
+        records: tuple[Record, ...] = (),
+        suspects: tuple[SuspectRecord, ...] = (),
+        wanted: tuple[RecordName, ...] = (),
+    ) -> ExchangeRequest:
+        """Return a request that says what is held here."""
+        return ExchangeRequest(
+            self.own,
+            self.failure_domain,
+            self.replica.version(Kind.RULES),
+            self.replica.slow_digest(),
+            self.suspects.digest(),
+            self.replica.versions(Kind.DOMAIN),
+            self.replica.versions(Kind.LOAD),
+            records or self._own_load(),
+            suspects,
+            wanted,
+        )
+
+    def answer(self, request: ExchangeRequest) -> ExchangeReply:
+        """Take what a request brings and return what its sender lacks."""
+        self.contacts[request.sender] = self.timers.seconds()
+        self._take(request.records, request.suspects, request.failure_domain)
+        newer = [
+            *request.wanted,
+            *self.replica.newer_than(Kind.DOMAIN, request.domains),
+        ]
+        if request.failure_domain == self.failure_domain:
+            newer += self.replica.newer_than(Kind.LOAD, request.loads)
+        revision = self.replica.version(Kind.RULES)
+        if revision > request.rules_revision:
+            newer.append(RULES)
+        wanted = (RULES,) if request.rules_revision > revision else ()
+        same = request.slow_digest == self.replica.slow_digest()
+        digest = self.suspects.digest()
+        suspects = () if digest == request.suspects_digest else self.suspects.records()
+        return ExchangeReply(
+            self.own,
+            self.failure_domain,
+            self.replica.records(dict.fromkeys(newer)),
+            suspects,
+            wanted,
+            () if same else self.replica.slow_versions(),
+            digest,
+            self.ready,
+        )
+
+    def _own_load(self) -> tuple[Record, ...]:
+        return self.replica.records((RecordName(Kind.LOAD, self.own),))
+
+    def _take(
+        self,
+        records: Iterable[Record],
+        suspects: Iterable[SuspectRecord],
+        failure_domain: str,
+    ) -> None:
+        near = failure_domain == self.failure_domain
+        for record in records:
+            if near or record.kind is not Kind.LOAD:
+                self._offer(record)
+        changes = [self.suspects.merge(suspect) for suspect in suspects]
+        if any(changes):
+            self.on_suspects()
+            if not near:
+                self.push_suspects(everywhere=False)
+
+    def _offer(self, record: Record) -> None:
+        try:
+            self.replica.offer(record)
+        except SteeringError as error:
+            get_logger().warning(
+                "record_bad", kind=record.kind.value, error=error.message
+            )
+
+    def _rules_changed(self, _name: str) -> None:
+        # After the reply that brought the rules has been taken whole.
+        self.timers.callLater(0, self.push_rules)
+
+    def _silent(self, name: str) -> bool:
+        last = self.contacts.get(name)
+        return last is None or self.timers.seconds() - last > PAIR_SILENCE_S
+
+    def _split(self) -> tuple[list[PeerAddress], list[PeerAddress]]:
+        near, far = [], []
+        for peer in self.peers():
+            own_domain = peer.failure_domain == self.failure_domain
+            (near if own_domain else far).append(peer)
+        return near, far
+
+    def _choose(self, peers: list[PeerAddress], count: int) -> list[PeerAddress]:
+        """Return some peers at random, those that failed lately last."""
+        shuffled = self.random.sample(peers, len(peers))
+        shuffled.sort(key=self._failed_lately)
+        return shuffled[:count]
+
+    def _failed_lately(self, peer: PeerAddress) -> bool:
+        failed_at = self.failures.get(peer.name, float("-inf"))
+        return self.timers.seconds() - failed_at < FAILED_PEER_S
+
+
+async def _nothing() -> None:
+    return None
--- a/ebonybend/peers/records.py
+++ b/ebonybend/peers/records.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from ebonybend.steering.table import ServiceLoad
+from ebonybend.steering.table import ServiceLoad, ShiftUsage
 from ebonybend.world import BackendServer, Deployment, Instance, LifeState
 
 
@@ -61,6 +61,8 @@
     control_address: str
     state: LifeState
     ready: bool
+    # At the time of writing; it grows by one each minute of the record's age.
+    key_epoch: int = 0
 
 
 @frozen
@@ -76,6 +78,15 @@
     draining: tuple[str, ...] = ()
     # It tries to watch the platform and gets no answer.
     watch_failing: bool = False
+    shifts: tuple[ShiftUsage, ...] = ()
+
+
+@frozen
+class InstanceRevision:
+    """The revision in force on an instance's entry process."""
+
+    name: str
+    rules_revision: int
 
 
 @frozen
@@ -85,14 +96,20 @@
     name: str
     region: str
     services: tuple[ServiceLoad, ...]
-    # Lowest revision in force on its listed and known instances.
+    # Revision that the writer knows, and that its domain's entry processes have in
+    # force except for those behind.
     rules_revision: int
-    # Instances with an older revision than the summary's writer.
-    behind: tuple[str, ...]
+    behind: tuple[InstanceRevision, ...]
     # Instances whose control process is silent.
     silent: tuple[str, ...]
-    # Version of the list of instances that rules_revision covers.
+    # Version of the list of instances that the summary covers.
     listing_version: int
+    shifts: tuple[ShiftUsage, ...] = ()
+
+    def revision_of(self, instance: str) -> int:
+        """Return the revision in force on an instance that the summary covers."""
+        matches = (x.rules_revision for x in self.behind if x.name == instance)
+        return next(matches, self.rules_revision)
 
 
 @frozen
@@ -104,8 +121,8 @@
     text: str
     author: str
     reason: str
-    # Wall-clock time of acceptance, ISO 8601.
-    at: str
+    # Time of acceptance, seconds since the epoch.
+    at: float
 
 
 @frozen
@@ -211,3 +228,5 @@
     # The replier's slow versions, when the digests differ.
     slow: tuple[VersionLine, ...] = ()
     suspects_digest: int = 0
+    # The replier itself has synchronised since its start.
+    ready: bool = False
--- a/ebonybend/platform/client.py
+++ b/ebonybend/platform/client.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 from urllib.parse import quote
 
-from attrs import field, frozen
+from attrs import frozen
 from msgspec import Raw
 from returns.result import Failure, Result, Success
 
@@ -17,6 +17,8 @@
 WATCH_MARGIN_S = 2.0
 # Objects are below 1 MB; a list of many stays below this size.
 MAX_ANSWER_BYTES = 64 << 20
+# msgspec decodes no Raw field whose default comes from a factory.
+NULL = Raw(b"null")
 
 
 class StoreFailureKind(Enum):
@@ -39,7 +41,7 @@
 
     name: str
     version: int
-    value: Raw = field(factory=lambda: Raw(b"null"))
+    value: Raw = NULL
     deleted: bool = False
 
 
--- a/ebonybend/platform/rules_store.py
+++ b/ebonybend/platform/rules_store.py
@@ -11,8 +11,8 @@
     change_id: str
     author: str
     reason: str
-    # Wall-clock time of acceptance, ISO 8601.
-    at: str
+    # Time of acceptance, seconds since the epoch.
+    at: float
     # Lines of the difference from the revision before.
     difference: tuple[str, ...] = ()
 
@@ -26,7 +26,8 @@
     text: str
     author: str
     reason: str
-    at: str
+    # Time of acceptance, seconds since the epoch.
+    at: float
     # The last changes, oldest first, up to this revision.
     recent: tuple[Change, ...] = ()
     # Changes up to this revision are also in the audit chunks.
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -100,6 +100,8 @@
     limit: int
     latency_ms: float
     failing: bool = False
+    # An answer of the server said that it is leaving.
+    draining: bool = False
 
 
 @frozen
