--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -21,6 +21,7 @@
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
+LOG_TAIL_LENGTH = 2000
 ROLES = ("entry", "control")
 SEEDS_PER_CONTROL = 3
 
@@ -105,7 +106,7 @@
         for instance in self.instances:
             self.start_instance(instance)
         self.wait_until(self._servers_ready, "backend servers are ready")
-        self.wait_until(self.instances_ready, "instances are ready")
+        self.wait_until(self._instances_started, "instances are ready")
 
     def _start_platform(self) -> None:
         self._start_process(
@@ -210,6 +211,13 @@
         """Return whether a backend server answers."""
         return call("GET", self.addresses.server(name).listen, "/health").status == 200
 
+    def _instances_started(self) -> bool:
+        """Return whether all instances are ready; raise if a process has ended."""
+        for _, name in self.processes.crashes:
+            log = (self.directory / f"{name}.log").read_text()
+            raise RuntimeError(f"{name} ended at its start: {log[-LOG_TAIL_LENGTH:]}")
+        return self.instances_ready()
+
     def instances_ready(self) -> bool:
         """Return whether every instance serves callers."""
         return all(self.instance_ready(name) for name in self.instances)
