Add the test of the whole path

A fleet counts as started when every instance answers reads of every service, because a new incarnation owns no slot during the holding time.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,6 +1,6 @@
 """The two deployments that the system is built for."""
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from ebonybend.world import (
     Contract,
@@ -140,4 +140,18 @@
     )
 
 
+def reduced(plan: DeploymentPlan, domains: tuple[str, ...]) -> DeploymentPlan:
+    """Return a deployment with some of its failure domains only."""
+    kept = tuple(x for x in plan.deployment.failure_domains if x.name in domains)
+    names = {domain.region for domain in kept}
+    deployment = evolve(
+        plan.deployment,
+        regions=tuple(x for x in plan.deployment.regions if x.name in names),
+        failure_domains=kept,
+        links=tuple(x for x in plan.deployment.links if {x.source, x.target} <= names),
+    )
+    servers = tuple(x for x in plan.servers if x.failure_domain in domains)
+    return evolve(plan, deployment=deployment, servers=servers)
+
+
 DEPLOYMENTS = {"blue-mahoe": blue_mahoe, "kadar": kadar}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -107,6 +107,7 @@
             self.start_instance(instance)
         self.wait_until(self._servers_ready, "backend servers are ready")
         self.wait_until(self._instances_started, "instances are ready")
+        self.wait_until(self._all_serving, "instances serve every service")
 
     def _start_platform(self) -> None:
         self._start_process(
@@ -230,6 +231,21 @@
             for address in (entry, self.addresses.admin(name))
         )
 
+    def _all_serving(self) -> bool:
+        """Return whether every instance has slots for every service.
+
+        A new incarnation owns no slot until the holding time has passed.
+        """
+        return all(self.instance_serves(name) for name in self.instances)
+
+    def instance_serves(self, name: str) -> bool:
+        """Return whether an instance answers reads of every service."""
+        address = self.addresses.public(name).listen
+        return all(
+            call("GET", address, f"/s/{service.name}/ready?service_ms=1").status == 200
+            for service in self.plan.deployment.services
+        )
+
     # The platform's lists
 
     def write_object(self, kind: str, name: str, value: object) -> None:
--- /dev/null
+++ b/bench/tests/test_whole_path.py
@@ -0,0 +1,48 @@
+from time import sleep
+
+from testtools import TestCase
+
+from bench.deployments import blue_mahoe, reduced
+from bench.fleet import Fleet, FleetOptions
+from bench.load import LoadShape
+from bench.playing import check_run, play
+
+# Short times for taking over slots, so that the tests wait less.
+QUICK = ("--hold_ms=500", "--longest_deadline_ms=2000", "--lookup_lifetime_ms=1000")
+OPTIONS = FleetOptions(daemon_flags=QUICK, cold_s=0.2)
+DOMAINS = ("kingston-1", "montego-1")
+DRAINED = "ride-history-01"
+
+
+class WholePathTest(TestCase):
+    """Requests from callers to backend servers through real processes."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet(reduced(blue_mahoe(), DOMAINS), OPTIONS)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+
+    def assert_sound(self, report):
+        self.assertTrue(report.ok, f"{report.line()} {report.examples}")
+
+    def test_reads_and_writes_are_answered_whole(self):
+        load = play(self.fleet, LoadShape(), 4.0)
+        load.wait()
+        report = check_run(self.fleet, [load])
+        self.assert_sound(report)
+        self.assertGreater(report.sent, 50)
+        self.assertEqual(report.sent, report.whole, report.line())
+
+    def test_kill_and_drain_break_no_promise(self):
+        load = play(self.fleet, LoadShape(), 8.0)
+        sleep(2.0)
+        self.fleet.kill_instance("kingston-1-b")
+        self.fleet.unlist_instance("kingston-1-b")
+        sleep(1.0)
+        self.fleet.drain_server(DRAINED)
+        load.wait()
+        report = check_run(self.fleet, [load])
+        self.assert_sound(report)
+        reads = [x for x in load.operations() if x.method == "GET"]
+        self.assertEqual([], [x for x in reads if x.result != "whole"])
