--- a/ebonybend/entry/attempts.py
+++ b/ebonybend/entry/attempts.py
@@ -31,6 +31,8 @@
     # The attempt used a backend server or another entry; a refusal inside this
     # process needs no retry token.
     sent: bool
+    # Another entry gave the error, so it holds for that entry's whole handling.
+    stated: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- /dev/null
+++ b/ebonybend/entry/budgets.py
@@ -0,0 +1,228 @@
+"""Caps, shifts and link budgets for traffic to other regions."""
+
+from random import Random
+from typing import Any
+
+from attrs import define, field
+from twisted.internet.task import deferLater
+
+from ebonybend.clock import Clock
+from ebonybend.entry.table_state import TableState
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.rules.model import CapRule, Rule, ShiftRule
+from ebonybend.steering.links import LinkBudget
+from ebonybend.steering.shares import CapShare, Ramp
+from ebonybend.steering.table import ShiftUsage, Table
+
+# Headers of a request or an answer between entries; measured at 250 to 400 bytes.
+HEADER_BYTES = 400
+# Fewer answers in one period say nothing about the receiver.
+MIN_ANSWERS_FOR_RAMP = 5
+CAP_RETRY_AFTER_MS = 1000
+LINK_RETRY_AFTER_MS = 200
+MS = 1000.0
+
+
+@define
+class RampAnswers:
+    """What the receiver of a shift answered in one period."""
+
+    answered: int = 0
+    refused: int = 0
+    latency_s: float = 0.0
+
+
+@define(eq=False)
+class Bound:
+    """One shift or cap with this sender's share."""
+
+    rule: Rule
+    share: CapShare
+    ramp: Ramp | None = None
+    answers: RampAnswers = field(factory=RampAnswers)
+
+    def covers(self, service: str, region: str) -> bool:
+        """Tell whether the bound counts a service's requests to a region."""
+        body = self.rule.body
+        return body.target == region and body.service in (None, service)
+
+
+def bound_name(rule: Rule) -> str:
+    """Return the name of a bound; a changed cap keeps it, and so its send log."""
+    body = rule.body
+    kind = "shift" if isinstance(body, ShiftRule) else "cap"
+    return f"{kind} {body.service or '*'} {body.source} {body.target}"
+
+
+class RegionBudgets:
+    """All bounds on what this entry sends to other regions."""
+
+    def __init__(
+        self, reactor: Any, clock: Clock, table_state: TableState, random: Random, hold_s
+    ):
+        self.reactor = reactor
+        self.clock = clock
+        self.table_state = table_state
+        self.random = random
+        self.hold_s = hold_s
+        self.bounds: dict[str, Bound] = {}
+        self.links: dict[str, LinkBudget] = {}
+        self._link_plan: Any = None
+        self._shifts: dict[str, tuple[Bound, ...]] = {}
+        table_state.listeners.append(self._table_changed)
+
+    def _table_changed(self, table: Table) -> None:
+        self._set_links(table)
+        names = table.deployment.region_instances(self.table_state.region)
+        rules: dict[str, Rule] = {}
+        for rule in (*self.table_state.rules.shifts, *self.table_state.rules.caps):
+            if rule.body.source != self.table_state.region:
+                continue
+            name = bound_name(rule)
+            known = rules.get(name)
+            if known is None or _cap(rule) < _cap(known):
+                rules[name] = rule
+        self.bounds = {
+            name: self._bound(name, rule, names) for name, rule in rules.items()
+        }
+        self._shifts = {}
+        for bound in self.bounds.values():
+            if bound.ramp is not None:
+                service = bound.rule.body.service
+                self._shifts[service] = (*self._shifts.get(service, ()), bound)
+
+    def _bound(self, name: str, rule: Rule, names: tuple[str, ...]) -> Bound:
+        """Return a new bound, or the known one with the rule's values."""
+        known = self.bounds.get(name)
+        cap = _cap(rule)
+        if known is None:
+            own = self.table_state.own
+            share = CapShare(cap, own, names, self.clock, self.hold_s)
+            ramp = Ramp(cap, self.clock) if isinstance(rule.body, ShiftRule) else None
+            known = Bound(rule, share, ramp)
+        else:
+            known.share.configure(cap, names)
+            if known.ramp is not None:
+                known.ramp.cap = cap
+            known.rule = rule
+        self._throttle(known, names)
+        return known
+
+    def _throttle(self, bound: Bound, names: tuple[str, ...]) -> None:
+        if bound.ramp is not None:
+            bound.share.throttle(bound.ramp.current(), names)
+
+    def _set_links(self, table: Table) -> None:
+        region = self.table_state.region
+        senders = len(table.deployment.region_instances(region))
+        links = tuple(x for x in table.deployment.links if x.source == region)
+        if (links, senders) == self._link_plan:
+            return
+        self._link_plan = (links, senders)
+        self.links = {
+            link.target: LinkBudget(link.bytes_per_second, senders, self.clock)
+            for link in links
+        }
+
+    def tick(self) -> None:
+        """Step the ramps; called by the heartbeat loop."""
+        table = self.table_state.table
+        if table is None:
+            return
+        names = table.deployment.region_instances(self.table_state.region)
+        for bound in self.bounds.values():
+            self._observe_ramp(bound)
+            self._throttle(bound, names)
+
+    def _observe_ramp(self, bound: Bound) -> None:
+        answers = bound.answers
+        total = answers.answered + answers.refused
+        if bound.ramp is None or total < MIN_ANSWERS_FOR_RAMP:
+            return
+        latency_ms = MS * answers.latency_s / max(1, answers.answered)
+        bound.ramp.observe(latency_ms, answers.refused / total)
+        bound.answers = RampAnswers()
+
+    def shift_target(self, service: str) -> str | None:
+        """Return the region that a shift moves this request to, or None."""
+        shifts = self._shifts.get(service)
+        if not shifts:
+            return None
+        draw = self.random.random()
+        for bound in shifts:
+            draw -= bound.rule.body.share
+            if draw < 0:
+                return bound.rule.body.target
+        return None
+
+    def admit(self, service: str, region: str, size: int) -> SteeringError | None:
+        """Charge a request to a region's caps and link; return why it can't go."""
+        bounds = [b for b in self.bounds.values() if b.covers(service, region)]
+        size += HEADER_BYTES
+        link = self.links.get(region)
+        if link is not None and link.delay_for(size) > 0:
+            return SteeringError(
+                ErrorKind.LINK_FULL, f"link to {region} is full", LINK_RETRY_AFTER_MS
+            )
+        full = [b for b in bounds if b.share.usage().sent >= b.share.units()]
+        for bound in full:
+            # A refused take is what tells the lending loop of a shortage.
+            bound.share.take()
+        if full:
+            return SteeringError(
+                ErrorKind.CAP_REACHED, f"cap to {region} reached", CAP_RETRY_AFTER_MS
+            )
+        for bound in bounds:
+            bound.share.take()
+        if link is not None:
+            link.charge(size)
+        return None
+
+    def observe(
+        self, service: str, region: str, latency_s: float, answered: bool
+    ) -> None:
+        """Take in how a region answered a request."""
+        for bound in self._shifts.get(service, ()):
+            if bound.rule.body.target == region:
+                bound.answers.answered += answered
+                bound.answers.refused += not answered
+                bound.answers.latency_s += latency_s if answered else 0.0
+
+    def link_utilisation(self, region: str) -> float:
+        """Return the used part of the link budget to a region, 0 to 1."""
+        link = self.links.get(region)
+        return link.utilisation() if link is not None else 0.0
+
+    def pacer(self, region: str | None) -> "LinkPacer | None":
+        """Return the pacer for answers to a region, or None inside the own one."""
+        link = self.links.get(region or "")
+        return LinkPacer(self.reactor, link) if link is not None else None
+
+    def usage(self) -> tuple[ShiftUsage, ...]:
+        """Return what this entry sent under each rule in the last window."""
+        usages = ((b.rule.text, b.share.usage()) for b in self.bounds.values())
+        return tuple(ShiftUsage(text, use.sent, use.units) for text, use in usages)
+
+
+class LinkPacer:
+    """Charge the chunks of an answer to a link's budget."""
+
+    def __init__(self, reactor: Any, link: LinkBudget):
+        self.reactor = reactor
+        self.link = link
+        self.chunk_bytes = link.chunk_bytes()
+        self._overhead = HEADER_BYTES
+
+    async def admit(self, size: int) -> None:
+        """Return when a chunk may be sent."""
+        size = min(size + self._overhead, self.link.budget)
+        self._overhead = 0
+        while not self.link.charge(size):
+            # The budget may be taken by another answer at the end of the delay.
+            wait_s = max(self.link.delay_for(size), 0.01)
+            await deferLater(self.reactor, wait_s)
+
+
+def _cap(rule: Rule) -> int:
+    body: CapRule | ShiftRule = rule.body
+    return body.cap_per_second
--- a/ebonybend/entry/domains.py
+++ b/ebonybend/entry/domains.py
@@ -10,6 +10,8 @@
 # The options of a service are built once in this time. Requests of the same time
 # differ only in this entry's own load, which the chooser counts itself.
 OPTIONS_LIFETIME_S = 0.02
+# Added to the own domain's name for the slots that its other entries own.
+SIBLINGS = "/siblings"
 
 
 class DomainOptions:
@@ -77,21 +79,24 @@
         state = self.table_state
         table = state.table
         latency_weight, headroom_weight = self._weights(service)
-        age_ms = state.age_ms
-        options = [self._own_option(service, table)]
+        own = self._own_option(service, table)
+        options = [own]
         for view in table.domains:
             if view.name == table.failure_domain:
                 continue
             load = _load_of(view, service)
             if load is not None:
-                options.append(self._option(view, load, age_ms))
+                options.append(self._option(view, load, state.views_age_ms))
+        siblings = self._sibling_option(service, table, own)
+        if siblings is not None:
+            options.append(siblings)
         return DomainQuery(
             service,
             table.failure_domain,
             tuple(options),
             latency_weight,
             headroom_weight,
-            age_ms,
+            state.age_ms,
         )
 
     def _weights(self, service: str) -> tuple[float, float]:
@@ -102,7 +107,7 @@
         return contract.latency_weight, contract.headroom_weight
 
     def _option(
-        self, view: DomainView, load: ServiceLoad, table_age_ms: float
+        self, view: DomainView, load: ServiceLoad, views_age_ms: float
     ) -> DomainOption:
         table = self.table_state.table
         region = view.region
@@ -116,7 +121,7 @@
             slots=load.slots,
             in_flight=load.in_flight,
             link_utilisation=0.0 if same else self.link_utilisation(region),
-            age_ms=view.age_ms + table_age_ms,
+            age_ms=view.age_ms + views_age_ms,
         )
 
     def _own_option(self, service: str, table: Table) -> DomainOption:
@@ -139,5 +144,25 @@
         )
 
 
+    def _sibling_option(
+        self, service: str, table: Table, own: DomainOption
+    ) -> DomainOption | None:
+        """Describe the slots of the own domain that its other entries own."""
+        name, own_name = table.failure_domain, self.table_state.own
+        view = next((d for d in table.domains if d.name == name), None)
+        load = _load_of(view, service) if view else None
+        others = [v for v in self.table_state.usable_in(name) if v.name != own_name]
+        if load is None or not others:
+            return None
+        return DomainOption(
+            domain=name + SIBLINGS,
+            one_way_latency_ms=table.deployment.domain_latency_ms,
+            service_latency_ms=load.latency_ms,
+            slots=max(0, load.slots - own.slots),
+            in_flight=max(0, load.in_flight - own.in_flight),
+            age_ms=view.age_ms + self.table_state.views_age_ms,
+        )
+
+
 def _load_of(view: DomainView, service: str) -> ServiceLoad | None:
     return next((load for load in view.services if load.service == service), None)
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -15,7 +15,7 @@
     refused,
 )
 from ebonybend.entry.dispatch import SHED_RETRY_AFTER_MS, LocalDispatcher
-from ebonybend.entry.domains import DomainOptions
+from ebonybend.entry.domains import SIBLINGS, DomainOptions
 from ebonybend.entry.hops import HopClient
 from ebonybend.entry.metrics import EntryMetrics
 from ebonybend.entry.requests import SteeredRequest
@@ -37,6 +37,12 @@
         """Charge a request to a region's caps and link; return why it can't go."""
         ...
 
+    def observe(
+        self, service: str, region: str, latency_s: float, answered: bool
+    ) -> None:
+        """Take in how a region answered a request."""
+        ...
+
 
 class Forwarder:
     """Find a place for a request and return its answer."""
@@ -178,21 +184,27 @@
         self, request: SteeredRequest, search: Search, domain: str
     ) -> Attempt:
         """Send a request to an entry of another failure domain."""
-        instance = self.hops.pick(domain, search.instances)
+        place = domain.removesuffix(SIBLINGS)
+        instance = self.hops.pick(place, search.instances)
         if instance is None:
             search.domains.add(domain)
             return refused(ErrorKind.NOT_READY, f"no entry of {domain} is ready")
-        region = self.table_state.region_of(domain)
+        region = self.table_state.region_of(place)
         error = self._admit(request, region)
         if error is not None:
             search.domains.update(self.options.domains_of(region))
             return AttemptFailure(error, False).as_failure()
+        started = self.clock.monotonic()
         self.domains.started(domain, request.service)
         try:
             attempt = await self.hops.run(request, instance)
         finally:
             self.domains.finished(domain, request.service)
         self._learn(request, search, domain, attempt)
+        latency_s = self.clock.monotonic() - started
+        self.budgets.observe(
+            request.service, region, latency_s, is_successful(attempt)
+        )
         if not is_successful(attempt):
             search.instances.add(instance.name)
         return attempt
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -42,10 +42,11 @@
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
+        own = self.table_state.own
         usable = [
             view
-            for view in self.table_state.usable_instances(domain)
-            if view.name not in tried and view.name != self.table_state.own
+            for view in self.table_state.usable_in(domain)
+            if view.name not in tried and view.name != own
         ]
         return self.random.choice(usable) if usable else None
 
@@ -94,7 +95,7 @@
         except RequestFailed as error:
             return failed(ErrorKind.ANSWER_LOST, f"{instance.name}: {error}")
         except SteeringError as error:
-            return AttemptFailure(error, True).as_failure()
+            return AttemptFailure(error, True, stated=True).as_failure()
 
     def _one_way_ms(self, instance: InstanceView) -> float:
         table = self.table_state.table
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -29,7 +29,9 @@
         self.region = ""
         self.listeners: list[Callable[[Table], None]] = []
         self._news_at = clock.monotonic()
+        self._table_at = self._news_at
         self._draining_until: dict[str, float] = {}
+        self._usable: dict[str, tuple[InstanceView, ...]] = {}
 
     def accept(self, reply: TableReply) -> None:
         """Take a reply of the control; an older table or revision is not taken."""
@@ -40,9 +42,13 @@
         if table is None:
             return
         self.table = table
+        self._table_at = self.clock.monotonic()
         self._derive(table)
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in self.listeners:
-            listener(table)
+            listener(self.table)
 
     def _is_older(self, table: Table) -> bool:
         old = self.table
@@ -62,11 +68,13 @@
         self.instances = {view.name: view for view in table.instances}
         self.services = frozenset(s.name for s in table.deployment.services)
         self.region = self.region_of(table.failure_domain)
+        self._usable = self._find_usable()
 
     def refresh_rules(self) -> None:
         """Drop the rules whose validity has ended."""
         if self.table is not None and self.rules.expired(self.wall()):
-            self.rules = RulesInForce.from_text(self.table.rules_text, self.wall())
+            self._derive(self.table)
+            self._notify()
 
     def region_of(self, domain_name: str) -> str:
         """Return the region of a failure domain, or an empty name."""
@@ -89,18 +97,25 @@
         """Return the age of the newest news behind the table."""
         return (self.clock.monotonic() - self._news_at) * MS
 
+    @property
+    def views_age_ms(self) -> float:
+        """Return the time since the views in the table were received."""
+        return (self.clock.monotonic() - self._table_at) * MS
+
     @property
     def revision(self) -> int:
         """Return the rules revision in force, or 0 without a table."""
         return self.table.rules_revision if self.table else 0
 
-    def usable_instances(self, domain: str | None = None) -> tuple[InstanceView, ...]:
-        """Return the ready instances that are not leaving, of one domain or of all."""
-        return tuple(
-            view
-            for view in self.instances.values()
-            if view.ready
-            and view.state is LifeState.LIVE
-            and view.name not in self.rules.drained_instances
-            and (domain is None or view.failure_domain == domain)
-        )
+    def usable_in(self, domain: str) -> tuple[InstanceView, ...]:
+        """Return a domain's instances that are ready and not leaving."""
+        return self._usable.get(domain, ())
+
+    def _find_usable(self) -> dict[str, tuple[InstanceView, ...]]:
+        found: dict[str, tuple[InstanceView, ...]] = {}
+        for view in self.instances.values():
+            usable = view.ready and view.state is LifeState.LIVE
+            if usable and view.name not in self.rules.drained_instances:
+                domain = view.failure_domain
+                found[domain] = (*found.get(domain, ()), view)
+        return found
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -1,11 +1,11 @@
 """An HTTP server with limits, where every refusal has a kind from the closed list."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import field, frozen
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Protocol as ConnectionProtocol
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
@@ -49,6 +49,16 @@
         return values[0].decode("utf-8", "replace") if values else None
 
 
+class Pacer(Protocol):
+    """Spread a body over time."""
+
+    chunk_bytes: int
+
+    async def admit(self, size: int) -> None:
+        """Return when a number of bytes may be sent."""
+        ...
+
+
 @frozen
 class OutgoingAnswer:
     """An answer to send."""
@@ -56,6 +66,7 @@
     status: int = 200
     body: bytes = b""
     headers: Mapping[str, str] = field(factory=dict)
+    pacer: Pacer | None = None
 
 
 Handler = Callable[[IncomingRequest], Awaitable[OutgoingAnswer]]
@@ -119,6 +130,10 @@
     """A request that is passed to the site's handler once it is whole."""
 
     received = 0
+    # Called when the caller closes its connection before it has its answer.
+    on_gone: Callable[[], None] | None = None
+    # The handler's work; cancelling it ends the request.
+    running: Deferred[None] | None = None
 
     def gotLength(self, length: int | None) -> None:
         limit = self.channel.site.limits.max_body_bytes
@@ -142,10 +157,12 @@
             return
         self.gone = False
         self.notifyFinish().addErrback(self._caller_gone)
-        Deferred.fromCoroutine(self._answer())
+        self.running = Deferred.fromCoroutine(self._answer())
 
     def _caller_gone(self, _reason: Any) -> None:
         self.gone = True
+        if self.on_gone is not None:
+            self.on_gone()
 
     async def _answer(self) -> None:
         try:
@@ -167,21 +184,40 @@
         except Exception as error:
             get_logger().exception("request_failed", error=repr(error))
             answer = error_answer(SteeringError(ErrorKind.INTERNAL, "internal error"))
-        self.send(answer)
+        if answer.pacer is None or self.method == b"HEAD":
+            self.send(answer)
+        else:
+            await self._send_paced(answer, answer.pacer)
 
     def send(self, answer: OutgoingAnswer) -> None:
         """Write an answer unless the caller has gone."""
         if self.gone:
             return
+        self._write_head(answer)
+        if self.method != b"HEAD":
+            self.write(answer.body)
+        self.finish()
+
+    async def _send_paced(self, answer: OutgoingAnswer, pacer: Pacer) -> None:
+        """Write an answer in chunks, each when the pacer admits it."""
+        if not self.gone:
+            self._write_head(answer)
+        # Also an empty body is written, because the first write sends the headers.
+        for start in range(0, max(len(answer.body), 1), pacer.chunk_bytes):
+            chunk = answer.body[start : start + pacer.chunk_bytes]
+            await pacer.admit(len(chunk))
+            if self.gone:
+                return
+            self.write(chunk)
+        self.finish()
+
+    def _write_head(self, answer: OutgoingAnswer) -> None:
         self.setResponseCode(answer.status)
         for name, value in answer.headers.items():
             self.responseHeaders.setRawHeaders(name, [value])
         self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
         if self.channel.site.closing:
             self.responseHeaders.setRawHeaders("Connection", ["close"])
-        if self.method != b"HEAD":
-            self.write(answer.body)
-        self.finish()
 
 
 class _Channel(HTTPChannel):
@@ -250,7 +286,7 @@
             self.transport.loseConnection()
 
 
-class _RefusedConnection(Protocol):
+class _RefusedConnection(ConnectionProtocol):
     """A connection over the limit."""
 
     def connectionMade(self) -> None:
