Wire the whole entry process: owner, peer port, loops and graceful stop

Cause: writes, hops, heartbeats, lending, replication of outcomes and the graceful stop were missing or not connected.

--- a/ebonybend/entry/answers.py
+++ b/ebonybend/entry/answers.py
@@ -3,12 +3,14 @@
 from ebonybend.entry.requests import ServedAnswer
 from ebonybend.errors import ANSWERS, ErrorKind, Outcome, SteeringError
 from ebonybend.http_client import HttpAnswer
-from ebonybend.http_server import OutgoingAnswer
+from ebonybend.http_server import OutgoingAnswer, Pacer
 
 ANSWERED = Outcome.ANSWERED.value
 
 
-def outgoing(answer: ServedAnswer, request_id: str) -> OutgoingAnswer:
+def outgoing(
+    answer: ServedAnswer, request_id: str, pacer: Pacer | None = None
+) -> OutgoingAnswer:
     """Return the HTTP answer that passes on a backend server's answer."""
     headers = {
         "Ebonybend-Outcome": ANSWERED,
@@ -18,7 +20,7 @@
     }
     if answer.content_type is not None:
         headers["Content-Type"] = answer.content_type
-    return OutgoingAnswer(answer.status, answer.body, headers)
+    return OutgoingAnswer(answer.status, answer.body, headers, pacer)
 
 
 def from_entry(answer: HttpAnswer) -> ServedAnswer:
--- a/ebonybend/entry/budgets.py
+++ b/ebonybend/entry/budgets.py
@@ -58,7 +58,12 @@
     """All bounds on what this entry sends to other regions."""
 
     def __init__(
-        self, reactor: Any, clock: Clock, table_state: TableState, random: Random, hold_s
+        self,
+        reactor: Any,
+        clock: Clock,
+        table_state: TableState,
+        random: Random,
+        hold_s,
     ):
         self.reactor = reactor
         self.clock = clock
--- a/ebonybend/entry/domains.py
+++ b/ebonybend/entry/domains.py
@@ -143,7 +143,6 @@
             in_flight=busy,
         )
 
-
     def _sibling_option(
         self, service: str, table: Table, own: DomainOption
     ) -> DomainOption | None:
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -202,9 +202,7 @@
             self.domains.finished(domain, request.service)
         self._learn(request, search, domain, attempt)
         latency_s = self.clock.monotonic() - started
-        self.budgets.observe(
-            request.service, region, latency_s, is_successful(attempt)
-        )
+        self.budgets.observe(request.service, region, latency_s, is_successful(attempt))
         if not is_successful(attempt):
             search.instances.add(instance.name)
         return attempt
--- a/ebonybend/entry/lookups.py
+++ b/ebonybend/entry/lookups.py
@@ -5,14 +5,10 @@
 
 from attrs import frozen
 
-from ebonybend.entry.table_state import TableState
+from ebonybend.entry.client_maps import ClientMaps
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.steering.table import InstanceView
 
-# Callers try the next instance when one refuses the connection; more than three are
-# never needed within one look-up lifetime.
-MAX_LISTED = 3
-
 
 @frozen
 class ListedInstance:
@@ -36,9 +32,14 @@
     """Rank the usable instances for a client."""
 
     def __init__(
-        self, table_state: TableState, lifetime_ms: int, own_prefix: Callable[[], str]
+        self,
+        own: str,
+        client_maps: ClientMaps,
+        lifetime_ms: int,
+        own_prefix: Callable[[], str],
     ):
-        self.table_state = table_state
+        self.own = own
+        self.client_maps = client_maps
         self.lifetime_ms = lifetime_ms
         self.own_prefix = own_prefix
         # Set while this instance leaves: it lists only others.
@@ -46,23 +47,21 @@
 
     def answer(self, client: IPv4Address) -> LookupAnswer:
         """Return the best instances for a client."""
-        if self.table_state.table is None:
+        ranker = self.client_maps.ranker
+        if ranker is None:
             raise SteeringError(ErrorKind.NOT_READY, "no table from the control yet")
-        listed = [self._listed(view) for view in self._ranked(client)]
+        ranked = ranker.rank(int(client))
+        listed = tuple(
+            self._listed(view)
+            for view in ranked
+            if not (self.leaving and view.name == self.own)
+        )
         if not listed:
             raise SteeringError(ErrorKind.NOT_READY, "no instance is ready")
-        return LookupAnswer(tuple(listed[:MAX_LISTED]), self.lifetime_ms)
-
-    def _ranked(self, client: IPv4Address) -> list[InstanceView]:
-        state = self.table_state
-        usable = state.usable_instances()
-        if self.leaving:
-            usable = tuple(view for view in usable if view.name != state.own)
-        own_domain = state.table.failure_domain
-        return sorted(usable, key=lambda v: (v.failure_domain != own_domain, v.name))
+        return LookupAnswer(listed, self.lifetime_ms)
 
     def _listed(self, view: InstanceView) -> ListedInstance:
-        if view.name == self.table_state.own:
+        if view.name == self.own:
             prefix = self.own_prefix()
         else:
             prefix = f"{view.name}~{view.incarnation}~{view.key_epoch}"
--- a/ebonybend/entry/running.py
+++ b/ebonybend/entry/running.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from attrs import define, field
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
 from ebonybend.entry.requests import SteeredRequest
 from ebonybend.steering.suspects import SuspectRegistry
@@ -85,8 +85,3 @@
         await done
         if timer.active():
             timer.cancel()
-
-
-def no_notice() -> Deferred[None]:
-    """Send no notice; for parts that run without a control."""
-    return succeed(None)
--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -1,118 +1,252 @@
-"""Wire and run one entry process."""
+"""Run one entry process."""
 
+from asyncio import get_event_loop
+from random import Random
+from signal import SIGINT, SIGTERM
 from time import time_ns
 from typing import Any
 
+from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 
 from ebonybend.clock import SystemClock
+from ebonybend.entry.client_maps import ClientMaps
 from ebonybend.entry.control_client import ControlClient
-from ebonybend.entry.forwarder import Forwarder
-from ebonybend.entry.interim import Admission, ServerChooser
+from ebonybend.entry.data_plane import DataPlane
+from ebonybend.entry.heartbeats import HeartbeatLoop
+from ebonybend.entry.hops import HOP_PREFIX, OWNER_PREFIX
+from ebonybend.entry.lending import LendingLoop
 from ebonybend.entry.lookups import InstanceLookups
-from ebonybend.entry.metrics import EntryMetrics
-from ebonybend.entry.server import CallerServer
-from ebonybend.entry.table_state import TableState
+from ebonybend.entry.peer_server import PeerServer
+from ebonybend.entry.reports import Reporter
+from ebonybend.entry.requests import ServedAnswer, SteeredRequest
+from ebonybend.entry.server import SERVICE_PREFIX, CallerServer
+from ebonybend.entry.serving import Activity, RequestPort
+from ebonybend.entry.stop import GracefulStop
+from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.logs import get_logger
 from ebonybend.settings import Settings, bad_setting, split_address
-from ebonybend.steering.table import EntryReport, Table
 from ebonybend.world import LifeState
 
+MS = 1000.0
 NANOSECONDS_PER_MS = 1_000_000
+LISTEN_BACKLOG = 1024
+# Room for a push of outcomes, whose records alone reach 512 KB.
+MIN_PEER_BODY_BYTES = 1 << 20
 
 
 def listen(reactor: Any, flag: str, address: str, site: HttpSite) -> Any:
     """Open a listening port; raise BAD_SETTING naming the flag if it is in use."""
     host, port = split_address(address)
     try:
-        return reactor.listenTCP(port, site, backlog=1024, interface=host)
+        return reactor.listenTCP(port, site, backlog=LISTEN_BACKLOG, interface=host)
     except CannotListenError as error:
-        raise bad_setting(
-            flag, address, f"can't listen: {error.socketError}"
-        ) from error
+        reason = f"can't listen: {error.socketError}"
+        raise bad_setting(flag, address, reason) from error
 
 
 class EntryService:
-    """One entry process."""
+    """One entry process: ports, loops and the data plane."""
 
     def __init__(self, reactor: Any, settings: Settings):
         self.reactor = reactor
         self.settings = settings
         self.clock = SystemClock()
+        self.random = Random()
+        self.exit_status = 0
+        self._ended = False
         # Wall time makes it larger than that of any earlier process of this instance.
-        self.incarnation = time_ns() // NANOSECONDS_PER_MS
-        self.table_state = TableState(settings.instance, self.clock)
-        self.metrics = EntryMetrics()
+        incarnation = time_ns() // NANOSECONDS_PER_MS
         self.http = HttpClient(reactor, settings.source_address)
-        self.admission = Admission()
-        self.forwarder = Forwarder(
-            self.table_state,
+        self.plane = DataPlane(
+            reactor,
+            settings,
             self.clock,
             self.http,
-            self.admission,
-            ServerChooser(self.admission),
+            incarnation,
+            self.random,
+            self.push_notice,
         )
-        self.lookups = InstanceLookups(
-            self.table_state, settings.lookup_lifetime_ms, self.key_prefix
+        self.activity = Activity(self.clock.monotonic())
+        self._build_loops()
+        self._build_ports()
+        self.stop = GracefulStop(
+            reactor,
+            settings,
+            self.clock,
+            self.activity,
+            lambda: self.plane.owner.running,
+            self.announce_leaving,
+            lambda: Deferred.fromCoroutine(self.hand_over()),
+            self.end,
         )
-        self.caller_server = CallerServer(
+
+    def _build_loops(self) -> None:
+        plane, settings = self.plane, self.settings
+        self.reporter = Reporter(
             settings,
+            plane.table_state,
+            plane.admission,
+            plane.chooser,
+            plane.registry,
+            plane.suspects,
+            plane.budgets,
+            plane.metrics,
+        )
+        self.control = ControlClient(
+            self.reactor,
+            settings.control_listen,
+            self.reporter.report,
+            plane.table_state.accept,
+        )
+        self.client_maps = ClientMaps(plane.table_state, self.control.fetch_shard)
+        self.heartbeats = HeartbeatLoop(
+            self.reactor,
             self.clock,
-            self.forwarder,
+            plane.table_state,
+            plane.ledger,
+            plane.peers,
+            self.on_tick,
+        )
+        self.lending = LendingLoop(
+            self.reactor,
+            self.clock,
+            plane.table_state,
+            plane.budgets,
+            plane.peers,
+            self.random,
+        )
+
+    def _build_ports(self) -> None:
+        plane, settings = self.plane, self.settings
+        self.lookups = InstanceLookups(
+            settings.instance,
+            self.client_maps,
+            settings.lookup_lifetime_ms,
+            lambda: str(plane.registry.prefix()),
+        )
+        callers = self._port(SERVICE_PREFIX, plane.steering.from_caller, True)
+        self.caller_server = CallerServer(
+            callers,
             self.lookups,
-            self.metrics,
+            plane.metrics,
             self.not_ready_reason,
+            self.reporter.refresh_gauges,
         )
-        self.control = ControlClient(
-            reactor, settings.control_listen, self.report, self.table_state.accept
+        self.peer_server = PeerServer(
+            plane.ledger,
+            self.lending,
+            plane.store,
+            plane.budgets,
+            self._port(HOP_PREFIX, plane.steering.from_hop, False),
+            self._port(OWNER_PREFIX, plane.steering.from_owner_hop, False),
+        )
+        self.sites = {
+            "public_listen": HttpSite(
+                self.reactor,
+                self.caller_server.handle,
+                self._limits(settings.max_body_bytes),
+            ),
+            "peer_listen": HttpSite(
+                self.reactor,
+                self.peer_server.handle,
+                self._limits(max(settings.max_body_bytes, MIN_PEER_BODY_BYTES)),
+            ),
+        }
+
+    def _port(self, prefix: str, steer: Any, measured: bool) -> RequestPort:
+        """Return a request port; only callers' requests are measured."""
+        return RequestPort(
+            prefix,
+            self.settings,
+            self.clock,
+            self.activity,
+            steer,
+            self._note_answer if measured else lambda *_: None,
+            self._note_refusal if measured else lambda _: None,
         )
-        self.table_state.listeners.append(self.apply_table)
-        self.limits = HttpLimits(
-            max_body_bytes=settings.max_body_bytes,
-            max_connections=settings.max_connections,
-            receive_timeout_s=settings.receive_timeout_ms / 1000,
+
+    def _limits(self, max_body_bytes: int) -> HttpLimits:
+        return HttpLimits(
+            max_body_bytes=max_body_bytes,
+            max_connections=self.settings.max_connections,
+            receive_timeout_s=self.settings.receive_timeout_ms / MS,
         )
 
+    def _note_answer(
+        self, request: SteeredRequest, answer: ServedAnswer, seconds: float
+    ) -> None:
+        self.plane.metrics.answered(request.service, answer.region, seconds)
+
+    def _note_refusal(self, error: SteeringError) -> None:
+        self.plane.metrics.refused(error.kind)
+
     def start(self) -> None:
         """Listen and start the loops."""
-        site = HttpSite(self.reactor, self.caller_server.handle, self.limits)
-        listen(self.reactor, "public_listen", self.settings.public_listen, site)
+        for flag, site in self.sites.items():
+            listen(self.reactor, flag, getattr(self.settings, flag), site)
+        loop = get_event_loop()
+        for number in (SIGTERM, SIGINT):
+            loop.add_signal_handler(number, self.stop.request)
         self.control.start()
-        get_logger().info("entry_started", incarnation=self.incarnation)
-
-    def key_prefix(self) -> str:
-        """Return the start of the keys that this incarnation owns."""
-        return f"{self.settings.instance}~{self.incarnation}~0"
+        self.heartbeats.start()
+        self.lending.start()
+        get_logger().info("entry_started", incarnation=self.plane.registry.incarnation)
 
     def not_ready_reason(self) -> str:
         """Return why callers should not use this instance, or an empty text."""
-        return "" if self.table_state.table else "no table from the control yet"
-
-    def apply_table(self, table: Table) -> None:
-        """Hand a new table's servers to the admission."""
-        self.admission.slots = {view.name: view.slots for view in table.servers}
-
-    def report(self) -> EntryReport:
-        """Return this entry's report to its control."""
-        table = self.table_state.table
-        return EntryReport(
-            instance=self.settings.instance,
-            incarnation=self.incarnation,
-            public_address=self.settings.public_advertise,
-            peer_address=self.settings.peer_advertise,
-            state=LifeState.LIVE,
-            key_epoch=0,
-            table_serial=table.serial if table else 0,
-            table_control_incarnation=table.control_incarnation if table else 0,
-            rules_revision=self.table_state.revision,
-        )
+        if self.stop.stopping:
+            return "this instance stops"
+        if self.plane.table_state.table is None:
+            return "no table from the control yet"
+        return ""
+
+    def push_notice(self) -> Deferred[Any]:
+        """Send a crash notice to the control."""
+        return self.control.report_now()
+
+    def on_tick(self) -> None:
+        """Do the periodic work that needs no message."""
+        self.plane.table_state.refresh_rules()
+        self.plane.budgets.tick()
+
+    def announce_leaving(self) -> None:
+        """Tell callers and the control to use other instances from now on."""
+        self.lookups.leaving = True
+        self.reporter.state = LifeState.LEAVING
+        for site in self.sites.values():
+            site.closing = True
+        self.control.report_now()
+
+    async def hand_over(self) -> None:
+        """Hand outcomes to a peer, release the slots and tell the other members."""
+        plane = self.plane
+        await plane.replicator.settled()
+        sealed = await plane.replicator.seal(plane.registry.seal())
+        plane.ledger.release()
+        await self.heartbeats.send()
+        released = plane.ledger.is_released()
+        get_logger().info("handed_over", sealed=sealed, released=released)
+        await self.control.report_now()
+
+    def end(self, status: int) -> None:
+        """End the process."""
+        self.exit_status = status
+        self.heartbeats.stop()
+        self.lending.stop()
+        self.plane.replicator.stop()
+        self.control.stop()
+        if not self._ended:
+            self._ended = True
+            # One more turn of the loop lets the channel close.
+            self.reactor.callLater(0, self.reactor.stop)
 
 
 def run_entry(reactor: Any, settings: Settings) -> int:
     """Run an entry process until it is stopped; return the exit status."""
     service = EntryService(reactor, settings)
     service.start()
-    reactor.run()
-    return 0
+    reactor.run(installSignalHandlers=False)
+    return service.exit_status
