--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -16,6 +16,7 @@
 
 from attrs import frozen
 
+from ebonybend.platform.audit_entry import AuditEntry
 from ebonybend.rules.model import RuleError
 
 
@@ -124,22 +125,6 @@
     waiting_for: tuple[str, ...] = ()
 
 
-@frozen
-class AuditEntry:
-    """One recorded change or event."""
-
-    # Seconds since the epoch.
-    at: float
-    author: str
-    # For example rules_applied, instance_drained, suspect_refused.
-    event: str
-    # 0 if the event is not a change of the rules.
-    revision: int = 0
-    change_id: str = ""
-    reason: str = ""
-    detail: str = ""
-
-
 @frozen
 class HistoryAnswer:
     """Recorded changes and events, newest first."""
--- /dev/null
+++ b/ebonybend/platform/audit_log.py
@@ -0,0 +1,176 @@
+"""The audit log in bounded objects of the platform."""
+
+from collections.abc import Iterable
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from ebonybend.codec import from_json, to_json
+from ebonybend.errors import SteeringError
+from ebonybend.platform.audit_entry import AuditEntry
+from ebonybend.platform.client import (
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreFailureKind,
+)
+
+KIND = "audit"
+MAX_CHUNK_ENTRIES = 500
+# The platform accepts values up to 1 MB.
+MAX_CHUNK_BYTES = 900_000
+# Another control appends at the same time, or an answer is lost.
+MAX_ATTEMPTS = 8
+
+
+@frozen
+class AuditChunk:
+    """The value of an audit object; a full chunk doesn't change any more."""
+
+    entries: tuple[AuditEntry, ...] = ()
+
+
+@frozen
+class _Found:
+    """A chunk with its number and its version, 0 if it doesn't exist."""
+
+    number: int
+    version: int
+    entries: tuple[AuditEntry, ...]
+
+
+def chunk_name(number: int) -> str:
+    """Return the name of the object that holds a chunk."""
+    return f"{number:06d}"
+
+
+class AuditLog:
+    """Append entries once each and read the newest ones."""
+
+    def __init__(self, store: ObjectStore):
+        self.store = store
+        # The chunk to append to; None before the first use.
+        self.number: int | None = None
+
+    async def append(self, entries: Iterable[AuditEntry]) -> Result[None, StoreFailure]:
+        """Append entries; one that a lost answer had written is not repeated."""
+        left = list(entries)
+        failure = StoreFailure(StoreFailureKind.CONFLICT, "too many conflicts")
+        for _ in range(MAX_ATTEMPTS):
+            found = await self._current()
+            if not isinstance(found, Success):
+                return Failure(found.failure())
+            chunk = found.unwrap()
+            left = [entry for entry in left if entry not in chunk.entries]
+            if not left:
+                return Success(None)
+            fitting = _fitting(chunk.entries, left)
+            if not fitting:
+                self.number = chunk.number + 1
+                continue
+            written = await self._write(chunk, fitting)
+            if isinstance(written, Success):
+                left = left[len(fitting) :]
+                if not left:
+                    return Success(None)
+                continue
+            failure = written.failure()
+            # After a conflict or a lost answer the same chunk is read again.
+            if failure.kind in (
+                StoreFailureKind.UNAVAILABLE,
+                StoreFailureKind.REJECTED,
+            ):
+                return Failure(failure)
+        return Failure(failure)
+
+    async def newest(self, limit: int) -> Result[tuple[AuditEntry, ...], StoreFailure]:
+        """Return the newest entries, newest first."""
+        found: list[AuditEntry] = []
+        current = await self._current()
+        if not isinstance(current, Success):
+            return Failure(current.failure())
+        chunk = current.unwrap()
+        found += reversed(chunk.entries)
+        for number in range(chunk.number - 1, -1, -1):
+            if len(found) >= limit:
+                break
+            older = await self._read(number)
+            if not isinstance(older, Success):
+                return Failure(older.failure())
+            found += reversed(older.unwrap().entries)
+        return Success(tuple(found[:limit]))
+
+    async def _write(
+        self, chunk: _Found, entries: list[AuditEntry]
+    ) -> Result[int, StoreFailure]:
+        value = to_json(AuditChunk((*chunk.entries, *entries)))
+        name = chunk_name(chunk.number)
+        return await self.store.put(KIND, name, value, chunk.version)
+
+    async def _current(self) -> Result[_Found, StoreFailure]:
+        """Return the chunk to append to, which may be full or not exist yet."""
+        if self.number is None:
+            located = await self._locate()
+            if not isinstance(located, Success):
+                return Failure(located.failure())
+            self.number = located.unwrap()
+        found = await self._read(self.number)
+        while isinstance(found, Success) and _is_full(found.unwrap().entries):
+            self.number += 1
+            found = await self._read(self.number)
+        return found
+
+    async def _locate(self) -> Result[int, StoreFailure]:
+        """Find the last chunk in steps that double, then halve."""
+        low, step = 0, 1
+        growing = True
+        while step:
+            found = await self._read(low + step)
+            if not isinstance(found, Success):
+                return Failure(found.failure())
+            exists = found.unwrap().version > 0
+            if exists:
+                low += step
+            growing = growing and exists
+            step = step * 2 if growing else step // 2
+        return Success(low)
+
+    async def _read(self, number: int) -> Result[_Found, StoreFailure]:
+        found = await self.store.get(KIND, chunk_name(number))
+        if isinstance(found, Success):
+            return _decode(number, found.unwrap())
+        if found.failure().kind is StoreFailureKind.NOT_FOUND:
+            return Success(_Found(number, 0, ()))
+        return Failure(found.failure())
+
+
+def _decode(number: int, stored: StoredObject) -> Result[_Found, StoreFailure]:
+    try:
+        chunk = from_json(bytes(stored.value), AuditChunk)
+    except SteeringError as error:
+        message = f"{KIND}/{stored.name} is malformed: {error.message}"
+        return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
+    return Success(_Found(number, stored.version, chunk.entries))
+
+
+def _is_full(entries: tuple[AuditEntry, ...]) -> bool:
+    return len(entries) >= MAX_CHUNK_ENTRIES or _size(entries) >= MAX_CHUNK_BYTES
+
+
+def _size(entries: Iterable[AuditEntry]) -> int:
+    return len(to_json(tuple(entries)))
+
+
+def _fitting(
+    present: tuple[AuditEntry, ...], entries: list[AuditEntry]
+) -> list[AuditEntry]:
+    """Return the first of the entries that still fit into a chunk."""
+    room = MAX_CHUNK_ENTRIES - len(present)
+    left = MAX_CHUNK_BYTES - _size(present)
+    fitting: list[AuditEntry] = []
+    for entry in entries[: max(room, 0)]:
+        left -= _size((entry,))
+        if left < 0 and (present or fitting):
+            break
+        fitting.append(entry)
+    return fitting
