Treat a bad answer to a change as an unknown outcome

Cause: a garbled or cut answer to PUT says nothing about whether the change was accepted, and an author that can't be encoded ended the tool with a traceback.

--- a/ebonybend/cli.py
+++ b/ebonybend/cli.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from collections.abc import Mapping, Sequence
+from io import TextIOWrapper
 from time import sleep
 from uuid import uuid4
 
@@ -45,6 +46,7 @@
     """Run the tool and return its exit status."""
     words = sys.argv[1:] if arguments is None else arguments
     variables = os.environ if environment is None else environment
+    _write_utf8()
     try:
         options, values = parse_options(words, variables)
     except SteeringError as error:
@@ -61,6 +63,13 @@
         return UNREACHABLE_OR_USAGE
 
 
+def _write_utf8() -> None:
+    """Write UTF-8 in any locale, since `check` and `apply` read UTF-8."""
+    for stream in (sys.stdout, sys.stderr):
+        if isinstance(stream, TextIOWrapper):
+            stream.reconfigure(encoding="utf-8", errors="backslashreplace")
+
+
 def _run(options: Options, values: FlagValues) -> int:
     if options.verb is None and options.help:
         print(general_help(values))
--- a/ebonybend/tool/admin_client.py
+++ b/ebonybend/tool/admin_client.py
@@ -84,7 +84,9 @@
     def where(self, **query: str | None) -> WhereAnswer:
         """Return why a look-up or a request goes where it goes."""
         chosen = {key: value for key, value in query.items() if value is not None}
-        return self._get(f"/v1/where?{urlencode(chosen)}", WhereAnswer)
+        return self._get(
+            f"/v1/where?{urlencode(chosen, errors='replace')}", WhereAnswer
+        )
 
     def put_rules(
         self, change: Change
--- a/ebonybend/tool/submit.py
+++ b/ebonybend/tool/submit.py
@@ -33,6 +33,9 @@
     options = context.options
     if not options.author or not options.why:
         raise usage_error(f"{options.verb} needs --author=NAME and --why=REASON")
+    # Both go into one line of the history, and author names must be sendable.
+    if not (options.author + options.why).isprintable():
+        raise usage_error("--author and --why must be one line of readable text")
     return options.author, options.why
 
 
--- a/ebonybend/tool/tests/fake_admin.py
+++ b/ebonybend/tool/tests/fake_admin.py
@@ -43,6 +43,12 @@
     lose_before: int = 0
     # Number of next PUTs that another operator's change goes before.
     overtaken: int = 0
+    # Sent as the body of the next PUTs and GETs in place of the right one.
+    garbled: bytes | None = None
+    # Bytes that are missing at the end of each answer.
+    cut: int = 0
+    # Status and error kind of the next PUT, after it took effect.
+    failing: list[tuple[int, str, str]] = field(factory=list)
     accepted: dict[str, int] = field(factory=dict)
     calls: list[str] = field(factory=list)
 
@@ -118,14 +124,18 @@
         if admin.lose_after:
             admin.lose_after -= 1
             return
+        if admin.failing:
+            status, kind, outcome = admin.failing.pop()
+            answer = status, ErrorBody(kind, outcome, kind, "")
         self.answer(*answer)
 
     def answer(self, status, value):
-        body = to_json(value)
+        admin = self.server.admin
+        body = to_json(value) if admin.garbled is None else admin.garbled
         self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        self.wfile.write(body[: len(body) - admin.cut])
 
     def log_message(self, *_):
         pass
--- a/ebonybend/tool/tests/test_tool.py
+++ b/ebonybend/tool/tests/test_tool.py
@@ -143,6 +143,38 @@
         self.assertEqual(0, self.admin.rules.revision)
 
 
+class BadAnswerTest(TestWithScenarios, ToolCase):
+    """Guards against taking a bad answer to a change for a refusal or a success."""
+
+    scenarios = [
+        ("garbled", {"fault": {"garbled": b"<html>"}}),
+        ("empty", {"fault": {"garbled": b""}}),
+        ("cut", {"fault": {"cut": 1}}),
+        (
+            "internal",
+            {"fault": {"failing": [(500, "internal", "unknown")] * 3}},
+        ),
+        (
+            "platform",
+            {"fault": {"failing": [(503, "platform_unavailable", "unknown")] * 3}},
+        ),
+    ]
+
+    def test_change_is_unknown_and_state_is_an_error(self):
+        for name, value in self.fault.items():
+            setattr(self.admin, name, value)
+        arguments = ("--author=Ben", "--why=x", "--wait=0", "--json")
+        with patch("ebonybend.tool.rules_verbs._changes", return_value=()):
+            file = self.write(CAP)
+            status, out, _ = self.run_tool("apply", file, "--base=0", *arguments)
+        self.assertEqual(2, status)
+        self.assertEqual("outcome_unknown", loads(out)["kind"])
+        self.assertEqual(1, self.admin.rules.revision)
+        if "failing" not in self.fault:
+            status, out, err = self.run_tool("status")
+            self.assertEqual((2, ""), (status, out), err)
+
+
 class EditTest(ToolCase):
     """Guards against an edit that loses another operator's change."""
 
@@ -287,6 +319,13 @@
         ("address", {"words": ["show", "--admin=host:1"], "say": "host:1"}),
         ("file", {"words": ["check", "/nowhere/rules"], "say": "/nowhere/rules"}),
         ("where", {"words": ["where"], "say": "--client"}),
+        (
+            "two_lines",
+            {
+                "words": ["drain", "a-1", "--author=b", "--why=c\nd"],
+                "say": "one line",
+            },
+        ),
         (
             "until",
             {
