Add rules changes, audit, client map, metrics and explanations to the control

The administration API answers in the messages that the command-line tool reads. Suspects carry the servers that crashed, as the entry's registry counts them. A report repeats what was cleared for a minute, so only new names lift a suspicion. A control fetches shards of the client map from its own domain before it asks the platform, so that the platform's reads do not grow with the fleet.

--- a/ebonybend/control/admin.py
+++ b/ebonybend/control/admin.py
@@ -1,7 +1,8 @@
 """The administration API."""
 
-from ebonybend.control.admin_messages import RulesAnswer
 from ebonybend.control.core import ControlCore
+from ebonybend.control.metrics import CONTENT_TYPE, ControlMetrics
+from ebonybend.control.rules_admin import RulesAdmin
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.http_server import (
     IncomingRequest,
@@ -10,47 +11,60 @@
     json_answer,
 )
 
+PLAIN = {"Content-Type": "text/plain; charset=utf-8"}
+
 
 class Admin:
-    """Answer operators."""
+    """Answer operators and monitoring."""
 
     def __init__(self, core: ControlCore):
         self.core = core
+        self.metrics = ControlMetrics(core)
+        rules = RulesAdmin(core.replica, core.rules_store, core.audit)
         self.router = Router()
-        self.router.add("GET", "/v1/rules", self.get_rules)
-        self.router.add("GET", "/v1/status", self.get_status)
+        self.router.add("GET", "/v1/rules", rules.show)
+        self.router.add("PUT", "/v1/rules", rules.change)
+        self.router.add("POST", "/v1/rules/check", rules.check)
+        self.router.add("GET", "/v1/history", rules.history)
+        self.router.add("GET", "/v1/status", self.status)
+        self.router.add("GET", "/v1/where", self.where)
         self.router.add("GET", "/livez", self.livez)
         self.router.add("GET", "/readyz", self.readyz)
+        self.router.add("GET", "/metrics", self.metrics_text)
 
-    async def get_rules(self, _request: IncomingRequest) -> OutgoingAnswer:
-        """Answer the newest rules known here; the ETag is the revision."""
-        record = self.core.rules.record
-        answer = RulesAnswer(0, "", "", "", "", 0.0)
-        if record is not None:
-            answer = RulesAnswer(
-                record.revision,
-                record.text,
-                record.author,
-                record.reason,
-                record.change_id,
-                record.at,
-            )
-        return json_answer(answer, headers={"ETag": f'"{answer.revision}"'})
-
-    async def get_status(self, _request: IncomingRequest) -> OutgoingAnswer:
+    async def status(self, _request: IncomingRequest) -> OutgoingAnswer:
         """Answer what is in force where."""
+        self._require_ready()
         return json_answer(self.core.status.status())
 
+    async def where(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer where a look-up or a request goes, and why."""
+        self._require_ready()
+        answer = self.core.explainer.explain(
+            self.core.builder.current(),
+            request.argument("client"),
+            request.argument("service"),
+            request.argument("method") or "GET",
+        )
+        return json_answer(answer)
+
     async def livez(self, _request: IncomingRequest) -> OutgoingAnswer:
         """Answer that the process runs."""
-        return OutgoingAnswer(200, b"ok\n")
+        return OutgoingAnswer(200, b"ok\n", PLAIN)
 
     async def readyz(self, _request: IncomingRequest) -> OutgoingAnswer:
         """Answer whether this control has synchronised and isn't stopping."""
-        if self.core.tasks.stopped:
+        if self.core.stopping:
             raise SteeringError(ErrorKind.DRAINING, "stopping")
+        self._require_ready()
+        return OutgoingAnswer(200, b"ok\n", PLAIN)
+
+    async def metrics_text(self, _request: IncomingRequest) -> OutgoingAnswer:
+        """Answer the metrics."""
+        return OutgoingAnswer(200, self.metrics.text(), {"Content-Type": CONTENT_TYPE})
+
+    def _require_ready(self) -> None:
         if not self.core.synchronised:
             raise SteeringError(
                 ErrorKind.NOT_READY, "not synchronised with the platform or a peer"
             )
-        return OutgoingAnswer(200, b"ok\n")
--- /dev/null
+++ b/ebonybend/control/changes.py
@@ -0,0 +1,56 @@
+"""Note the automatic changes of the own failure domain for the audit log."""
+
+from ebonybend.control.audit import AuditQueue
+from ebonybend.control.members import Members
+from ebonybend.control.table_builder import TableBuilder
+from ebonybend.world import LifeState, ServerState
+
+# A server that becomes ready after a cold start is no event.
+NOTED_STATES = frozenset({ServerState.DRAINING, ServerState.DOWN})
+
+
+class ChangeNotes:
+    """Compare states each second; only the lowest-named live control writes."""
+
+    def __init__(self, members: Members, builder: TableBuilder, audit: AuditQueue):
+        self.members = members
+        self.builder = builder
+        self.audit = audit
+        self.servers: dict[str, ServerState] = {}
+        self.instances: dict[str, LifeState] = {}
+        self.refused: set[str] = set()
+
+    def compare(self) -> None:
+        """Note what changed since the last call."""
+        leader = self.members.is_leader()
+        for event, name in (*self._servers(), *self._instances()):
+            if leader:
+                self.audit.note(event, name)
+
+    def refusals(self, fingerprints: set[str]) -> None:
+        """Note requests that the own entry process reports as newly refused."""
+        for fingerprint in sorted(fingerprints - self.refused):
+            self.audit.note("suspect_refused", fingerprint)
+        self.refused = fingerprints
+
+    def _servers(self) -> list[tuple[str, str]]:
+        states = {view.name: view.state for view in self.builder.servers()}
+        before, self.servers = self.servers, states
+        return [
+            (f"server_{state.value}", name)
+            for name, state in states.items()
+            if state in NOTED_STATES and before.get(name, state) is not state
+        ]
+
+    def _instances(self) -> list[tuple[str, str]]:
+        states = {
+            view.name: view.state
+            for view in self.builder.instances()
+            if view.failure_domain == self.members.failure_domain
+        }
+        before, self.instances = self.instances, states
+        return [
+            ("instance_draining", name)
+            for name, state in states.items()
+            if state is LifeState.LEAVING and before.get(name, state) is not state
+        ]
--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -4,6 +4,9 @@
 
 from twisted.internet.defer import Deferred
 
+from ebonybend.control.audit import FLUSH_PERIOD_S, AuditQueue
+from ebonybend.control.changes import ChangeNotes
+from ebonybend.control.client_map import ClientMapShards
 from ebonybend.control.entry_link import EntryLink
 from ebonybend.control.members import Members
 from ebonybend.control.own_records import OwnRecords
@@ -12,12 +15,15 @@
 from ebonybend.control.rules_view import RulesView
 from ebonybend.control.status import StatusReporter
 from ebonybend.control.table_builder import TableBuilder
+from ebonybend.control.where import Explainer
 from ebonybend.logs import get_logger
 from ebonybend.peers.exchange import PeerExchange, PeerTransport
 from ebonybend.peers.merge import Replica
 from ebonybend.peers.records import Kind, ServerListing, SuspectRecord
 from ebonybend.peers.suspects import SuspectSet
+from ebonybend.platform.audit_log import AuditLog
 from ebonybend.platform.client import ObjectStore
+from ebonybend.platform.rules_store import RulesObject, RulesStore
 from ebonybend.platform.watcher import Backoff
 from ebonybend.settings import Settings
 from ebonybend.steering.table import EntryReport, SuspectView, TableReply
@@ -45,10 +51,15 @@
     ):
         clock = ReactorClock(timers)
         self.settings = settings
+        self.store = store
+        self.transport = transport
         self.timers = timers
         self.random = random
         self.tasks = Tasks(timers)
         self.synchronised = False
+        # Set from the first stop signal on.
+        self.stopping = False
+        self.cleared: frozenset[str] = frozenset()
         self.replica = Replica(clock)
         self.suspects = SuspectSet(clock)
         self.rules = RulesView(self.replica)
@@ -93,6 +104,23 @@
             self.feed,
             self.builder,
         )
+        self.shards = ClientMapShards(
+            self.replica,
+            self.members,
+            store,
+            transport,
+            lambda name: self.feed.stored("clientmap", name),
+            timers,
+            random,
+        )
+        self.shards.on_complete = self._client_map_complete
+        audit_log = AuditLog(store)
+        self.audit = AuditQueue(audit_log, settings.instance)
+        self.rules_store = RulesStore(
+            store, audit_log, timers, random, self._rules_in_force
+        )
+        self.changes = ChangeNotes(self.members, self.builder, self.audit)
+        self.explainer = Explainer(clock, self.rules, self.shards)
         self.exchange.on_suspects = self.builder.hurry
         self.replica.listen(Kind.RULES, self._rules_changed)
         self.replica.listen(Kind.SERVERS, self._servers_listed)
@@ -124,11 +152,14 @@
         self.tasks.repeat(RECORD_PERIOD_S, self._renew)
         self.tasks.repeat(DUTY_PERIOD_S, self._check_duty)
         self.tasks.repeat(PROBE_PERIOD_S, self.prober.round)
+        self.tasks.repeat(FLUSH_PERIOD_S, self.audit.flush)
 
     def stop(self) -> None:
         """Stop all loops."""
         self.tasks.stop()
         self.exchange.tasks.stop()
+        self.shards.tasks.stop()
+        self.rules_store.tasks.stop()
         self.feed.stop()
         self.prober.close()
 
@@ -166,7 +197,11 @@
 
     def _take_suspects(self, report: EntryReport) -> bool:
         changes = [self.suspects.merge(_suspect(view)) for view in report.suspects]
-        changes += [self.suspects.clear(name) for name in report.cleared]
+        self.changes.refusals({x.fingerprint for x in report.suspects if x.refused})
+        # A report repeats what was cleared, also after a later crash elsewhere.
+        cleared = frozenset(report.cleared)
+        changes += [self.suspects.clear(name) for name in cleared - self.cleared]
+        self.cleared = cleared
         return any(changes)
 
     async def _push_suspects(self) -> None:
@@ -178,9 +213,22 @@
         await done
         waited.cancel()
 
+    def traffic(self) -> dict[str, int]:
+        """Return counts of calls and bytes since the start, by name."""
+        return {
+            name: getattr(part, name)
+            for part, name in (
+                (self.store, "platform_calls"),
+                (self.transport, "peer_bytes_sent"),
+                (self.transport, "peer_bytes_received"),
+            )
+            if hasattr(part, name)
+        }
+
     async def _renew(self) -> None:
         self.suspects.expire()
         self.own_records.write()
+        self.changes.compare()
         self.exchange.round()
 
     async def _check_duty(self) -> None:
@@ -193,6 +241,23 @@
         else:
             self.feed.stop()
 
+    def _rules_in_force(self) -> RulesObject:
+        record = self.rules.record
+        if record is None:
+            return RulesObject()
+        return RulesObject(
+            record.revision,
+            record.change_id,
+            record.text,
+            record.author,
+            record.reason,
+            record.at,
+        )
+
+    def _client_map_complete(self) -> None:
+        self.builder.client_map_version = self.shards.version
+        self.builder.hurry()
+
     def _rules_changed(self, _name: str) -> None:
         get_logger().info("rules_revision", revision=self.rules.revision)
         self.suspects.pardon(self.rules.pardoned())
@@ -210,4 +275,10 @@
 
 
 def _suspect(view: SuspectView) -> SuspectRecord:
-    return SuspectRecord(view.fingerprint, view.crashes, view.refused, view.age_ms)
+    return SuspectRecord(
+        view.fingerprint,
+        view.crashes,
+        view.refused,
+        view.age_ms,
+        servers=view.servers,
+    )
--- a/ebonybend/control/platform_feed.py
+++ b/ebonybend/control/platform_feed.py
@@ -60,6 +60,11 @@
         for watcher in self.watchers:
             watcher.stop()
 
+    def stored(self, kind: str, name: str) -> StoredObject | None:
+        """Return an object as it was last read."""
+        watcher = next(w for w in self.watchers if w.kind == kind)
+        return watcher.objects.get(name)
+
     @property
     def failing(self) -> bool:
         """Return whether any watch gets no answer."""
--- /dev/null
+++ b/ebonybend/control/rules_admin.py
@@ -0,0 +1,196 @@
+"""Show, check and change the rules on behalf of operators."""
+
+from urllib.parse import unquote
+from uuid import uuid4
+
+from returns.result import Success
+
+from ebonybend.control.admin_messages import (
+    ApplyAnswer,
+    CheckAnswer,
+    ConflictAnswer,
+    HistoryAnswer,
+    RulesAnswer,
+)
+from ebonybend.control.audit import AuditQueue
+from ebonybend.control.platform_feed import rules_record
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer, json_answer
+from ebonybend.peers.merge import Replica
+from ebonybend.peers.records import MAIN, Kind
+from ebonybend.platform.audit_entry import AuditEntry
+from ebonybend.platform.rules_store import (
+    ApplyFailure,
+    ApplyFailureKind,
+    ProposedChange,
+    RulesObject,
+    RulesStore,
+    bounded_difference,
+)
+from ebonybend.rules.check import check_rules
+from ebonybend.rules.model import RuleError
+from ebonybend.rules.parse import parse_rules
+
+DEFAULT_HISTORY = 50
+MAX_HISTORY = 1000
+MAX_NAME = 200
+
+
+class RulesAdmin:
+    """The part of the administration API that concerns the rules."""
+
+    def __init__(self, replica: Replica, store: RulesStore, audit: AuditQueue):
+        self.replica = replica
+        self.store = store
+        self.audit = audit
+
+    async def show(self, _request: IncomingRequest) -> OutgoingAnswer:
+        """Answer the newest rules known here; the ETag is the revision."""
+        record = self.replica.get(Kind.RULES)
+        answer = RulesAnswer(0, "", "", "", "", 0.0)
+        if record is not None:
+            answer = RulesAnswer(
+                record.revision,
+                record.text,
+                record.author,
+                record.reason,
+                record.change_id,
+                record.at,
+            )
+        return json_answer(answer, headers={"ETag": f'"{answer.revision}"'})
+
+    async def check(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer what is wrong with a text."""
+        return json_answer(CheckAnswer(self._errors(_text(request))))
+
+    async def change(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Accept a change, or answer why not."""
+        change = _proposed(request)
+        known = self.replica.get(Kind.RULES)
+        if known is not None and known.change_id == change.change_id:
+            return json_answer(ApplyAnswer(known.revision, change.change_id))
+        errors = self._errors(change.text)
+        if errors:
+            self._refused("rules_refused", change, errors[0].message)
+            return json_answer(CheckAnswer(errors), 422)
+        applied = await self.store.apply(change)
+        if not isinstance(applied, Success):
+            return self._failed(change, applied.failure())
+        rules = applied.unwrap()
+        self.replica.write(Kind.RULES, MAIN, rules.revision, rules_record(rules))
+        revision = rules.accepted(change.change_id) or rules.revision
+        return json_answer(ApplyAnswer(revision, change.change_id))
+
+    async def history(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer recorded changes and events, newest first."""
+        limit = _limit(request.argument("limit"))
+        read = await self.store.read()
+        logged = await self.store.audit.newest(limit)
+        if not (isinstance(read, Success) and isinstance(logged, Success)):
+            raise SteeringError(
+                ErrorKind.PLATFORM_UNAVAILABLE, "the history can't be read"
+            )
+        recent = (change.audit_entry() for change in read.unwrap().rules.recent)
+        return json_answer(HistoryAnswer(_merged(recent, logged.unwrap(), limit)))
+
+    def _errors(self, text: str) -> tuple[RuleError, ...]:
+        parsed = parse_rules(text)
+        if not isinstance(parsed, Success):
+            return parsed.failure()
+        planned = self.replica.get(Kind.DEPLOYMENT)
+        if planned is None:
+            raise SteeringError(ErrorKind.NOT_READY, "the deployment is not known yet")
+        listings = self.replica.bodies(Kind.SERVERS).values()
+        servers = tuple(item for listing in listings for item in listing.items)
+        return check_rules(parsed.unwrap(), planned.deployment, servers)
+
+    def _failed(self, change: ProposedChange, failure: ApplyFailure) -> OutgoingAnswer:
+        if failure.kind is ApplyFailureKind.CONFLICT and failure.current is not None:
+            self._refused("rules_conflict", change, failure.message)
+            return json_answer(_conflict(change, failure.current), 412)
+        if failure.kind is ApplyFailureKind.REJECTED:
+            raise SteeringError(ErrorKind.BAD_REQUEST, failure.message)
+        outcome = "nothing was written"
+        if failure.kind is ApplyFailureKind.UNRESOLVED:
+            outcome = "the change may have been accepted"
+        raise SteeringError(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            f"{failure.message}; {outcome}; repeat with Change-Id {change.change_id}",
+        )
+
+    def _refused(self, event: str, change: ProposedChange, detail: str) -> None:
+        self.audit.add(
+            event,
+            change.author,
+            detail,
+            change.base_revision,
+            change.change_id,
+            change.reason,
+        )
+
+
+def _conflict(change: ProposedChange, current: RulesObject) -> ConflictAnswer:
+    return ConflictAnswer(
+        current.revision,
+        current.author,
+        current.reason,
+        bounded_difference(current.text, change.text),
+    )
+
+
+def _merged(
+    recent: tuple[AuditEntry, ...], logged: tuple[AuditEntry, ...], limit: int
+) -> tuple[AuditEntry, ...]:
+    """Return entries newest first; an archived change is in both sources."""
+    unique = dict.fromkeys((*recent, *logged))
+    ordered = sorted(unique, key=lambda entry: entry.at, reverse=True)
+    return tuple(ordered[:limit])
+
+
+def _text(request: IncomingRequest) -> str:
+    try:
+        return request.body.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise SteeringError(
+            ErrorKind.BAD_REQUEST, f"the rules text is not UTF-8: {error}"
+        ) from error
+
+
+def _proposed(request: IncomingRequest) -> ProposedChange:
+    author = _name(request, "Author")
+    if not author:
+        raise SteeringError(ErrorKind.BAD_REQUEST, "the header Author is missing")
+    return ProposedChange(
+        _name(request, "Change-Id") or uuid4().hex,
+        _base_revision(request.header("If-Match")),
+        _text(request),
+        author,
+        _name(request, "Reason"),
+    )
+
+
+def _base_revision(text: str | None) -> int:
+    digits = (text or "").strip().strip('"')
+    if not digits.isascii() or not digits.isdigit() or len(digits) > 18:
+        raise SteeringError(
+            ErrorKind.BAD_REQUEST, f"If-Match {text!r} is no revision, for example 17"
+        )
+    return int(digits)
+
+
+def _name(request: IncomingRequest, header: str) -> str:
+    text = unquote(request.header(header) or "").strip()
+    if len(text) > MAX_NAME or not text.isprintable():
+        raise SteeringError(
+            ErrorKind.BAD_REQUEST,
+            f"the header {header} must be one line of at most {MAX_NAME} characters",
+        )
+    return text
+
+
+def _limit(text: str | None) -> int:
+    if text is None:
+        return DEFAULT_HISTORY
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise SteeringError(ErrorKind.BAD_REQUEST, f"limit {text!r} is no number")
+    return max(1, min(int(text), MAX_HISTORY))
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -17,7 +17,6 @@
 from ebonybend.http_server import HttpLimits, HttpSite, Router
 from ebonybend.logs import get_logger
 from ebonybend.peers.http_transport import (
-    EXCHANGE_PATH,
     MAX_EXCHANGE_BYTES,
     ExchangeServer,
     HttpPeers,
@@ -65,10 +64,8 @@
 
     async def start(self) -> None:
         """Open the ports, synchronise and start the loops."""
-        router = Router()
-        exchange = ExchangeServer(self.core.exchange)
-        router.add("POST", EXCHANGE_PATH, exchange.handle)
-        self._listen("exchange_listen", self.settings.exchange_listen, router)
+        peers = ExchangeServer(self.core.exchange, self.core.shards.body)
+        self._listen("exchange_listen", self.settings.exchange_listen, peers.router)
         self._listen("admin_listen", self.settings.admin_listen, self.admin.router)
         await self.entry_server.start()
         get_logger().info("control_started")
@@ -88,7 +85,7 @@
 
     async def client_map(self, request: ClientMapRequest) -> ClientMapShard:
         """Answer one shard of the client map."""
-        return ClientMapShard(request.version, 0, b"")
+        return self.core.shards.answer(request)
 
     def signalled(self) -> None:
         """Stop gracefully at the first signal and at once at the second."""
@@ -98,6 +95,7 @@
             self.reactor.stop()
             return
         self.stopping = True
+        self.core.stopping = True
         get_logger().info("stopping")
         Deferred.fromCoroutine(self._stop()).addErrback(self._stop_failed)
 
--- a/ebonybend/control/table_builder.py
+++ b/ebonybend/control/table_builder.py
@@ -65,6 +65,9 @@
         self.rules = rules
         self.suspects = suspects
         self.probes = probes
+        # Version of the client map that the entry can fetch from here.
+        self.client_map_version = 0
+        self.serial = 0
         self.table: Table | None = None
         self.built_at = 0.0
         self.urgent = True
@@ -91,8 +94,9 @@
             return
         self.urgent = False
         self.built_at = self.clock.monotonic()
+        self.serial += 1
         self.table = Table(
-            (self.table.serial if self.table else 0) + 1,
+            self.serial,
             self.incarnation,
             self.rules.revision,
             self.rules.text,
@@ -102,7 +106,7 @@
             self.instances(),
             self._domains(),
             self.suspects.views(),
-            self.replica.version(Kind.CLIENT_MAP),
+            self.client_map_version,
         )
 
     def servers(self) -> tuple[ServerView, ...]:
--- a/ebonybend/peers/exchange.py
+++ b/ebonybend/peers/exchange.py
@@ -16,6 +16,7 @@
     Kind,
     Record,
     RecordName,
+    ShardVersion,
     SuspectRecord,
 )
 from ebonybend.peers.suspects import SuspectSet
@@ -50,6 +51,10 @@
         """Return the reply, or None when there was none."""
         ...
 
+    async def fetch_shard(self, address: str, shard: ShardVersion) -> bytes | None:
+        """Return a shard of the client map, or None if the peer doesn't have it."""
+        ...
+
 
 class PeerExchange:
     """Send and answer exchanges; what is new goes into the replica."""
@@ -83,6 +88,10 @@
         self.contacts: dict[str, float] = {}
         self.failures: dict[str, float] = {}
         self.busy: dict[str, bool] = {}
+        # Counts since the start, for metrics.
+        self.started = 0
+        self.failed = 0
+        self.answered = 0
         replica.listen(Kind.RULES, self._rules_changed)
 
     def round(self) -> None:
@@ -153,8 +162,10 @@
 
     async def exchange(self, address: str) -> ExchangeReply | None:
         """Exchange with the peer at an address; return its first reply."""
+        self.started += 1
         reply = await self.transport.send(address, self.request())
         if reply is None:
+            self.failed += 1
             return None
         self._take(reply.records, reply.suspects, reply.failure_domain)
         newer, older = [], []
@@ -192,6 +203,7 @@
 
     def answer(self, request: ExchangeRequest) -> ExchangeReply:
         """Take what a request brings and return what its sender lacks."""
+        self.answered += 1
         self.contacts[request.sender] = self.timers.seconds()
         self._take(request.records, request.suspects, request.failure_domain)
         newer = [
--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -1,16 +1,23 @@
 """Carry exchanges over HTTP with MessagePack bodies."""
 
+from collections.abc import Callable
+from urllib.parse import quote
+
 from ebonybend.codec import pack, unpack
-from ebonybend.errors import SteeringError
+from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.http_client import HttpClient, RequestFailed
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
 from ebonybend.peers.exchange import PeerExchange
-from ebonybend.peers.records import ExchangeReply, ExchangeRequest
+from ebonybend.peers.records import ExchangeReply, ExchangeRequest, ShardVersion
 
 EXCHANGE_PATH = "/peer/exchange"
+SHARD_PATH = "/peer/clientmap"
 # Three round trips between the most distant regions, and some load.
 EXCHANGE_TIMEOUT_S = 1.0
 MAX_EXCHANGE_BYTES = 8 << 20
+# A shard is below 1 MB; another region sends it at a few MB/s.
+SHARD_TIMEOUT_S = 5.0
+MAX_SHARD_BYTES = 2 << 20
 HEADERS = {"Content-Type": "application/msgpack"}
 
 
@@ -20,15 +27,15 @@
     def __init__(self, http: HttpClient):
         self.http = http
         # Bytes of bodies since the start, for metrics.
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.peer_bytes_sent = 0
+        self.peer_bytes_received = 0
 
     async def send(
         self, address: str, request: ExchangeRequest
     ) -> ExchangeReply | None:
         """Return the reply, or None when there was none."""
         body = pack(request)
-        self.sent_bytes += len(body)
+        self.peer_bytes_sent += len(body)
         try:
             answer = await self.http.request(
                 "POST",
@@ -39,19 +46,49 @@
                 EXCHANGE_TIMEOUT_S,
                 MAX_EXCHANGE_BYTES,
             )
-            self.received_bytes += len(answer.body)
+            self.peer_bytes_received += len(answer.body)
             return unpack(answer.body, ExchangeReply) if answer.status == 200 else None
         except (RequestFailed, SteeringError):
             return None
 
+    async def fetch_shard(self, address: str, shard: ShardVersion) -> bytes | None:
+        """Return a shard of the client map, or None if the peer doesn't have it."""
+        name = quote(shard.name, safe="")
+        path = f"{SHARD_PATH}?name={name}&version={shard.version}"
+        try:
+            answer = await self.http.request(
+                "GET", address, path, timeout=SHARD_TIMEOUT_S, max_body=MAX_SHARD_BYTES
+            )
+        except RequestFailed:
+            return None
+        self.peer_bytes_received += len(answer.body)
+        return answer.body if answer.status == 200 else None
+
 
 class ExchangeServer:
     """Answer the exchanges of other controls."""
 
-    def __init__(self, exchange: PeerExchange):
+    def __init__(
+        self, exchange: PeerExchange, shard: Callable[[str, int], bytes | None]
+    ):
         self.exchange = exchange
+        # Returns a shard of the client map by name and version.
+        self.shard = shard
+        self.router = Router()
+        self.router.add("POST", EXCHANGE_PATH, self.answer_exchange)
+        self.router.add("GET", SHARD_PATH, self.answer_shard)
+
+    async def answer_shard(self, request: IncomingRequest) -> OutgoingAnswer:
+        """Answer GET /peer/clientmap?name=&version=."""
+        version = request.argument("version") or ""
+        body = None
+        if version.isascii() and version.isdigit():
+            body = self.shard(request.argument("name") or "", int(version))
+        if body is None:
+            raise SteeringError(ErrorKind.UNKNOWN_PATH, "no such shard here")
+        return OutgoingAnswer(200, body, HEADERS)
 
-    async def handle(self, request: IncomingRequest) -> OutgoingAnswer:
+    async def answer_exchange(self, request: IncomingRequest) -> OutgoingAnswer:
         """Answer POST /peer/exchange."""
         reply = self.exchange.answer(unpack(request.body, ExchangeRequest))
         return OutgoingAnswer(200, pack(reply), HEADERS)
--- a/ebonybend/peers/records.py
+++ b/ebonybend/peers/records.py
@@ -187,6 +187,8 @@
     age_ms: float
     # Time since a success lifted the suspicion, or None.
     cleared_age_ms: float | None = None
+    # The servers that crashed; they tell two crashes from two reports of one.
+    servers: tuple[str, ...] = ()
 
 
 @frozen
--- a/ebonybend/peers/suspects.py
+++ b/ebonybend/peers/suspects.py
@@ -7,10 +7,13 @@
 
 from ebonybend.clock import Clock
 from ebonybend.peers.records import SuspectRecord
+from ebonybend.steering.suspects import (
+    CRASHES_TO_REFUSE,
+    REFUSED_LIFETIME_S,
+    SUSPECT_LIFETIME_S,
+)
 from ebonybend.steering.table import SuspectView
 
-UNCONFIRMED_LIFETIME_S = 60.0
-REFUSED_LIFETIME_S = 3600.0
 # Bounds memory and message size when many requests crash servers.
 MAX_SUSPECTS = 1000
 
@@ -20,7 +23,8 @@
     crashes: int
     refused: bool
     crashed_at: float
-    cleared_at: float | None = None
+    cleared_at: float | None
+    servers: frozenset[str]
 
     @property
     def active(self) -> bool:
@@ -28,6 +32,16 @@
             return True
         return self.crashed_at > self.cleared_at
 
+    @property
+    def lifetime_s(self) -> float:
+        return REFUSED_LIFETIME_S if self.refused else SUSPECT_LIFETIME_S
+
+    @property
+    def state(self) -> tuple[int, bool, bool, tuple[str, ...]]:
+        """Everything but the times, which differ a little between instances."""
+        servers = tuple(sorted(self.servers))
+        return self.crashes, self.refused, self.active, servers
+
 
 class SuspectSet:
     """Merge suspects: the larger crash count wins, and a refusal stays."""
@@ -42,42 +56,17 @@
         if record.fingerprint in self.pardoned:
             return False
         now = self.clock.monotonic()
-        crashed_at = now - record.age_ms / 1000
-        lifetime = REFUSED_LIFETIME_S if record.refused else UNCONFIRMED_LIFETIME_S
-        if now - crashed_at > lifetime:
+        theirs = _suspect(record, now)
+        if now - theirs.crashed_at > theirs.lifetime_s:
             return False
-        cleared_at = None
-        if record.cleared_age_ms is not None:
-            cleared_at = now - record.cleared_age_ms / 1000
         known = self.suspects.get(record.fingerprint)
         if known is None:
             self._make_room()
-            self.suspects[record.fingerprint] = _Suspect(
-                record.crashes, record.refused, crashed_at, cleared_at
-            )
+            self.suspects[record.fingerprint] = theirs
             return True
-        return self._update(known, record, crashed_at, cleared_at)
-
-    def _update(
-        self,
-        known: _Suspect,
-        record: SuspectRecord,
-        crashed_at: float,
-        cleared_at: float | None,
-    ) -> bool:
-        before = (known.crashes, known.refused, known.active)
-        again = not known.active and crashed_at > (known.cleared_at or 0.0)
-        if record.crashes > known.crashes or again:
-            known.crashes = max(known.crashes, record.crashes)
-            known.crashed_at = crashed_at
-        elif record.crashes == known.crashes:
-            # Each transfer adds its delay to the age it leaves out. Taking the later
-            # time would renew a suspect with each exchange, for ever.
-            known.crashed_at = min(known.crashed_at, crashed_at)
-        known.refused = known.refused or record.refused
-        if cleared_at is not None and known.active and cleared_at > known.crashed_at:
-            known.cleared_at = cleared_at
-        return before != (known.crashes, known.refused, known.active)
+        before = known.state
+        _merge(known, theirs)
+        return before != known.state
 
     def clear(self, fingerprint: str) -> bool:
         """Lift a suspicion after a success; a refused request stays refused."""
@@ -97,8 +86,7 @@
         """Forget suspects whose time is over."""
         now = self.clock.monotonic()
         for fingerprint, known in tuple(self.suspects.items()):
-            lifetime = REFUSED_LIFETIME_S if known.refused else UNCONFIRMED_LIFETIME_S
-            if now - known.crashed_at > lifetime:
+            if now - known.crashed_at > known.lifetime_s:
                 del self.suspects[fingerprint]
 
     def digest(self) -> int:
@@ -106,7 +94,7 @@
         if not self.suspects:
             return 0
         lines = (
-            f"{fingerprint} {known.crashes} {known.refused} {known.active}"
+            f"{fingerprint} {known.state}"
             for fingerprint, known in sorted(self.suspects.items())
         )
         return crc32("\n".join(lines).encode())
@@ -121,6 +109,7 @@
                 known.refused,
                 (now - known.crashed_at) * 1000,
                 None if known.cleared_at is None else (now - known.cleared_at) * 1000,
+                tuple(sorted(known.servers)),
             )
             for fingerprint, known in self.suspects.items()
         )
@@ -134,6 +123,7 @@
                 known.crashes,
                 known.refused,
                 (now - known.crashed_at) * 1000,
+                tuple(sorted(known.servers)),
             )
             for fingerprint, known in sorted(self.suspects.items())
             if known.active
@@ -144,3 +134,44 @@
             return
         oldest = min(self.suspects, key=lambda name: self.suspects[name].crashed_at)
         del self.suspects[oldest]
+
+
+def _suspect(record: SuspectRecord, now: float) -> _Suspect:
+    cleared_age_ms = record.cleared_age_ms
+    return _Suspect(
+        record.crashes,
+        record.refused,
+        now - record.age_ms / 1000,
+        None if cleared_age_ms is None else now - cleared_age_ms / 1000,
+        frozenset(record.servers),
+    )
+
+
+def _merge(known: _Suspect, theirs: _Suspect) -> None:
+    if not known.active and theirs.crashed_at > (known.cleared_at or 0.0):
+        # It was cleared before this crash, so counting starts again.
+        known.crashes = theirs.crashes
+        known.servers = theirs.servers
+        known.crashed_at = theirs.crashed_at
+    else:
+        _merge_crashes(known, theirs)
+    known.refused = known.refused or theirs.refused
+    cleared_at = theirs.cleared_at
+    if cleared_at is not None and cleared_at > known.crashed_at and known.active:
+        known.cleared_at = cleared_at
+
+
+def _merge_crashes(known: _Suspect, theirs: _Suspect) -> None:
+    servers = known.servers | theirs.servers
+    # Crashes of two servers that two instances saw are two crashes.
+    crashes = max(known.crashes, theirs.crashes, len(servers))
+    if crashes > known.crashes:
+        known.crashed_at = max(known.crashed_at, theirs.crashed_at)
+    else:
+        # Each transfer adds its delay to the age it leaves out. Taking the later time
+        # would renew a suspect with each exchange, for ever.
+        known.crashed_at = min(known.crashed_at, theirs.crashed_at)
+    known.crashes = crashes
+    known.servers = servers
+    if known.active and crashes >= CRASHES_TO_REFUSE:
+        known.refused = True
--- a/ebonybend/platform/client.py
+++ b/ebonybend/platform/client.py
@@ -120,7 +120,7 @@
         self.http = http
         self.address = address
         # Calls since the start, for metrics.
-        self.calls = 0
+        self.platform_calls = 0
 
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind."""
@@ -158,7 +158,7 @@
         body: bytes = b"",
         timeout: float = CALL_TIMEOUT_S,
     ) -> Result[bytes, StoreFailure]:
-        self.calls += 1
+        self.platform_calls += 1
         try:
             answer = await self.http.request(
                 method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
--- a/ebonybend/platform/rules_store.py
+++ b/ebonybend/platform/rules_store.py
@@ -28,8 +28,8 @@
 # Keeps 20 differences below 100 KB, next to a text of up to 256 KB in 1 MB.
 MAX_DIFFERENCE_LINES = 20
 MAX_DIFFERENCE_LINE = 200
-# An operator waits for this time; longer outages are reported.
-APPLY_TIME_S = 5.0
+# Below the 5 s for which the command-line tool waits for an answer.
+APPLY_TIME_S = 4.0
 ACCEPTED_EVENT = "rules_applied"
 
 
