--- a/ebonybend/tool/tests/fake_admin.py
+++ b/ebonybend/tool/tests/fake_admin.py
@@ -20,7 +20,7 @@
     WhereAnswer,
 )
 from ebonybend.http_server import ErrorBody
-from ebonybend.rules import diff_rules, parse_rules
+from ebonybend.rules import RuleError, diff_rules, parse_rules
 
 NOW = 1_800_000_000.0
 
@@ -43,6 +43,8 @@
     lose_before: int = 0
     # Number of next PUTs that another operator's change goes before.
     overtaken: int = 0
+    # Errors that only the control can find.
+    errors: tuple[RuleError, ...] = ()
     # Sent as the body of the next PUTs and GETs in place of the right one.
     garbled: bytes | None = None
     # Bytes that are missing at the end of each answer.
@@ -82,7 +84,7 @@
             difference = diff_rules(rules.text, text)
             conflict = (rules.revision, rules.author, rules.reason, difference)
             return 412, ConflictAnswer(*conflict)
-        errors = parse_rules(text).swap().value_or(())
+        errors = parse_rules(text).swap().value_or(()) or self.errors
         if errors:
             return 422, CheckAnswer(errors)
         author, reason = unquote(headers["Author"]), unquote(headers["Reason"])
--- a/ebonybend/tool/tests/test_tool.py
+++ b/ebonybend/tool/tests/test_tool.py
@@ -18,7 +18,7 @@
     SuspectStatus,
     WhereAnswer,
 )
-from ebonybend.rules import parse_rules
+from ebonybend.rules import RuleError, parse_rules
 from ebonybend.tool import VERBS
 from ebonybend.tool.tests.fake_admin import FakeAdmin, serve
 from ebonybend.world import Deployment, Region, Service
@@ -136,6 +136,12 @@
         self.assertEqual(1, status)
         self.assertTrue(out.startswith(f"{file}:3:1: a rule needs its own"), out)
 
+    def test_errors_of_the_control_are_counted_as_in_the_file(self):
+        self.admin.errors = (RuleError(2, 1, "unknown region 'B'"),)
+        file = self.write(f"# revision: 0\n{CAP}")
+        status, out, _ = self.run_tool("apply", file, *BY)
+        self.assertEqual((1, f"{file}:3:1: unknown region 'B'\n"), (status, out))
+
     def test_file_without_revision_is_not_applied(self):
         status, _, err = self.run_tool("apply", self.write(CAP), *BY)
         self.assertEqual(2, status)
@@ -187,6 +193,15 @@
             self.assertEqual(0, self.run_tool("undrain", name, *BY)[0])
             self.assertEqual(CAP, self.admin.rules.text)
 
+    def test_unknown_undrain_is_resolved_by_its_change_id(self):
+        self.run_tool("drain", "a-1", *BY)
+        self.admin.lose_after = 3
+        status, _, err = self.run_tool("undrain", "a-1", *BY)
+        self.assertEqual(2, status)
+        flag = err[err.index("--change_id=") :].split()[0]
+        status, out, _ = self.run_tool("undrain", "a-1", flag, *BY)
+        self.assertEqual((0, 2), (status, self.admin.rules.revision), out)
+
     def test_conflict_is_retried_on_the_newest_rules(self):
         self.admin.overtaken = 2
         self.assertEqual(0, self.run_tool("drain", "a-1", *BY)[0])
