--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -16,6 +16,7 @@
 
 from attrs import frozen
 
+from ebonybend.platform.audit_entry import AuditEntry
 from ebonybend.rules.model import RuleError
 
 
@@ -123,22 +124,8 @@
     shifts: tuple[ShiftStatus, ...] = ()
     suspects: tuple[SuspectStatus, ...] = ()
     platform_reachable: bool = True
-
-
-@frozen
-class AuditEntry:
-    """One recorded change or event."""
-
-    # Seconds since the epoch.
-    at: float
-    author: str
-    # For example rules_applied, instance_drained, suspect_refused.
-    event: str
-    # 0 if the event is not a change of the rules.
-    revision: int = 0
-    change_id: str = ""
-    reason: str = ""
-    detail: str = ""
+    # Listed instances that have not reported the revision from their entry process.
+    waiting_for: tuple[str, ...] = ()
 
 
 @frozen
