Decide by listed instances whether a change is in force

Cause: a control's status also lists planned instances that the platform doesn't list, so that one missing machine would keep every change from being in force, and it lists the backend servers of its own failure domain only, so that a drain by name missed the others.

Change: the tool waits for the instances of waiting_for; a control that hasn't seen the revision confirms nothing.

--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -118,7 +118,9 @@
 
     # The newest accepted revision that this control knows.
     revision: int
+    # There are listed instances, and waiting_for is empty.
     in_force_everywhere: bool
+    # The planned and the listed instances.
     instances: tuple[InstanceStatus, ...] = ()
     servers: tuple[ServerStatus, ...] = ()
     shifts: tuple[ShiftStatus, ...] = ()
--- a/ebonybend/tool/admin_client.py
+++ b/ebonybend/tool/admin_client.py
@@ -1,11 +1,12 @@
 """A synchronous client of the administration API that tries several controls."""
 
 from collections.abc import Mapping, Sequence
+from contextlib import suppress
 from http.client import HTTPConnection, HTTPException
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
-from attrs import field, frozen
+from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
 from ebonybend.codec import from_json
@@ -67,7 +68,6 @@
     addresses: Sequence[str]
     # Bounds connecting and each wait for bytes.
     timeout_s: float = 5.0
-    headers: Mapping[str, str] = field(factory=dict)
 
     def rules(self) -> RulesAnswer:
         """Return the rules that were accepted last."""
@@ -77,6 +77,14 @@
         """Return the state of the system."""
         return self._get("/v1/status", StatusAnswer)
 
+    def each_status(self) -> tuple[StatusAnswer, ...]:
+        """Return the status of each control that answers; raise if none does."""
+        found = []
+        for address in self.addresses:
+            with suppress(SteeringError):
+                found.append(evolve(self, addresses=(address,)).status())
+        return tuple(found) or (self.status(),)
+
     def history(self, limit: int) -> HistoryAnswer:
         """Return the newest audit entries."""
         return self._get(f"/v1/history?limit={limit}", HistoryAnswer)
--- a/ebonybend/tool/confirm.py
+++ b/ebonybend/tool/confirm.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve, frozen
 
-from ebonybend.control.admin_messages import InstanceStatus, StatusAnswer
+from ebonybend.control.admin_messages import StatusAnswer
 from ebonybend.errors import SteeringError
 from ebonybend.tool.admin_client import AdminClient
 from ebonybend.tool.context import Context
@@ -21,28 +21,37 @@
     in_force: tuple[str, ...] = ()
     behind: tuple[str, ...] = ()
     unreachable: tuple[str, ...] = ()
-    # Why the state could not be read, or empty.
+    # Why nothing is known about the state, or empty.
     problem: str = ""
 
 
 def classify(status: StatusAnswer, revision: int) -> Confirmation:
-    """Return which instances confirm a revision.
+    """Return which listed instances confirm a revision.
 
     A later revision also counts: revisions never go back, so the change was in force.
     """
-    missing = [i for i in status.instances if i.rules_revision < revision]
-    confirmed = [i for i in status.instances if i.rules_revision >= revision]
+    reported = {i.name: i.rules_revision for i in status.instances}
+    waiting = _waiting(status, revision)
+    missing = {name for name in waiting if reported.get(name, 0) < revision}
+    reachable = {i.name for i in status.instances if i.reachable}
+    everywhere = status.in_force_everywhere or bool(waiting)
     return Confirmation(
         revision,
-        bool(confirmed) and not missing,
-        _names(confirmed),
-        _names([i for i in missing if i.reachable]),
-        _names([i for i in missing if not i.reachable]),
+        everywhere and not missing and status.revision >= revision,
+        tuple(sorted(x for x in reported if reported[x] >= revision)),
+        tuple(sorted(missing & reachable)),
+        tuple(sorted(missing - reachable)),
+        "" if everywhere else "the control knows no list of instances",
     )
 
 
-def _names(instances: list[InstanceStatus]) -> tuple[str, ...]:
-    return tuple(sorted(instance.name for instance in instances))
+def _waiting(status: StatusAnswer, revision: int) -> tuple[str, ...]:
+    """Return the instances that may not have a revision in force."""
+    if status.revision >= revision:
+        # Instances that are planned but not listed are not waited for.
+        return status.waiting_for
+    # The control hasn't seen the revision, so it doesn't know who lacks it.
+    return tuple(instance.name for instance in status.instances)
 
 
 def wait_in_force(context: Context, revision: int) -> Confirmation:
--- a/ebonybend/tool/edit_verbs.py
+++ b/ebonybend/tool/edit_verbs.py
@@ -180,27 +180,37 @@
 def _drain_body(context: Context) -> DrainRule:
     """Return what to drain, found by name unless a flag tells its kind."""
     name = _name(context.operand)
-    kind = _chosen_kind(context) or _kind_by_name(context.client.status(), name)
+    kind = _chosen_kind(context) or _kind_by_name(context, name)
     return DrainRule(target_kind=kind, name=name)
 
 
-def _kind_by_name(status: StatusAnswer, name: str) -> str:
-    kinds = []
-    if any(instance.name == name for instance in status.instances):
-        kinds.append("instance")
-    if any(server.name == name for server in status.servers):
-        kinds.append("backend")
+def _kind_by_name(context: Context, name: str) -> str:
+    # A control lists the backend servers of its own failure domain, so all are asked.
+    kinds = {
+        kind
+        for status in context.client.each_status()
+        for kind in _kinds_in(status, name)
+    }
     if len(kinds) == 1:
-        return kinds[0]
+        return kinds.pop()
     if kinds:
         raise usage_error(f"{name!r} is two things: add --instance or --backend")
     message = (
-        f"no instance or backend server is named {name!r}; `ebonybend status` lists "
-        "them, and --instance or --backend skips this check"
+        f"the controls of --admin list no instance or backend server {name!r}; add "
+        "addresses of its failure domain, or say --instance or --backend"
     )
     raise SteeringError(ErrorKind.INVALID_RULES, message)
 
 
+def _kinds_in(status: StatusAnswer, name: str) -> set[str]:
+    kinds = set()
+    if any(instance.name == name for instance in status.instances):
+        kinds.add("instance")
+    if any(server.name == name for server in status.servers):
+        kinds.add("backend")
+    return kinds
+
+
 def _fingerprint(context: Context) -> str:
     """Return the whole fingerprint; the start of a listed suspect's is enough."""
     text = context.operand.lower()
--- a/ebonybend/tool/state_verbs.py
+++ b/ebonybend/tool/state_verbs.py
@@ -3,8 +3,6 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime
 
-from attrs import evolve
-
 from ebonybend.control.admin_messages import StatusAnswer, WhereAnswer
 from ebonybend.tool.confirm import classify, confirmation_lines
 from ebonybend.tool.context import DONE, REFUSED, Context, VerbResult
@@ -15,8 +13,6 @@
     """Show the revision in force, instances, backend servers, shifts, suspects."""
     answer = context.client.status()
     found = classify(answer, answer.revision)
-    everywhere = found.in_force_everywhere and answer.in_force_everywhere
-    found = evolve(found, in_force_everywhere=everywhere)
     lines = [
         *confirmation_lines(found),
         f"platform: {'reachable' if answer.platform_reachable else 'NOT REACHABLE'}",
@@ -25,7 +21,9 @@
         *_shift_lines(answer),
         *_suspect_lines(answer),
     ]
-    return VerbResult(DONE if everywhere else REFUSED, tuple(lines), answer)
+    return VerbResult(
+        DONE if found.in_force_everywhere else REFUSED, tuple(lines), answer
+    )
 
 
 def history(context: Context) -> VerbResult:
