Wait longer between tries on a conflict

Cause: the control that is asked may learn of the other operator's change only by the next peer exchange, after a second, and five tries 0.2 s apart could end before that.

Change: waits of 0.2, 0.4, 0.8 and 1.6 s; the operator's clock is taken for a relative end when the control gives no time. A conflict without difference says so.

--- a/ebonybend/tool/edit_verbs.py
+++ b/ebonybend/tool/edit_verbs.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from time import time
 
 from attrs import frozen
 from returns.result import Failure
@@ -36,9 +37,9 @@
     submit,
 )
 
-# Each try re-reads the rules, so a conflict needs another change in between.
-MAX_TRIES = 5
-CONFLICT_DELAY_S = 0.2
+# Waits before each new try on the rules re-read. They grow, since the control that is
+# asked may learn of the other change only by the next peer exchange, after 1 s.
+CONFLICT_DELAYS_S = (0.2, 0.4, 0.8, 1.6)
 _DURATION = re.compile(r"([1-9][0-9]{0,5})([smhd])", re.ASCII)
 _SECONDS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
@@ -76,7 +77,7 @@
     """Apply an edit to the newest rules; on a conflict, edit the rules re-read."""
     author, reason = required_author(context)
     change_id = context.options.change_id or context.new_change_id()
-    for tries_left in reversed(range(MAX_TRIES)):
+    for delay in (*CONFLICT_DELAYS_S, None):
         answer = context.client.rules()
         if answer.change_id == change_id:
             return accepted(context, ApplyAnswer(answer.revision, change_id), ())
@@ -88,10 +89,10 @@
         if not isinstance(result, Failure):
             changes = diff_rules(answer.text, edited.text)
             return accepted(context, result.unwrap(), changes)
-        if not tries_left or not is_conflict(result):
+        if delay is None or not is_conflict(result):
             return refused(result.failure(), answer.revision, "edited rules")
         context.progress("another change was accepted first; trying again")
-        context.sleep(CONFLICT_DELAY_S)
+        context.sleep(delay)
         # A refused try had no effect, so the next is a new change.
         change_id = context.new_change_id()
     raise AssertionError("the last try returns")
@@ -156,8 +157,8 @@
     if text is None:
         return None
     match = _DURATION.fullmatch(text)
-    if match is not None and now:
-        return float(int(now) + int(match[1]) * _SECONDS[match[2]])
+    if match is not None:
+        return float(int(now or time()) + int(match[1]) * _SECONDS[match[2]])
     try:
         return read_time(text)
     except ValueError as error:
--- a/ebonybend/tool/submit.py
+++ b/ebonybend/tool/submit.py
@@ -98,7 +98,7 @@
         f"({conflict.reason}) was accepted first; your text was made from "
         f"revision {base}",
         f"difference from revision {conflict.revision} to your text:",
-        *(f"  {line}" for line in conflict.difference),
+        *(f"  {line}" for line in conflict.difference or ("none",)),
         "nothing was changed; get the newest rules with `ebonybend show`, make your "
         "change again and apply it",
     )
--- a/ebonybend/tool/tests/test_tool.py
+++ b/ebonybend/tool/tests/test_tool.py
@@ -49,9 +49,13 @@
         directory = TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.directory = Path(directory.name)
-        delays = patch("ebonybend.tool.submit.REPEAT_DELAYS_S", (0.01, 0.01))
-        delays.start()
-        self.addCleanup(delays.stop)
+        for name, waits in (
+            ("submit.REPEAT_DELAYS_S", (0.01, 0.01)),
+            ("edit_verbs.CONFLICT_DELAYS_S", (0.01, 0.01, 0.01, 0.01)),
+        ):
+            delays = patch(f"ebonybend.tool.{name}", waits)
+            delays.start()
+            self.addCleanup(delays.stop)
 
     def run_tool(self, *arguments, admin=None):
         """Return the exit status, standard output and standard error."""
