Test the forwarder and the key owner with injected failures

Cause: each kind of failure at each place must end with the right outcome and with no unsafe further send.

The tests found one fault: when all entries of a domain had refused the connection, the answer named the domain as not ready in place of the refused connection. What another process said now goes before what this one found when no place was left.

--- a/ebonybend/entry/attempts.py
+++ b/ebonybend/entry/attempts.py
@@ -71,16 +71,23 @@
     # No place is left to try.
     exhausted: bool = False
     last: AttemptFailure | None = None
+    last_sent: AttemptFailure | None = None
     # The last attempt that may have run the request.
     doubtful: AttemptFailure | None = None
 
     def note(self, failure: AttemptFailure) -> None:
         """Take in a failed attempt."""
         self.last = failure
-        self.sends += failure.sent
+        if failure.sent:
+            self.sends += 1
+            self.last_sent = failure
         if failure.may_have_run:
             self.doubtful = failure
 
     def conclusion(self) -> AttemptFailure:
-        """Return what to answer; a doubtful attempt goes before any refusal."""
-        return self.doubtful or self.last
+        """Return what to answer.
+
+        A doubtful attempt goes before any refusal, and what another process said goes
+        before what this one found when no place was left.
+        """
+        return self.doubtful or self.last_sent or self.last
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -174,8 +174,9 @@
             search.shifted_to = None
             return refused(ErrorKind.OVERLOADED, "the shift's target has no room")
         search.exhausted = True
-        if search.last is not None and search.last.error.kind in ELSEWHERE:
-            return search.last.as_failure()
+        if search.last is not None:
+            # The reason why the last place could not take it says more.
+            return AttemptFailure(search.last.error, False).as_failure()
         return refused(
             ErrorKind.OVERLOADED, "no domain has a free slot", SHED_RETRY_AFTER_MS
         )
--- /dev/null
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -0,0 +1,240 @@
+from returns.pipeline import is_successful
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+
+from ebonybend.entry.tests.harness import (
+    SLOTS,
+    Harness,
+    backend_answer,
+    entry_answer,
+)
+from ebonybend.errors import ErrorKind
+from ebonybend.http_client import (
+    AnswerLost,
+    AnswerTimeout,
+    AnswerTooLarge,
+    NotSent,
+    SendTooLate,
+)
+
+OVERLOADED = ErrorKind.OVERLOADED
+UNREACHABLE = ErrorKind.BACKEND_UNREACHABLE
+LOST = ErrorKind.ANSWER_LOST
+LATE = ErrorKind.DEADLINE_EXCEEDED
+SHED = backend_answer(503, Not_Run="true")
+REMOTE_REFUSAL = entry_answer(503, "not_run", "overloaded")
+
+
+def case(name, method, backend, kind, backend_sends, hop=REMOTE_REFUSAL, hop_sends=0):
+    return (
+        name,
+        {
+            "method": method,
+            "backend": backend,
+            "hop": hop,
+            "kind": kind,
+            "backend_sends": backend_sends,
+            "hop_sends": hop_sends,
+        },
+    )
+
+
+class FailureTest(TestWithScenarios, TestCase):
+    """Guards against a wrong outcome, and a send that is not safe, after a failure.
+
+    Every backend server fails in the same way, and so does every other domain.
+    """
+
+    scenarios = [
+        case("read_refused", "GET", NotSent("x", True), UNREACHABLE, 3),
+        case("read_shed", "GET", SHED, OVERLOADED, 3),
+        case("read_lost", "GET", AnswerLost("x"), LOST, 2),
+        case("read_timeout", "GET", AnswerTimeout("x"), LATE, 3),
+        case("read_too_large", "GET", AnswerTooLarge("x"), LOST, 3),
+        case("read_late", "GET", SendTooLate("x"), ErrorKind.DEADLINE_NOT_RUN, 1),
+        case("write_refused", "POST", NotSent("x", True), UNREACHABLE, 3),
+        case("write_shed", "POST", SHED, OVERLOADED, 3),
+        case("write_lost", "POST", AnswerLost("x"), LOST, 1),
+        case("write_timeout", "POST", AnswerTimeout("x"), LATE, 1),
+        case("write_too_large", "POST", AnswerTooLarge("x"), LOST, 1),
+        case("write_late", "POST", SendTooLate("x"), ErrorKind.DEADLINE_NOT_RUN, 1),
+    ]
+
+    def test_outcome_and_sends(self):
+        harness = Harness().ready()
+        harness.http.respond = lambda c: self.backend if c.to_backend else self.hop
+        attempt = self.successResultOf(harness.steer(harness.request(self.method)))
+        self.assertIs(self.kind, attempt.failure().error.kind)
+        self.assertEqual(self.backend_sends, len(harness.http.sent("to_backend")))
+        self.assertEqual(self.hop_sends, len(harness.http.sent("to_hop")))
+        harness.reactor.advance(1.0)
+        self.assertEqual(0, harness.in_flight())
+
+    def successResultOf(self, deferred):
+        results = []
+        deferred.addBoth(results.append)
+        self.assertEqual(1, len(results))
+        return results[0]
+
+
+class HopFailureTest(TestWithScenarios, TestCase):
+    """Guards against a wrong outcome when another entry fails or refuses."""
+
+    scenarios = [
+        (
+            name,
+            {"method": method, "hop": hop, "kind": kind, "sends": sends},
+        )
+        for name, method, hop, kind, sends in (
+            ("read_refused", "GET", NotSent("x", True), UNREACHABLE, 2),
+            ("read_not_run", "GET", REMOTE_REFUSAL, OVERLOADED, 1),
+            ("read_lost", "GET", AnswerLost("x"), LOST, 2),
+            ("read_no_outcome", "GET", entry_answer(200, None, None), LOST, 2),
+            ("write_refused", "POST", NotSent("x", True), UNREACHABLE, 2),
+            ("write_not_run", "POST", REMOTE_REFUSAL, OVERLOADED, 1),
+            ("write_lost", "POST", AnswerLost("x"), LOST, 1),
+            ("write_timeout", "POST", AnswerTimeout("x"), LATE, 1),
+            ("write_no_outcome", "POST", entry_answer(200, None, None), LOST, 1),
+            (
+                "write_unknown",
+                "POST",
+                entry_answer(502, "unknown", "answer_lost"),
+                LOST,
+                1,
+            ),
+            (
+                "write_kind_does_not_fit",
+                "POST",
+                entry_answer(503, "not_run", "answer_lost"),
+                ErrorKind.OUTCOME_UNKNOWN,
+                1,
+            ),
+            (
+                "write_new_kind",
+                "POST",
+                entry_answer(503, "not_run", "some_new_kind"),
+                ErrorKind.OUTCOME_UNKNOWN,
+                1,
+            ),
+            (
+                "write_suspect",
+                "POST",
+                entry_answer(422, "not_run", "suspect_refused"),
+                ErrorKind.SUSPECT_REFUSED,
+                1,
+            ),
+        )
+    ]
+
+    def test_outcome_and_sends(self):
+        harness = Harness().ready(servers=0)
+        harness.http.respond = lambda call: self.hop
+        results = []
+        harness.steer(harness.request(self.method)).addBoth(results.append)
+        self.assertIs(self.kind, results[0].failure().error.kind)
+        self.assertEqual(self.sends, len(harness.http.sent("to_hop")))
+
+
+class SecondPlaceTest(TestCase):
+    """Guards against giving up while a safe second place is left."""
+
+    def run_first_fails(self, method, failure):
+        harness = Harness().ready()
+
+        def respond(call):
+            return failure if len(harness.http.calls) == 1 else backend_answer()
+
+        harness.http.respond = respond
+        results = []
+        harness.steer(harness.request(method)).addBoth(results.append)
+        return harness, results[0]
+
+    def test_read_after_each_failure(self):
+        for failure in (NotSent("x"), SHED, AnswerLost("x"), AnswerTimeout("x")):
+            harness, attempt = self.run_first_fails("GET", failure)
+            self.assertTrue(is_successful(attempt))
+            self.assertNotEqual(*[call.address for call in harness.http.calls])
+
+    def test_write_only_after_not_run(self):
+        for failure in (NotSent("x"), SHED):
+            _, attempt = self.run_first_fails("POST", failure)
+            self.assertTrue(is_successful(attempt))
+
+    def test_not_run_is_not_said_after_a_doubtful_attempt(self):
+        harness = Harness().ready()
+        answers = [AnswerLost("x"), SHED, SHED]
+        harness.http.respond = lambda call: answers.pop(0)
+        results = []
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertIs(LOST, results[0].failure().error.kind)
+
+
+class CrashTest(TestCase):
+    """Guards against running a crashing request again beside others."""
+
+    def test_one_crash_counts_once_and_is_notified(self):
+        harness = Harness().ready(servers=1)
+        pending = []
+
+        def respond(call):
+            pending.append(Deferred())
+            return pending[-1]
+
+        harness.http.respond = respond
+        results = []
+        for number in range(2):
+            request = harness.request(
+                "POST", key=f"k1a~7~1~{number}", body=b"%d" % number
+            )
+            harness.steer(request).addBoth(results.append)
+        for deferred in pending:
+            deferred.callback(AnswerLost("crash"))
+        self.assertEqual([LOST, LOST], [r.failure().error.kind for r in results])
+        self.assertEqual(1, len(harness.notices))
+        views = harness.plane.suspects.views()
+        self.assertEqual([1, 1], [view.crashes for view in views])
+        self.assertFalse(any(view.refused for view in views))
+
+    def test_read_that_crashes_a_second_server_is_refused(self):
+        harness = Harness().ready()
+        harness.http.respond = lambda call: AnswerLost("crash")
+        results = []
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertEqual(2, len(harness.http.calls))
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertEqual(2, len(harness.http.calls))
+        self.assertIs(ErrorKind.SUSPECT_REFUSED, results[1].value.kind)
+
+
+class SlotTest(TestCase):
+    """Guards against more requests on a server than slots."""
+
+    def test_cancelled_reads_keep_their_slots_until_the_server_knows(self):
+        harness = Harness().ready(servers=1)
+        harness.http.respond = lambda call: (
+            Deferred() if call.to_backend else REMOTE_REFUSAL
+        )
+        running = []
+        for _ in range(SLOTS + 3):
+            request = harness.request()
+            request.caller_gone = False
+            running.append((request, harness.steer(request)))
+        self.assertEqual(SLOTS, harness.in_flight())
+        for request, deferred in running:
+            request.caller_gone = True
+            deferred.addErrback(lambda _: None)
+            deferred.cancel()
+        self.assertEqual(SLOTS, harness.in_flight())
+        harness.reactor.advance(0.2)
+        self.assertEqual(0, harness.in_flight())
+
+    def test_draining_server_gets_no_new_work(self):
+        harness = Harness().ready(servers=1)
+        harness.http.respond = lambda call: backend_answer(200, Draining="true")
+        results = []
+        harness.steer(harness.request()).addBoth(results.append)
+        harness.plane.set_server_states(harness.plane.table_state.table)
+        harness.http.respond = lambda call: REMOTE_REFUSAL
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertEqual(1, len(harness.http.sent("to_backend")))
