--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -123,7 +123,6 @@
         self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
 
     def abort(self) -> None:
-        # The transport of a body has no abortConnection.
         if self.transport is not None:
             self.transport.loseConnection()
 
@@ -131,8 +130,8 @@
         self.size += len(data)
         self.chunks.append(data)
         if self.size > self.limit and not self.done.called:
-            self.done.errback(AnswerTooLarge(f"answer over {self.limit} bytes"))
             self.abort()
+            self.done.errback(AnswerTooLarge(f"answer over {self.limit} bytes"))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self.done.called:
