--- a/ebonybend/peers/suspects.py
+++ b/ebonybend/peers/suspects.py
@@ -138,13 +138,15 @@
 
 def _suspect(record: SuspectRecord, now: float) -> _Suspect:
     cleared_age_ms = record.cleared_age_ms
-    return _Suspect(
-        record.crashes,
+    suspect = _Suspect(
+        max(record.crashes, len(record.servers)),
         record.refused,
         now - record.age_ms / 1000,
         None if cleared_age_ms is None else now - cleared_age_ms / 1000,
         frozenset(record.servers),
     )
+    _refuse_repeated(suspect)
+    return suspect
 
 
 def _merge(known: _Suspect, theirs: _Suspect) -> None:
@@ -173,5 +175,9 @@
         known.crashed_at = min(known.crashed_at, theirs.crashed_at)
     known.crashes = crashes
     known.servers = servers
-    if known.active and crashes >= CRASHES_TO_REFUSE:
-        known.refused = True
+    _refuse_repeated(known)
+
+
+def _refuse_repeated(suspect: _Suspect) -> None:
+    if suspect.active and suspect.crashes >= CRASHES_TO_REFUSE:
+        suspect.refused = True
--- a/ebonybend/platform/audit_log.py
+++ b/ebonybend/platform/audit_log.py
@@ -20,7 +20,8 @@
 # The platform accepts values up to 1 MB.
 MAX_CHUNK_BYTES = 900_000
 # Another control appends at the same time, or an answer is lost.
-MAX_ATTEMPTS = 8
+MAX_ATTEMPTS = 12
+FINAL_FAILURES = frozenset({StoreFailureKind.UNAVAILABLE, StoreFailureKind.REJECTED})
 
 
 @frozen
@@ -55,38 +56,38 @@
     async def append(self, entries: Iterable[AuditEntry]) -> Result[None, StoreFailure]:
         """Append entries; one that a lost answer had written is not repeated."""
         left = list(entries)
+        located = await self._last_number()
+        if not isinstance(located, Success):
+            return Failure(located.failure())
+        number = located.unwrap()
         failure = StoreFailure(StoreFailureKind.CONFLICT, "too many conflicts")
         for _ in range(MAX_ATTEMPTS):
-            found = await self._current()
+            # After a conflict or a lost answer the same chunk is read again, also if
+            # it is full by now: the lost write may have filled it.
+            found = await self._read(number)
             if not isinstance(found, Success):
                 return Failure(found.failure())
             chunk = found.unwrap()
             left = [entry for entry in left if entry not in chunk.entries]
             if not left:
+                self.number = max(self.number or 0, number)
                 return Success(None)
             fitting = _fitting(chunk.entries, left)
             if not fitting:
-                self.number = chunk.number + 1
+                number += 1
                 continue
             written = await self._write(chunk, fitting)
             if isinstance(written, Success):
-                left = left[len(fitting) :]
-                if not left:
-                    return Success(None)
                 continue
             failure = written.failure()
-            # After a conflict or a lost answer the same chunk is read again.
-            if failure.kind in (
-                StoreFailureKind.UNAVAILABLE,
-                StoreFailureKind.REJECTED,
-            ):
+            if failure.kind in FINAL_FAILURES:
                 return Failure(failure)
         return Failure(failure)
 
     async def newest(self, limit: int) -> Result[tuple[AuditEntry, ...], StoreFailure]:
         """Return the newest entries, newest first."""
         found: list[AuditEntry] = []
-        current = await self._current()
+        current = await self._newest_chunk()
         if not isinstance(current, Success):
             return Failure(current.failure())
         chunk = current.unwrap()
@@ -107,17 +108,25 @@
         name = chunk_name(chunk.number)
         return await self.store.put(KIND, name, value, chunk.version)
 
-    async def _current(self) -> Result[_Found, StoreFailure]:
-        """Return the chunk to append to, which may be full or not exist yet."""
-        if self.number is None:
-            located = await self._locate()
-            if not isinstance(located, Success):
-                return Failure(located.failure())
+    async def _last_number(self) -> Result[int, StoreFailure]:
+        """Return the number of the chunk that was used last."""
+        if self.number is not None:
+            return Success(self.number)
+        located = await self._locate()
+        if isinstance(located, Success):
             self.number = located.unwrap()
-        found = await self._read(self.number)
+        return located
+
+    async def _newest_chunk(self) -> Result[_Found, StoreFailure]:
+        """Return the last chunk, which may not exist yet."""
+        located = await self._last_number()
+        if not isinstance(located, Success):
+            return Failure(located.failure())
+        number = located.unwrap()
+        found = await self._read(number)
         while isinstance(found, Success) and _is_full(found.unwrap().entries):
-            self.number += 1
-            found = await self._read(self.number)
+            number += 1
+            found = await self._read(number)
         return found
 
     async def _locate(self) -> Result[int, StoreFailure]:
--- /dev/null
+++ b/ebonybend/platform/tests/memory_store.py
@@ -0,0 +1,164 @@
+"""An object store in memory with faults, for tests."""
+
+from attrs import define, evolve, field
+from msgspec import Raw
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import Clock, deferLater
+
+from ebonybend.platform.client import (
+    ObjectList,
+    StoredObject,
+    StoreFailure,
+    StoreFailureKind,
+)
+
+CALL_S = 0.005
+TIMEOUT_S = 2.0
+
+
+@define
+class MemoryStore:
+    """The objects that all callers share."""
+
+    clock: Clock
+    version: int = 0
+    objects: dict[tuple[str, str], StoredObject] = field(factory=dict)
+    waiting: list[Deferred] = field(factory=list)
+    writes: list[tuple[str, str]] = field(factory=list)
+
+    def write(self, kind, name, value, deleted=False):
+        """Write without a condition; return the new version."""
+        self.version += 1
+        stored = StoredObject(name, self.version, Raw(value), deleted)
+        self.objects[kind, name] = stored
+        self.writes.append((kind, name))
+        waiting, self.waiting = self.waiting, []
+        for watcher in waiting:
+            watcher.callback(None)
+        return self.version
+
+    def changes(self, kind, since):
+        """Return the objects of a kind changed since a version."""
+        items = (x for key, x in self.objects.items() if key[0] == kind)
+        return tuple(x for x in items if x.version > since)
+
+    def changed(self):
+        """Return a Deferred that fires at the next change."""
+        watcher = Deferred(lambda x: self.waiting.remove(x))
+        self.waiting.append(watcher)
+        return watcher
+
+
+@define
+class StoreClient:
+    """One caller's view of the store, with its own faults."""
+
+    store: MemoryStore
+    # Calls get no answer before the time-out.
+    down: bool = False
+    # The next writes take effect without an answer.
+    lose_answers: int = 0
+    # The next writes have no effect and no answer.
+    lose_requests: int = 0
+    # The next writes take effect this much later, without an answer.
+    delay_writes_s: float = 0.0
+    calls: int = 0
+
+    async def list(self, kind) -> Result:
+        """Return all objects of a kind."""
+        failure = await self._call()
+        if failure:
+            return Failure(failure)
+        items = tuple(x for x in self.store.changes(kind, 0) if not x.deleted)
+        return Success(ObjectList(self.store.version, items))
+
+    async def get(self, kind, name) -> Result:
+        """Return one object."""
+        failure = await self._call()
+        if failure:
+            return Failure(failure)
+        stored = self._stored(kind, name)
+        if stored is None:
+            return Failure(StoreFailure(StoreFailureKind.NOT_FOUND, name))
+        return Success(stored)
+
+    async def put(self, kind, name, value, version) -> Result:
+        """Write if the version matches."""
+        failure = await self._call()
+        if failure:
+            return Failure(failure)
+        if self.lose_requests:
+            self.lose_requests -= 1
+            return Failure(_lost())
+        if self.delay_writes_s:
+            delay, self.delay_writes_s = self.delay_writes_s, 0.0
+            self.store.clock.callLater(delay, self._put, kind, name, value, version)
+            return Failure(_lost())
+        result = self._put(kind, name, value, version)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Failure(_lost())
+        return result
+
+    async def watch(self, kind, since, timeout_ms) -> Result:
+        """Wait for changes since a version."""
+        failure = await self._call()
+        if failure:
+            return Failure(failure)
+        clock = self.store.clock
+        deadline = clock.seconds() + timeout_ms / 1000
+        while not self.store.changes(kind, since) and clock.seconds() < deadline:
+            changed = self.store.changed()
+            timer = clock.callLater(deadline - clock.seconds(), changed.cancel)
+            try:
+                await changed
+            except CancelledError:
+                break
+            finally:
+                if timer.active():
+                    timer.cancel()
+        if self.down:
+            return Failure(_lost())
+        items = self.store.changes(kind, since)
+        return Success(ObjectList(self.store.version, items))
+
+    async def _call(self):
+        self.calls += 1
+        clock = self.store.clock
+        if self.down:
+            await deferLater(clock, TIMEOUT_S)
+            return StoreFailure(StoreFailureKind.UNAVAILABLE, "down")
+        await deferLater(clock, CALL_S)
+        return None
+
+    def _stored(self, kind, name):
+        stored = self.store.objects.get((kind, name))
+        return None if stored is None or stored.deleted else stored
+
+    def _put(self, kind, name, value, version):
+        stored = self._stored(kind, name)
+        if version != (stored.version if stored else 0):
+            current = evolve(stored) if stored else None
+            return Failure(StoreFailure(StoreFailureKind.CONFLICT, "version", current))
+        return Success(self.store.write(kind, name, value))
+
+
+def _lost():
+    return StoreFailure(StoreFailureKind.ANSWER_LOST, "lost")
+
+
+def result_of(clock, coroutine, seconds=60.0):
+    """Run a coroutine on a simulated clock and return its result."""
+    found = []
+    failures = []
+    task = Deferred.fromCoroutine(coroutine)
+    task.addCallbacks(found.append, failures.append)
+    end = clock.seconds() + seconds
+    while not found and not failures and clock.seconds() < end:
+        clock.advance(0.005)
+    if failures:
+        failures[0].raiseException()
+    if not found:
+        raise AssertionError(f"no result in {seconds} s")
+    return found[0]
--- /dev/null
+++ b/ebonybend/platform/tests/test_watcher.py
@@ -0,0 +1,89 @@
+from random import Random
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from ebonybend.platform.tests.memory_store import MemoryStore, StoreClient
+from ebonybend.platform.watcher import LONGEST_BACKOFF_S, Backoff, Watcher
+
+
+class WatcherTest(TestCase):
+    """Guards against changes missed by a watch, and against a storm of calls."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.memory = MemoryStore(self.clock)
+        self.client = StoreClient(self.memory)
+        self.seen = []
+        self.watcher = Watcher(
+            self.client,
+            "rules",
+            self.clock,
+            Random(1),
+            lambda _kind, _version, objects: self.seen.append(sorted(objects)),
+        )
+
+    def run_for(self, seconds):
+        self.clock.pump([0.01] * int(seconds / 0.01))
+
+    def test_follows_changes_and_deletions(self):
+        self.memory.write("rules", "a", b"1")
+        self.watcher.start()
+        self.run_for(0.1)
+        self.memory.write("rules", "b", b"2")
+        self.run_for(0.1)
+        self.memory.write("rules", "a", b"null", deleted=True)
+        self.run_for(0.1)
+        self.assertEqual([["a"], ["a", "b"], ["b"]], self.seen)
+
+    def test_resumes_from_its_version_after_an_outage(self):
+        self.memory.write("rules", "a", b"1")
+        self.watcher.start()
+        self.run_for(0.1)
+        self.client.down = True
+        self.run_for(30)
+        self.memory.write("rules", "b", b"2")
+        calls = self.client.calls
+        self.assertTrue(self.watcher.failing)
+        self.client.down = False
+        self.run_for(LONGEST_BACKOFF_S + 2.5)
+        self.assertEqual([["a"], ["a", "b"]], self.seen)
+        self.assertLess(calls, 12)
+
+    def test_resumes_after_a_stop(self):
+        self.watcher.start()
+        self.run_for(0.1)
+        self.watcher.stop()
+        self.memory.write("rules", "a", b"1")
+        self.run_for(1)
+        self.watcher.start()
+        self.run_for(0.1)
+        self.assertEqual(["a"], self.seen[-1])
+
+    def test_reads_everything_when_versions_go_back(self):
+        self.memory.write("rules", "a", b"1")
+        self.memory.write("rules", "a", b"2")
+        self.watcher.start()
+        self.run_for(0.1)
+        self.memory.objects.clear()
+        self.memory.version = 0
+        self.memory.write("rules", "b", b"3")
+        self.run_for(15)
+        self.assertEqual(["b"], self.seen[-1])
+
+    def test_a_waiting_watch_costs_few_calls(self):
+        self.watcher.start()
+        self.run_for(60)
+        self.assertLessEqual(self.client.calls, 8)
+
+
+class BackoffTest(TestCase):
+    """Guards against callers that come back together after an outage."""
+
+    def test_grows_to_a_limit_with_jitter(self):
+        first, second = Backoff(Random(1)), Backoff(Random(2))
+        delays = [(first.next(), second.next()) for _ in range(10)]
+        self.assertTrue(all(a != b for a, b in delays))
+        self.assertLessEqual(max(max(pair) for pair in delays), LONGEST_BACKOFF_S)
+        self.assertGreaterEqual(min(delays[-1]), LONGEST_BACKOFF_S / 2)
