Give each caller a client block and play the demonstration at more load

Look-ups rank instances by /24 block, so callers in one block all used one instance and a kill met few requests. The fleet now writes a client map.

--- a/bench/addresses.py
+++ b/bench/addresses.py
@@ -73,6 +73,28 @@
         number = FIRST_SERVER_HOST + same.index(server)
         return f"{self.domain_network(found.failure_domain)}{number}"
 
+    def client_ip(self, region: str, caller: int) -> str:
+        """Return the address by which a caller's look-ups name it.
+
+        Each caller is in a /24 block of its own, as look-ups rank by block.
+        """
+        names = [x.name for x in self.plan.deployment.regions]
+        return f"10.{names.index(region) + 1}.{caller}.7"
+
+    def client_blocks(self, callers: int) -> dict[str, str]:
+        """Return the failure domain of each caller's block, nearest to the caller."""
+        blocks = {}
+        for region in self.plan.deployment.regions:
+            domains = [
+                x.name
+                for x in self.plan.deployment.failure_domains
+                if x.region == region.name
+            ]
+            for caller in range(1, callers + 1):
+                block = self.client_ip(region.name, caller)
+                blocks[block] = domains[caller % len(domains)]
+        return blocks
+
     @property
     def store_domain(self) -> str:
         """Return the failure domain of the platform's store."""
--- a/bench/caller.py
+++ b/bench/caller.py
@@ -79,12 +79,13 @@
 class Caller:
     """One caller with its own address, look-up cache and connections."""
 
-    def __init__(self, reactor: Any, name: str, source: str, load: RegionLoad):
+    def __init__(self, reactor: Any, load: RegionLoad, index: int):
         self.reactor = reactor
-        self.name = name
+        self.name = load.callers[index]
         self.region = load.region
-        self.http = HttpClient(reactor, source)
-        self.lookups = LookupCache(SystemClock(), self.http, load.seeds, source)
+        self.http = HttpClient(reactor, load.source_addresses[index])
+        client = load.clients[index]
+        self.lookups = LookupCache(SystemClock(), self.http, load.seeds, client)
 
     async def perform(self, wanted: Wanted) -> Operation:
         """Send a request until it is answered or its deadline has passed."""
@@ -247,8 +248,8 @@
     async def run(self) -> None:
         """Send for the planned time, then wait for the last answers."""
         for load in self.plan.regions:
-            pairs = zip(load.callers, load.source_addresses, strict=True)
-            callers = [Caller(self.reactor, a, b, load) for a, b in pairs]
+            numbers = range(len(load.callers))
+            callers = [Caller(self.reactor, load, x) for x in numbers]
             for traffic in load.traffic:
                 self._schedule(callers, traffic, monotonic())
         await sleep(self.reactor, self.plan.duration_s)
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -10,7 +10,7 @@
 from attrs import define, field
 
 from bench.deployments import DEPLOYMENTS, LINK_RATE_FACTOR, DeploymentPlan
-from bench.fleet import Fleet
+from bench.fleet import Fleet, FleetOptions
 from bench.history import Report, read_server_events
 from bench.http_calls import call
 from bench.load import LoadShape, Operation
@@ -23,6 +23,9 @@
 from standins.command import parse_flags
 
 LOAD_S = 24.0
+# Long enough that the kill and the drain meet requests in flight.
+SERVICE_MS = 60.0
+SHAPE = LoadShape(read_rate=20.0, write_rate=10.0)
 BEFORE_KILL_S = 5.0
 BEFORE_DRAIN_S = 5.0
 BEFORE_RULE_S = 4.0
@@ -76,7 +79,7 @@
 def listed(fleet: Fleet, asked: str) -> tuple[str, ...]:
     """Return the instances that an instance's look-up answer names."""
     region = fleet.plan.deployment.regions[0].name
-    client = f"{fleet.addresses.caller_network(region)}1"
+    client = fleet.addresses.client_ip(region, 1)
     address = fleet.addresses.public(asked).listen
     answer = call("GET", address, f"/v1/lookup?client={client}")
     try:
@@ -152,13 +155,13 @@
     """Run the demonstration and return the exit status."""
     timings = Timings()
     started = monotonic()
-    with Fleet(plan) as fleet:
+    with Fleet(plan, FleetOptions(service_ms=SERVICE_MS)) as fleet:
         timings.fleet_start_s = monotonic() - started
         admin = fleet.addresses.admin(plan.instances[0])
         started = monotonic()
         apply_rules(admin, rules_path(plan), AUTHOR, "first rules")
         timings.rules_in_force_s = monotonic() - started
-        load = play(fleet, LoadShape(), LOAD_S)
+        load = play(fleet, SHAPE, LOAD_S)
         disturb(fleet, timings)
         load.wait()
         measure_drain(fleet, timings)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable
 from contextlib import ExitStack
+from ipaddress import ip_address
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -14,6 +15,8 @@
 from bench.http_calls import call, must_call
 from bench.processes import ProcessGroup, ProcessSpec
 from ebonybend.codec import to_json
+from ebonybend.control.client_map import ClientMapObject
+from ebonybend.steering.lookup import BLOCK_MASK, encode_shard
 from ebonybend.world import BackendServer, Instance, LifeState
 from standins.backend_server import ServerFaults
 from standins.platform import PlatformFaults
@@ -24,6 +27,8 @@
 LOG_TAIL_LENGTH = 2000
 ROLES = ("entry", "control")
 SEEDS_PER_CONTROL = 3
+# Callers per region that the client map names.
+MOST_CALLERS = 200
 
 
 @frozen(kw_only=True)
@@ -123,9 +128,19 @@
             "the platform is ready",
         )
         self.write_object("deployment", "main", self.plan.deployment)
+        self._write_client_map()
         for server in self.plan.servers:
             self.list_server(server.name, LifeState.LIVE)
 
+    def _write_client_map(self) -> None:
+        sites = tuple(x.name for x in self.plan.deployment.failure_domains)
+        blocks = [
+            (int(ip_address(client)) & BLOCK_MASK, sites.index(site))
+            for client, site in self.addresses.client_blocks(MOST_CALLERS).items()
+        ]
+        shard = ClientMapObject(encode_shard(sites, blocks))
+        self.write_object("clientmap", "0000", shard)
+
     def _platform_ready(self) -> bool:
         return call("GET", self.addresses.platform_faults, "/counts").status == 200
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -40,6 +40,8 @@
     # Each caller has its own look-up cache, connections and source address.
     callers: tuple[str, ...]
     source_addresses: tuple[str, ...]
+    # Addresses by which the callers' look-ups name them.
+    clients: tuple[str, ...]
     # Addresses of entry instances to ask before a look-up has been answered.
     seeds: tuple[str, ...]
     traffic: tuple[Traffic, ...]
@@ -126,6 +128,7 @@
         region,
         tuple(names),
         tuple(f"{addresses.caller_network(region)}{x}" for x in numbers),
+        tuple(addresses.client_ip(region, x) for x in numbers),
         tuple(addresses.public(x).advertise for x in (*own, *others)),
         tuple(
             _traffic(plan.write_service, service.name, shape)
