Do not hop to an instance whose port has just refused a connection

Cause: after a kill the table lists the killed instance for 2.3 s and more. Each request could choose it again, spent a retry token, and callers got backend_unreachable once the tokens were used up.

Ruled out: a failing backend server (every such answer came from hops to the killed instance's domain) and missing slots (one overloaded answer).

--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -27,6 +27,9 @@
 ALONE_HEADER = "Ebonybend-Alone"
 # The sender's region, for the budget of the link back.
 REGION_HEADER = "Ebonybend-Region"
+# Nobody listens on a port that refused a connection. The table shows that only after
+# some seconds, and until then each hop there would cost a retry token.
+REFUSED_PAUSE_S = 1.0
 
 
 class HopClient:
@@ -39,14 +42,19 @@
         self.http = http
         self.table_state = table_state
         self.random = random
+        # Until when an instance whose port refused a connection is not picked.
+        self.refused_until: dict[str, float] = {}
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
         own = self.table_state.own
+        now = self.clock.monotonic()
         usable = [
             view
             for view in self.table_state.usable_in(domain)
-            if view.name not in tried and view.name != own
+            if view.name not in tried
+            and view.name != own
+            and self.refused_until.get(view.name, now) <= now
         ]
         return self.random.choice(usable) if usable else None
 
@@ -89,6 +97,9 @@
         except SendTooLate as error:
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
+            if error.refused:
+                until = self.clock.monotonic() + REFUSED_PAUSE_S
+                self.refused_until[instance.name] = until
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -161,6 +161,21 @@
             _, attempt = self.run_first_fails("POST", failure)
             self.assertTrue(is_successful(attempt))
 
+    def test_instance_that_refused_a_hop_is_not_tried_by_the_next_request(self):
+        harness = Harness().ready(servers=0)
+
+        def respond(call):
+            refused = call.address == "m1a:2"
+            return (
+                NotSent("x", True) if refused else entry_answer(200, "answered", None)
+            )
+
+        harness.http.respond = respond
+        for _ in range(20):
+            harness.steer(harness.request())
+        hops = [call.address for call in harness.http.sent("to_hop")]
+        self.assertEqual((1, 20), (hops.count("m1a:2"), hops.count("m1b:2")))
+
     def test_not_run_is_not_said_after_a_doubtful_attempt(self):
         harness = Harness().ready()
         answers = [AnswerLost("x"), SHED, SHED]
