Drain a busy backend server in the demonstration; end fleets on SIGTERM

A drained server without work in flight shows nothing, so the demonstration picks one that runs a request. SIGTERM ended a bench process without its children; a group of processes now turns it into an exception.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,10 +1,8 @@
 """Show a deployment under load with a kill, a drain and a change of rules."""
 
-import signal
 import sys
 from pathlib import Path
 from time import monotonic, sleep
-from typing import Any
 
 from absl import flags
 from attrs import define, field
@@ -20,6 +18,7 @@
 from bench.tables import HEADINGS, format_table, operation_rows
 from ebonybend.codec import from_json
 from ebonybend.errors import SteeringError
+from standins.backend_server import Health
 from standins.command import parse_flags
 
 LOAD_S = 24.0
@@ -31,6 +30,7 @@
 BEFORE_RULE_S = 4.0
 EFFECT_TIMEOUT_S = 10.0
 POLL_S = 0.05
+BUSY_TRIES = 20
 AUTHOR = "Ben (operations)"
 
 
@@ -42,6 +42,7 @@
     rules_in_force_s: float = 0.0
     kill_unlisted_s: float | None = None
     rule_in_force_s: float | None = None
+    drained: str = ""
     last_new_work_s: float = 0.0
     drain_s: float = 0.0
     problems: list[str] = field(factory=list)
@@ -89,6 +90,17 @@
     return tuple(x.name for x in found.instances)
 
 
+def busy_server(fleet: Fleet) -> str:
+    """Return a backend server that runs requests, or the first."""
+    for _ in range(BUSY_TRIES):
+        for server in fleet.plan.servers:
+            address = fleet.addresses.server(server.name).listen
+            health = from_json(call("GET", address, "/health").body, Health)
+            if health.in_flight:
+                return server.name
+    return fleet.plan.servers[0].name
+
+
 def disturb(fleet: Fleet, timings: Timings) -> None:
     """Kill an instance, drain a backend server and change a rule."""
     asked, killed = fleet.plan.instances[:2]
@@ -97,7 +109,7 @@
     fleet.unlist_instance(killed)
     timings.kill_unlisted_s = wait_unlisted(fleet, killed, asked)
     sleep(BEFORE_DRAIN_S)
-    fleet.drain_server(fleet.plan.servers[0].name)
+    fleet.drain_server(busy_server(fleet))
     sleep(BEFORE_RULE_S)
     path = changed_rules(fleet.plan, fleet.directory)
     started = monotonic()
@@ -113,6 +125,7 @@
 def measure_drain(fleet: Fleet, timings: Timings) -> None:
     """Find when the drained server got its last new work and ended its last request."""
     drained = next(x for x in fleet.events if x.event == "drain_server")
+    timings.drained = drained.name
     events = read_server_events([fleet.server_history(drained.name)])
     after = [x for x in events if x.at > drained.at]
     received = [x.at - drained.at for x in after if x.event == "received"]
@@ -136,6 +149,7 @@
     print(f"first rules in force after   {seconds(timings.rules_in_force_s)}")
     print(f"killed instance unlisted in  {seconds(timings.kill_unlisted_s)}")
     print(f"changed rule in force after  {seconds(timings.rule_in_force_s)}")
+    print(f"backend server drained       {timings.drained}")
     print(f"last new work after drain    {seconds(timings.last_new_work_s)}")
     print(f"drain time (last work ended) {seconds(timings.drain_s)}")
     print(f"requests started on servers  {report.started}, shed {report.sheds}")
@@ -184,12 +198,6 @@
 
 def main(arguments: list[str]) -> int:
     """Run the demonstration."""
-
-    def terminated(*_: Any) -> None:
-        raise SystemExit(1)
-
-    # As an exception, so that the fleet's processes are ended.
-    signal.signal(signal.SIGTERM, terminated)
     values = parse_flags(define_flags, arguments)
     return run_demo(DEPLOYMENTS[values["deployment"].value]())
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,8 +5,9 @@
 import sys
 from pathlib import Path
 from subprocess import DEVNULL, Popen, TimeoutExpired
-from threading import Event, RLock, Thread
+from threading import Event, RLock, Thread, current_thread, main_thread
 from time import monotonic
+from typing import Any
 
 from attrs import define, frozen
 
@@ -44,6 +45,10 @@
         return self.popen.poll() is None
 
 
+def _exit_on_signal(number: int, _frame: Any) -> None:
+    raise SystemExit(128 + number)
+
+
 class ProcessGroup:
     """The child processes of one fleet; leaving the context ends them all."""
 
@@ -55,13 +60,19 @@
         self.lock = RLock()
         self.closing = Event()
         self.watcher = Thread(target=self._watch, daemon=True)
+        self.old_handler: Any = None
 
     def __enter__(self) -> "ProcessGroup":
         self.watcher.start()
+        # Otherwise SIGTERM ends this process without ending its children.
+        if current_thread() is main_thread():
+            self.old_handler = signal.signal(signal.SIGTERM, _exit_on_signal)
         return self
 
     def __exit__(self, *_: object) -> None:
         self.close()
+        if self.old_handler is not None:
+            signal.signal(signal.SIGTERM, self.old_handler)
 
     def start(self, spec: ProcessSpec) -> RunningProcess:
         """Start a process with its output in a log file."""
