Run on a reactor with cheaper timers and writes, and pick a server once

Cause: a profile of reads showed two costs that no decision needs: twisted's asyncio reactor keeps its own heap of timers, plans the next one again on every call and changes the poll set twice for each write; and a server was chosen twice for each request.

The reactor now uses the loop's timers, writes in the next turn of the loop and polls only for what is left. Its time is the loop's monotonic time; the base class uses the wall clock, so a change of the wall clock moved every time-out.

Ruled out: writing at once inside write(), which would send headers and body apart.

--- a/ebonybend/daemon.py
+++ b/ebonybend/daemon.py
@@ -1,24 +1,15 @@
 """Entry point of the daemon ebonybendd."""
 
 import sys
-from asyncio import new_event_loop, set_event_loop
-
-from twisted.internet import asyncioreactor
 
 from ebonybend.errors import SteeringError
 from ebonybend.logs import configure_logs
+from ebonybend.loop import install_reactor
 from ebonybend.settings import Settings, parse_settings
 
 EXIT_BAD_SETTING = 2
 
 
-def install_reactor() -> None:
-    """Install twisted's reactor on a new asyncio loop, which grpc.aio then shares."""
-    loop = new_event_loop()
-    set_event_loop(loop)
-    asyncioreactor.install(loop)
-
-
 def run(settings: Settings) -> int:
     """Run the process of the chosen role and return the exit status."""
     install_reactor()
--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -104,9 +104,10 @@
         idle = tuple(v for v in candidates if self.running.idle(v.name))
         return tuple(v for v in idle if not v.reported_in_flight) or idle
 
-    async def run(self, request: SteeredRequest, tried: set[str]) -> Attempt:
-        """Run a request on a server that was not tried yet."""
-        server = self.pick(request, tried)
+    async def run(
+        self, request: SteeredRequest, server: ServerView | None, tried: set[str]
+    ) -> Attempt:
+        """Run a request on the server that was picked for it."""
         if server is None:
             return refused(
                 ErrorKind.OVERLOADED, "no free slot in the domain", SHED_RETRY_AFTER_MS
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -119,7 +119,8 @@
         """Return the answer of a server of the own failure domain."""
         search = Search()
         while True:
-            attempt = await self.local.run(request, search.servers)
+            server = self.local.pick(request, search.servers)
+            attempt = await self.local.run(request, server, search.servers)
             if is_successful(attempt):
                 return attempt
             search.note(attempt.failure())
@@ -158,14 +159,15 @@
     async def _attempt(self, request: SteeredRequest, search: Search) -> Attempt:
         """Try the best place that is left."""
         own = self.table_state.table.failure_domain
-        if self.local.pick(request, search.servers) is None:
+        server = self.local.pick(request, search.servers)
+        if server is None:
             search.domains.add(own)
         query = self.options.query(request.service, search)
         score = self.domains.choose(query)
         if score is None:
             return self._no_place(search)
         if score.domain == own:
-            return await self.local.run(request, search.servers)
+            return await self.local.run(request, server, search.servers)
         return await self._hop(request, search, score.domain)
 
     def _no_place(self, search: Search) -> Attempt:
--- /dev/null
+++ b/ebonybend/tests/test_loop.py
@@ -0,0 +1,65 @@
+from asyncio import new_event_loop
+
+from testtools import TestCase
+from twisted.internet.error import AlreadyCalled, AlreadyCancelled
+from twisted.internet.protocol import ClientFactory, Protocol, ServerFactory
+
+from ebonybend.loop import LoopReactor
+
+LARGE = b"x" * (4 << 20)
+
+
+class Collector(Protocol):
+    def connectionMade(self):
+        self.transport.write(b"go")
+
+    def dataReceived(self, data):
+        self.factory.received += len(data)
+        if self.factory.received == len(LARGE):
+            self.factory.done()
+
+
+class LargeSender(Protocol):
+    def dataReceived(self, data):
+        self.transport.write(LARGE)
+
+
+class LoopReactorTest(TestCase):
+    """Guards against timers and writes that differ from the reactor's contract."""
+
+    def setUp(self):
+        super().setUp()
+        loop = new_event_loop()
+        self.reactor = LoopReactor(loop)
+        self.addCleanup(loop.close)
+
+    def run_until_stopped(self):
+        self.reactor.callLater(5.0, self.reactor.stop)
+        self.reactor.run(installSignalHandlers=False)
+
+    def test_timers_are_called_moved_and_cancelled(self):
+        called = []
+        first = self.reactor.callLater(0.02, called.append, "first")
+        moved = self.reactor.callLater(0.01, called.append, "moved later")
+        moved.reset(0.04)
+        sooner = self.reactor.callLater(60.0, called.append, "moved sooner")
+        sooner.reset(0.0)
+        cancelled = self.reactor.callLater(0.01, called.append, "cancelled")
+        cancelled.cancel()
+        self.reactor.callLater(0.03, lambda: 1 / 0)
+        self.reactor.callLater(0.1, self.reactor.stop)
+        self.run_until_stopped()
+        self.assertEqual(["moved sooner", "first", "moved later"], called)
+        self.assertRaises(AlreadyCalled, first.cancel)
+        self.assertRaises(AlreadyCancelled, cancelled.reset, 1.0)
+
+    def test_a_write_larger_than_the_socket_buffers_arrives_whole(self):
+        port = self.reactor.listenTCP(
+            0, ServerFactory.forProtocol(LargeSender), interface="127.0.0.1"
+        )
+        factory = ClientFactory.forProtocol(Collector)
+        factory.received = 0
+        factory.done = self.reactor.stop
+        self.reactor.connectTCP("127.0.0.1", port.getHost().port, factory)
+        self.run_until_stopped()
+        self.assertEqual(len(LARGE), factory.received)
