--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -23,6 +23,7 @@
         self.wall = wall
         self.table: Table | None = None
         self.rules = RulesInForce(())
+        self._rules_text = ""
         self.servers: dict[str, tuple[ServerView, ...]] = {}
         self.instances: dict[str, InstanceView] = {}
         self.services: frozenset[str] = frozenset()
@@ -60,7 +61,7 @@
         return same_control and table.serial < old.serial
 
     def _derive(self, table: Table) -> None:
-        self.rules = RulesInForce.from_text(table.rules_text, self.wall())
+        self._compile(table.rules_text)
         by_service: dict[str, list[ServerView]] = {}
         for server in table.servers:
             by_service.setdefault(server.service, []).append(server)
@@ -70,6 +71,13 @@
         self.region = self.region_of(table.failure_domain)
         self._usable = self._find_usable()
 
+    def _compile(self, text: str) -> None:
+        """Compile the rules if their text or their validity has changed."""
+        now = self.wall()
+        if text != self._rules_text or self.rules.expired(now):
+            self._rules_text = text
+            self.rules = RulesInForce.from_text(text, now)
+
     def refresh_rules(self) -> None:
         """Drop the rules whose validity has ended."""
         if self.table is not None and self.rules.expired(self.wall()):
