Test the HTTP layer against malformed requests and broken answers

Cause: truthful refusals rest on telling NotSent, AnswerLost and AnswerTimeout apart. The first run failed: cancelling a stalled body raised AttributeError, since the transport given to a body protocol has loseConnection but no abortConnection, and the caller's coroutine then never ended. Change: use loseConnection. Conclusion: each broken answer is an error of a known kind, and no request is sent twice by the pool.

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -106,7 +106,7 @@
 
     def abort(self) -> None:
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
         self.size += len(data)
--- /dev/null
+++ b/ebonybend/tests/test_http_client.py
@@ -0,0 +1,140 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from testtools.twistedsupport import AsynchronousDeferredRunTest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import deferLater
+
+from ebonybend.http_client import (
+    AnswerLost,
+    AnswerTimeout,
+    AnswerTooLarge,
+    HttpClient,
+    NotSent,
+)
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+class Scripted(Protocol):
+    """A server that sends fixed bytes after a request and may then close."""
+
+    def dataReceived(self, data):
+        self.factory.requests += 1
+        self.transport.write(self.factory.answer)
+        if self.factory.closes:
+            self.transport.loseConnection()
+
+
+class ClientCase(TestCase):
+    run_tests_with = AsynchronousDeferredRunTest.make_factory(timeout=10)
+
+    def setUp(self):
+        super().setUp()
+        # The server side of a closed connection needs one more turn of the loop.
+        self.addCleanup(deferLater, reactor, 0.02, lambda: None)
+
+    def listen(self, answer, closes):
+        factory = Factory.forProtocol(Scripted)
+        factory.answer = answer
+        factory.closes = closes
+        factory.requests = 0
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self.addCleanup(port.stopListening)
+        self.factory = factory
+        return f"127.0.0.1:{port.getHost().port}"
+
+    def client(self):
+        client = HttpClient(reactor, "127.0.0.2")
+        self.addCleanup(client.close)
+        return client
+
+
+class FailureTest(TestWithScenarios, ClientCase):
+    """Guards against a part taken for the whole, and "not sent" after sending."""
+
+    scenarios = [
+        ("closed", {"answer": b"", "closes": True, "error": AnswerLost}),
+        (
+            "closed in headers",
+            {"answer": WHOLE[:20], "closes": True, "error": AnswerLost},
+        ),
+        (
+            "closed in body",
+            {"answer": WHOLE[:-1], "closes": True, "error": AnswerLost},
+        ),
+        (
+            "no length",
+            {
+                "answer": b"HTTP/1.1 200 OK\r\n\r\nhello",
+                "closes": True,
+                "error": AnswerLost,
+            },
+        ),
+        (
+            "cut in chunks",
+            {
+                "answer": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"5\r\nhello\r\n",
+                "closes": True,
+                "error": AnswerLost,
+            },
+        ),
+        ("silent", {"answer": b"", "closes": False, "error": AnswerTimeout}),
+        (
+            "stalled body",
+            {"answer": WHOLE[:-1], "closes": False, "error": AnswerTimeout},
+        ),
+        (
+            "large",
+            {
+                "answer": WHOLE.replace(b": 5", b": 500") + b"x" * 495,
+                "closes": False,
+                "error": AnswerTooLarge,
+            },
+        ),
+    ]
+
+    def test_failure_kind(self):
+        address = self.listen(self.answer, self.closes)
+        return Deferred.fromCoroutine(self.send(address))
+
+    async def send(self, address):
+        try:
+            await self.client().request(
+                "POST", address, "/", body=b"x", timeout=0.2, max_body=100
+            )
+        except self.error:
+            # The client must not have sent the request a second time.
+            self.assertEqual(1, self.factory.requests)
+        else:
+            self.fail("the failure was not noticed")
+
+
+class SuccessTest(ClientCase):
+    """Guards against a wrong answer on a reused connection."""
+
+    def test_whole_answers_on_one_connection(self):
+        address = self.listen(WHOLE, False)
+        return Deferred.fromCoroutine(self.send_twice(address))
+
+    async def send_twice(self, address):
+        client = self.client()
+        for _ in range(2):
+            answer = await client.request("GET", address, "/")
+            self.assertEqual((200, b"hello"), (answer.status, answer.body))
+
+    def test_refused_connection_is_not_sent(self):
+        port = reactor.listenTCP(0, Factory(), interface="127.0.0.1")
+        address = f"127.0.0.1:{port.getHost().port}"
+        port.stopListening()
+        return Deferred.fromCoroutine(self.expect_refused(address))
+
+    async def expect_refused(self, address):
+        try:
+            await self.client().request("POST", address, "/", body=b"x")
+        except NotSent as error:
+            self.assertTrue(error.refused)
+        else:
+            self.fail("a refused connection was not noticed")
