--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -112,8 +112,8 @@
         self.size += len(data)
         self.chunks.append(data)
         if self.size > self.limit and not self.done.called:
-            self.done.errback(AnswerTooLarge(f"answer over {self.limit} bytes"))
             self.abort()
+            self.done.errback(AnswerTooLarge(f"answer over {self.limit} bytes"))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self.done.called:
