Add a load generator and a forwarder without decisions

Cause: the cost of the decisions is the entry's time over that of a bare forwarder. Ruled out: twisted's Agent in the load generator, which costs more than the forwarder that it would measure. Change: bench/load.py (raw keep-alive connections) and bench/bare_forwarder.py.

--- /dev/null
+++ b/bench/bare_forwarder.py
@@ -0,0 +1,42 @@
+"""A twisted.web forwarder without decisions, the baseline for the cost of them."""
+
+from absl import app, flags
+from twisted.internet import reactor
+
+from ebonybend.http_client import HttpClient
+from ebonybend.http_server import HttpLimits, HttpSite, OutgoingAnswer
+from ebonybend.settings import split_address
+
+_LISTEN = flags.DEFINE_string("listen", None, 'Address "ip:port".', required=True)
+_TARGETS = flags.DEFINE_list("targets", None, "Addresses to forward to.", required=True)
+
+
+class BareForwarder:
+    """Forward each request to the next target."""
+
+    def __init__(self, client: HttpClient, targets: list[str]):
+        self.client = client
+        self.targets = targets
+        self.count = 0
+
+    async def __call__(self, request) -> OutgoingAnswer:
+        """Forward one request."""
+        self.count += 1
+        target = self.targets[self.count % len(self.targets)]
+        answer = await self.client.request(
+            request.method, target, request.path, body=request.body
+        )
+        return OutgoingAnswer(answer.status, answer.body)
+
+
+def main(_arguments: list[str]) -> None:
+    """Forward until ended."""
+    host, port = split_address(_LISTEN.value)
+    forwarder = BareForwarder(HttpClient(reactor), _TARGETS.value)
+    site = HttpSite(reactor, forwarder, HttpLimits())
+    reactor.listenTCP(port, site, interface=host)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,137 @@
+"""A closed-loop load generator that costs less than what it measures.
+
+It keeps one request in flight on each connection and prints one JSON object.
+"""
+
+import sys
+from time import perf_counter
+
+from absl import app, flags
+from attrs import define, field
+from twisted.internet import reactor
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+
+from ebonybend.codec import to_json
+from ebonybend.settings import split_address
+
+_TARGET = flags.DEFINE_string("target", None, 'Address "ip:port".', required=True)
+_PATH = flags.DEFINE_string("path", "/", "Path to read.")
+_CONNECTIONS = flags.DEFINE_integer("connections", 1, "Requests in flight.")
+_SECONDS = flags.DEFINE_float("seconds", 2.0, "Time to measure.")
+_WARM_UP = flags.DEFINE_float("warm_up", 0.3, "Time before measuring, in seconds.")
+
+HEADER_END = b"\r\n\r\n"
+LENGTH_HEADER = b"content-length:"
+
+
+@define
+class LoadResult:
+    """What a load generator saw."""
+
+    requests: int = 0
+    failures: int = 0
+    seconds: float = 0.0
+    latencies_ms: list[float] = field(factory=list)
+
+    def percentile(self, fraction: float) -> float:
+        """Return a percentile of the latencies in milliseconds."""
+        if not self.latencies_ms:
+            return float("nan")
+        ordered = sorted(self.latencies_ms)
+        return ordered[min(int(fraction * len(ordered)), len(ordered) - 1)]
+
+
+@define
+class LoadSummary:
+    """The percentiles of one run."""
+
+    requests: int
+    failures: int
+    per_second: float
+    median_ms: float
+    p99_ms: float
+
+
+class _Connection(Protocol):
+    """Send the same request again after each whole answer."""
+
+    def connectionMade(self) -> None:
+        self.buffer = b""
+        self.transport.setTcpNoDelay(True)
+        self.send()
+
+    def send(self) -> None:
+        self.sent = perf_counter()
+        self.transport.write(self.factory.request)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.buffer += data
+        end = self.buffer.find(HEADER_END)
+        if end < 0:
+            return
+        head = self.buffer[:end].lower()
+        start = head.find(LENGTH_HEADER) + len(LENGTH_HEADER)
+        length = int(head[start:].split(b"\r\n", 1)[0])
+        if len(self.buffer) < end + len(HEADER_END) + length:
+            return
+        self.buffer = b""
+        self.factory.record(perf_counter() - self.sent, head.split(b" ", 2)[1])
+        self.send()
+
+    def connectionLost(self, reason=connectionDone) -> None:
+        self.factory.lost()
+
+
+class _Load(ClientFactory):
+    protocol = _Connection
+    noisy = False
+
+    def __init__(self, request: bytes):
+        self.request = request
+        self.result = LoadResult()
+        self.measuring = False
+
+    def record(self, seconds: float, status: bytes) -> None:
+        if not self.measuring:
+            return
+        self.result.requests += 1
+        self.result.failures += status != b"200"
+        self.result.latencies_ms.append(seconds * 1e3)
+
+    def lost(self) -> None:
+        if self.measuring:
+            self.result.failures += 1
+
+    def start(self) -> None:
+        self.measuring = True
+        self.started = perf_counter()
+
+    def stop(self) -> None:
+        self.measuring = False
+        self.result.seconds = perf_counter() - self.started
+        reactor.stop()
+
+
+def main(_arguments: list[str]) -> None:
+    """Run the load and print its summary."""
+    host, port = split_address(_TARGET.value)
+    request = f"GET {_PATH.value} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+    load = _Load(request)
+    for _ in range(_CONNECTIONS.value):
+        reactor.connectTCP(host, port, load)
+    reactor.callLater(_WARM_UP.value, load.start)
+    reactor.callLater(_WARM_UP.value + _SECONDS.value, load.stop)
+    reactor.run()
+    result = load.result
+    summary = LoadSummary(
+        result.requests,
+        result.failures,
+        result.requests / result.seconds,
+        result.percentile(0.5),
+        result.percentile(0.99),
+    )
+    sys.stdout.buffer.write(to_json(summary) + b"\n")
+
+
+if __name__ == "__main__":
+    app.run(main)
