--- a/ebonybend/tool/tests/fake_admin.py
+++ b/ebonybend/tool/tests/fake_admin.py
@@ -20,7 +20,7 @@
     WhereAnswer,
 )
 from ebonybend.http_server import ErrorBody
-from ebonybend.rules import diff_rules, parse_rules
+from ebonybend.rules import RuleError, diff_rules, parse_rules
 
 NOW = 1_800_000_000.0
 
@@ -37,12 +37,16 @@
     )
     # Instances that keep their revision when a change is accepted.
     stuck: frozenset[str] = frozenset()
+    # Instances that are planned but not listed by the platform.
+    unlisted: frozenset[str] = frozenset()
     # Number of next PUTs whose answer is lost after they took effect.
     lose_after: int = 0
     # Number of next PUTs that are lost before they take effect.
     lose_before: int = 0
     # Number of next PUTs that another operator's change goes before.
     overtaken: int = 0
+    # Errors that only the control can find.
+    errors: tuple[RuleError, ...] = ()
     # Sent as the body of the next PUTs and GETs in place of the right one.
     garbled: bytes | None = None
     # Bytes that are missing at the end of each answer.
@@ -82,16 +86,32 @@
             difference = diff_rules(rules.text, text)
             conflict = (rules.revision, rules.author, rules.reason, difference)
             return 412, ConflictAnswer(*conflict)
-        errors = parse_rules(text).swap().value_or(())
+        errors = parse_rules(text).swap().value_or(()) or self.errors
         if errors:
             return 422, CheckAnswer(errors)
         author, reason = unquote(headers["Author"]), unquote(headers["Reason"])
         return 200, ApplyAnswer(self.accept(text, author, reason, change_id), change_id)
 
+    def current_status(self) -> StatusAnswer:
+        """Return the status with the listed instances that are waited for."""
+        waiting = tuple(
+            i.name
+            for i in self.status.instances
+            if i.rules_revision < self.status.revision and i.name not in self.unlisted
+        )
+        listed = len(self.status.instances) > len(self.unlisted)
+        return evolve(
+            self.status,
+            in_force_everywhere=listed and not waiting,
+            waiting_for=waiting,
+        )
+
     def get(self, path: str) -> tuple[int, object]:
         """Answer a GET."""
         name = path.removeprefix("/v1/").partition("?")[0]
-        if name in ("rules", "status", "history", "where"):
+        if name == "status":
+            return 200, self.current_status()
+        if name in ("rules", "history", "where"):
             return 200, getattr(self, name)
         return 404, ErrorBody("unknown_path", "bad_request", path, "")
 
