--- /dev/null
+++ b/ebonybend/peers/suspects.py
@@ -0,0 +1,177 @@
+"""Suspect requests as all instances together know them."""
+
+from collections.abc import Iterable
+from zlib import crc32
+
+from attrs import define
+
+from ebonybend.clock import Clock
+from ebonybend.peers.records import SuspectRecord
+from ebonybend.steering.suspects import (
+    CRASHES_TO_REFUSE,
+    REFUSED_LIFETIME_S,
+    SUSPECT_LIFETIME_S,
+)
+from ebonybend.steering.table import SuspectView
+
+# Bounds memory and message size when many requests crash servers.
+MAX_SUSPECTS = 1000
+
+
+@define
+class _Suspect:
+    crashes: int
+    refused: bool
+    crashed_at: float
+    cleared_at: float | None
+    servers: frozenset[str]
+
+    @property
+    def active(self) -> bool:
+        if self.refused or self.cleared_at is None:
+            return True
+        return self.crashed_at > self.cleared_at
+
+    @property
+    def lifetime_s(self) -> float:
+        return REFUSED_LIFETIME_S if self.refused else SUSPECT_LIFETIME_S
+
+    @property
+    def state(self) -> tuple[int, bool, bool, tuple[str, ...]]:
+        """Everything but the times, which differ a little between instances."""
+        servers = tuple(sorted(self.servers))
+        return self.crashes, self.refused, self.active, servers
+
+
+class SuspectSet:
+    """Merge suspects: the larger crash count wins, and a refusal stays."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.suspects: dict[str, _Suspect] = {}
+        self.pardoned: frozenset[str] = frozenset()
+
+    def merge(self, record: SuspectRecord) -> bool:
+        """Take what is new in a record; return whether anything was."""
+        if record.fingerprint in self.pardoned:
+            return False
+        now = self.clock.monotonic()
+        theirs = _suspect(record, now)
+        if now - theirs.crashed_at > theirs.lifetime_s:
+            return False
+        known = self.suspects.get(record.fingerprint)
+        if known is None:
+            self._make_room()
+            self.suspects[record.fingerprint] = theirs
+            return True
+        before = known.state
+        _merge(known, theirs)
+        return before != known.state
+
+    def clear(self, fingerprint: str) -> bool:
+        """Lift a suspicion after a success; a refused request stays refused."""
+        known = self.suspects.get(fingerprint)
+        if known is None or known.refused or not known.active:
+            return False
+        known.cleared_at = self.clock.monotonic()
+        return True
+
+    def pardon(self, fingerprints: Iterable[str]) -> None:
+        """Forget suspects that a rule pardons, and take none from peers."""
+        self.pardoned = frozenset(fingerprints)
+        for fingerprint in self.pardoned:
+            self.suspects.pop(fingerprint, None)
+
+    def expire(self) -> None:
+        """Forget suspects whose time is over."""
+        now = self.clock.monotonic()
+        for fingerprint, known in tuple(self.suspects.items()):
+            if now - known.crashed_at > known.lifetime_s:
+                del self.suspects[fingerprint]
+
+    def digest(self) -> int:
+        """Return a number that is equal where the suspects are; 0 for none."""
+        if not self.suspects:
+            return 0
+        lines = (
+            f"{fingerprint} {known.state}"
+            for fingerprint, known in sorted(self.suspects.items())
+        )
+        return crc32("\n".join(lines).encode())
+
+    def records(self) -> tuple[SuspectRecord, ...]:
+        """Return all suspects, with their ages."""
+        now = self.clock.monotonic()
+        return tuple(
+            SuspectRecord(
+                fingerprint,
+                known.crashes,
+                known.refused,
+                (now - known.crashed_at) * 1000,
+                None if known.cleared_at is None else (now - known.cleared_at) * 1000,
+                tuple(sorted(known.servers)),
+            )
+            for fingerprint, known in self.suspects.items()
+        )
+
+    def views(self) -> tuple[SuspectView, ...]:
+        """Return the suspects that still count, for the entry's table."""
+        now = self.clock.monotonic()
+        return tuple(
+            SuspectView(
+                fingerprint,
+                known.crashes,
+                known.refused,
+                (now - known.crashed_at) * 1000,
+                tuple(sorted(known.servers)),
+            )
+            for fingerprint, known in sorted(self.suspects.items())
+            if known.active
+        )
+
+    def _make_room(self) -> None:
+        if len(self.suspects) < MAX_SUSPECTS:
+            return
+        oldest = min(self.suspects, key=lambda name: self.suspects[name].crashed_at)
+        del self.suspects[oldest]
+
+
+def _suspect(record: SuspectRecord, now: float) -> _Suspect:
+    cleared_age_ms = record.cleared_age_ms
+    return _Suspect(
+        record.crashes,
+        record.refused,
+        now - record.age_ms / 1000,
+        None if cleared_age_ms is None else now - cleared_age_ms / 1000,
+        frozenset(record.servers),
+    )
+
+
+def _merge(known: _Suspect, theirs: _Suspect) -> None:
+    if not known.active and theirs.crashed_at > (known.cleared_at or 0.0):
+        # It was cleared before this crash, so counting starts again.
+        known.crashes = theirs.crashes
+        known.servers = theirs.servers
+        known.crashed_at = theirs.crashed_at
+    else:
+        _merge_crashes(known, theirs)
+    known.refused = known.refused or theirs.refused
+    cleared_at = theirs.cleared_at
+    if cleared_at is not None and cleared_at > known.crashed_at and known.active:
+        known.cleared_at = cleared_at
+
+
+def _merge_crashes(known: _Suspect, theirs: _Suspect) -> None:
+    servers = known.servers | theirs.servers
+    # Crashes of two servers that two instances saw are two crashes.
+    crashes = max(known.crashes, theirs.crashes, len(servers))
+    if crashes > known.crashes:
+        known.crashed_at = max(known.crashed_at, theirs.crashed_at)
+    else:
+        # Each transfer adds its delay to the age it leaves out. Taking the later time
+        # would renew a suspect with each exchange, for ever.
+        known.crashed_at = min(known.crashed_at, theirs.crashed_at)
+    known.crashes = crashes
+    known.servers = servers
+    if known.active and crashes >= CRASHES_TO_REFUSE:
+        known.refused = True
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -71,6 +71,8 @@
     refused: bool
     # Time since the last crash, in milliseconds.
     age_ms: float = 0.0
+    # The servers that crashed; they tell two crashes from two reports of one.
+    servers: tuple[str, ...] = ()
 
 
 @frozen
@@ -100,6 +102,8 @@
     limit: int
     latency_ms: float
     failing: bool = False
+    # An answer of the server said that it is leaving.
+    draining: bool = False
 
 
 @frozen
@@ -142,3 +146,21 @@
     # Age of the newest news behind the table, in milliseconds.
     age_ms: float = 0.0
     audit: tuple[str, ...] = field(default=())
+
+
+@frozen
+class ClientMapRequest:
+    """Ask for one shard of a version of the client map."""
+
+    version: int
+    shard: int
+
+
+@frozen
+class ClientMapShard:
+    """One shard of the client map."""
+
+    version: int
+    # Number of shards of this version.
+    shards: int
+    body: bytes
