Measure the cost of the decisions and of look-ups

Cause: targets for forwarding and look-ups need figures beside their baselines. Change: bench/measure.py prints one JSON object a line; forward and lookup are the first two.

--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,61 @@
+"""Measure the figures of the system and print one JSON object a line."""
+
+import sys
+from collections.abc import Callable, Iterator
+
+from absl import flags
+
+from bench.figures.figure import Figure
+from bench.figures.forward import forward
+from bench.figures.lookup import lookup
+from ebonybend.codec import to_json
+from standins.command import parse_flags
+
+Measurement = Callable[[int], Iterator[Figure]]
+
+# Each measurement yields figures whose names start with its own.
+MEASUREMENTS: dict[str, Measurement] = {
+    "forward": forward,
+    "lookup": lookup,
+}
+
+
+def define_flags(values: flags.FlagValues) -> None:
+    """Define the flags of the measurements."""
+    flags.DEFINE_string(
+        "only",
+        "",
+        f"Measurements to run, separated by commas: {', '.join(MEASUREMENTS)}.",
+        flag_values=values,
+    )
+    flags.DEFINE_integer("seed", 1, "Seed of the random numbers.", flag_values=values)
+
+
+def chosen(only: str) -> list[str]:
+    """Return the names of the measurements to run; raise ValueError for a wrong one."""
+    names = [name.strip() for name in only.split(",") if name.strip()]
+    for name in names:
+        if name not in MEASUREMENTS:
+            raise ValueError(
+                f"--only={name!r} is not valid: allowed: {', '.join(MEASUREMENTS)}"
+            )
+    return names or list(MEASUREMENTS)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the chosen measurements."""
+    values = parse_flags(define_flags, arguments)
+    try:
+        names = chosen(values["only"].value)
+    except ValueError as error:
+        print(error, file=sys.stderr)
+        return 2
+    for name in names:
+        for figure in MEASUREMENTS[name](values["seed"].value):
+            sys.stdout.buffer.write(to_json(figure) + b"\n")
+            sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
