--- a/bench/measure.py
+++ b/bench/measure.py
@@ -5,6 +5,7 @@
 
 from absl import flags
 
+from bench.figures.choice import choice
 from bench.figures.figure import Figure
 from bench.figures.forward import forward
 from bench.figures.lookup import lookup
@@ -15,6 +16,7 @@
 
 # Each measurement yields figures whose names start with its own.
 MEASUREMENTS: dict[str, Measurement] = {
+    "choice": choice,
     "forward": forward,
     "lookup": lookup,
 }
