--- a/bench/processes.py
+++ b/bench/processes.py
@@ -35,7 +35,7 @@
     spec: ProcessSpec
     popen: Popen
     started_at: float
-    # The fleet ends this process itself, so its end is no crash.
+    # The fleet ends this process itself, or it has done its work.
     ending: bool = False
     restart_at: float | None = None
 
@@ -139,6 +139,9 @@
     def _check(self, running: RunningProcess) -> None:
         if running.alive or running.ending:
             return
+        if running.popen.returncode == 0:
+            running.ending = True
+            return
         now = monotonic()
         if running.restart_at is None:
             self.crashes.append((now, running.spec.name))
