Take a server's 504 at the deadline as no answer

A 504 within 50 ms of the deadline is deadline_exceeded with an unknown outcome now; an earlier 504 is the server's own answer and is passed on.

--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -37,6 +37,9 @@
 ABANDONED_SLOT_S = 0.1
 MAX_ANSWER_BYTES = 64 << 20
 SHED_RETRY_AFTER_MS = 100
+# A server's 504 this close to the deadline says that it gave up at the deadline, so it
+# is no answer to the request. Covers the rounding and the way back.
+DEADLINE_SLACK_S = 0.05
 
 
 @frozen
@@ -189,8 +192,12 @@
         if answer.status == 503 and answer.header("Not-Run") == "true":
             self._finish(server, ServerResult.SHED, started)
             return failed(ErrorKind.OVERLOADED, f"{server.name} shed the request")
+        now = self.clock.monotonic()
+        if answer.status == 504 and now >= request.deadline - DEADLINE_SLACK_S:
+            self._finish(server, ServerResult.TIMEOUT, started)
+            return failed(ErrorKind.DEADLINE_EXCEEDED, f"{server.name} gave up")
         self._finish(server, ServerResult.SUCCESS, started)
-        self.chooser.observe(server.name, self.clock.monotonic() - started)
+        self.chooser.observe(server.name, now - started)
         if request.verdict is not Verdict.ALLOW:
             self.running.suspects.succeeded(request.fingerprint)
         return Success(
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -207,6 +207,23 @@
         self.assertIs(ErrorKind.SUSPECT_REFUSED, results[1].value.kind)
 
 
+class GaveUpTest(TestCase):
+    """Guards against "answered" for a server that gave up at the deadline."""
+
+    def test_504_at_the_deadline_is_unknown_and_an_earlier_one_is_an_answer(self):
+        harness = Harness().ready()
+        results = []
+        answer = Deferred()
+        harness.http.respond = lambda call: answer
+        harness.steer(harness.request("POST")).addBoth(results.append)
+        harness.reactor.advance(1.96)
+        answer.callback(backend_answer(504))
+        self.assertIs(LATE, results[0].failure().error.kind)
+        harness.http.respond = lambda call: backend_answer(504)
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertEqual(504, results[1].unwrap().status)
+
+
 class SlotTest(TestCase):
     """Guards against more requests on a server than slots."""
 
