--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,8 +5,9 @@
 import sys
 from pathlib import Path
 from subprocess import DEVNULL, Popen, TimeoutExpired
-from threading import Event, RLock, Thread
+from threading import Event, RLock, Thread, current_thread, main_thread
 from time import monotonic
+from typing import Any
 
 from attrs import define, frozen
 
@@ -34,7 +35,7 @@
     spec: ProcessSpec
     popen: Popen
     started_at: float
-    # The fleet ends this process itself, so its end is no crash.
+    # The fleet ends this process itself, or it has done its work.
     ending: bool = False
     restart_at: float | None = None
 
@@ -44,6 +45,10 @@
         return self.popen.poll() is None
 
 
+def _exit_on_signal(number: int, _frame: Any) -> None:
+    raise SystemExit(128 + number)
+
+
 class ProcessGroup:
     """The child processes of one fleet; leaving the context ends them all."""
 
@@ -55,13 +60,19 @@
         self.lock = RLock()
         self.closing = Event()
         self.watcher = Thread(target=self._watch, daemon=True)
+        self.old_handler: Any = None
 
     def __enter__(self) -> "ProcessGroup":
         self.watcher.start()
+        # Otherwise SIGTERM ends this process without ending its children.
+        if current_thread() is main_thread():
+            self.old_handler = signal.signal(signal.SIGTERM, _exit_on_signal)
         return self
 
     def __exit__(self, *_: object) -> None:
         self.close()
+        if self.old_handler is not None:
+            signal.signal(signal.SIGTERM, self.old_handler)
 
     def start(self, spec: ProcessSpec) -> RunningProcess:
         """Start a process with its output in a log file."""
@@ -128,6 +139,9 @@
     def _check(self, running: RunningProcess) -> None:
         if running.alive or running.ending:
             return
+        if running.popen.returncode == 0:
+            running.ending = True
+            return
         now = monotonic()
         if running.restart_at is None:
             self.crashes.append((now, running.spec.name))
