--- /dev/null
+++ b/bench/figures/cap.py
@@ -0,0 +1,98 @@
+"""The use of a shift's cap, with all well and with faults."""
+
+from bisect import bisect_left
+from collections.abc import Iterator
+from time import sleep
+
+from bench.deployments import blue_mahoe
+from bench.figures.figure import Figure
+from bench.fleet import Fleet, FleetOptions
+from bench.history import operation_name, read_server_events
+from bench.load import LoadShape
+from bench.playing import PlayedLoad, play
+from bench.rules_tool import apply_rules
+from standins.platform import PlatformFaults
+
+CAP = 20
+SOURCE, TARGET = "Kingston", "Mandeville"
+SERVICE = "ride-history"
+LOAD_S = 30.0
+RAMP_S = 12.0
+# Sends in a window of 1 s arrive within a window shorter by the spread of the latency.
+WINDOW_S = 0.95
+SHAPE = LoadShape(read_rate=60.0, write_rate=2.0)
+MEAN_TARGET = 0.85
+
+
+def arrivals(fleet: Fleet, load: PlayedLoad) -> list[float]:
+    """Return when moved requests reached backend servers of the target region."""
+    moved = {x.name for x in load.operations() if x.region == SOURCE}
+    domains = [
+        x.name for x in fleet.plan.deployment.failure_domains if x.region == TARGET
+    ]
+    paths = [
+        fleet.server_history(x.name)
+        for x in fleet.plan.servers
+        if x.failure_domain in domains and x.service == SERVICE
+    ]
+    events = read_server_events(paths)
+    return [
+        x.at for x in events if x.event == "received" and operation_name(x) in moved
+    ]
+
+
+def highest(times: list[float]) -> int:
+    """Return the most arrivals in any window."""
+    return max(
+        (bisect_left(times, at + WINDOW_S) - number for number, at in enumerate(times)),
+        default=0,
+    )
+
+
+def write_shift(fleet: Fleet) -> None:
+    """Put the shift in force."""
+    path = fleet.directory / "shift.rules"
+    path.write_text(
+        "# Bench (measurement): move readers\n"
+        f"shift service={SERVICE} from={SOURCE} to={TARGET} share=90% cap={CAP}/s\n"
+    )
+    admin = fleet.addresses.admin(fleet.plan.instances[0])
+    apply_rules(admin, path, "Bench", "measurement")
+
+
+def cap(seed: int) -> Iterator[Figure]:
+    """Measure the highest window and the mean use."""
+    with Fleet(blue_mahoe(), FleetOptions()) as fleet:
+        write_shift(fleet)
+        load = play(fleet, SHAPE, LOAD_S, seed)
+        load.wait()
+        well = arrivals(fleet, load)
+        load = play(fleet, SHAPE, LOAD_S, seed + 1)
+        _disturb(fleet)
+        load.wait()
+        disturbed = arrivals(fleet, load)
+    steady = [at for at in well if at >= well[0] + RAMP_S]
+    mean = len(steady) / (steady[-1] - steady[0]) / CAP
+    yield Figure("cap_mean_use", mean, "of the cap", MEAN_TARGET, None, seed)
+    peak = highest(well) / CAP
+    yield Figure("cap_peak_well", peak, "of the cap", 1.0, peak, seed)
+    peak = highest(disturbed) / CAP
+    yield Figure("cap_peak", peak, "of the cap", 1.0, peak, seed)
+
+
+def _disturb(fleet: Fleet) -> None:
+    """Kill, replace and pause senders while the platform is down."""
+    first, second, third = fleet.plan.deployment.region_instances(SOURCE)
+    sleep(4.0)
+    fleet.set_platform_faults(PlatformFaults(down="refuse"))
+    fleet.kill_instance(first)
+    sleep(3.0)
+    fleet.restart_instance(first)
+    fleet.pause_instance(second)
+    sleep(3.0)
+    fleet.resume_instance(second)
+    sleep(4.0)
+    fleet.pause_instance(third)
+    sleep(1.0)
+    fleet.resume_instance(third)
+    fleet.set_platform_faults(PlatformFaults())
--- /dev/null
+++ b/bench/figures/control_cost.py
@@ -0,0 +1,102 @@
+"""What a control process costs, at rest and under changes."""
+
+from collections.abc import Iterator
+from time import sleep
+
+from bench.deployments import DeploymentPlan, blue_mahoe, reduced
+from bench.figures.configuration import put_rules
+from bench.figures.figure import Figure, cpu_seconds, resident_bytes
+from bench.figures.metrics_text import metric
+from bench.figures.small_fleet import control_pid
+from bench.fleet import Fleet, FleetOptions
+
+REST_S = 10.0
+CHANGE_S = 10.0
+CHANGES_PER_S = 1.0
+MEGABYTE = 1 << 20
+CPU_TARGET = 1.2
+MEMORY_TARGET_MB = 256.0
+BYTES_TARGET = 11_000.0
+COUNTERS = ("peer_bytes_sent", "peer_bytes_received", "platform_calls")
+
+
+class Reading:
+    """The counters of all controls at one moment."""
+
+    def __init__(self, fleet: Fleet):
+        self.cpu = [cpu_seconds(control_pid(fleet, x)) for x in fleet.instances]
+        self.counters = {
+            name: [
+                metric(fleet.addresses.admin(x), f"ebonybend_control_{name}_total")
+                for x in fleet.instances
+            ]
+            for name in COUNTERS
+        }
+
+
+def costs(
+    fleet: Fleet, label: str, seconds: float, seed: int, changes: int = 0
+) -> Iterator[Figure]:
+    """Measure the mean over all controls for a while."""
+    count = len(fleet.instances)
+    before = Reading(fleet)
+    for number in range(changes):
+        put_rules(fleet, number)
+        sleep(seconds / changes)
+    if not changes:
+        sleep(seconds)
+    after = Reading(fleet)
+    cpu = (sum(after.cpu) - sum(before.cpu)) / seconds / count * 100
+    yield Figure(
+        f"control_cpu_{label}", cpu, "% of a core", CPU_TARGET, cpu / CPU_TARGET, seed
+    )
+    sent, received, calls = (
+        (sum(after.counters[name]) - sum(before.counters[name])) / seconds / count
+        for name in COUNTERS
+    )
+    both = sent + received
+    yield Figure(
+        f"control_bytes_{label}",
+        both,
+        "bytes/s",
+        BYTES_TARGET,
+        both / BYTES_TARGET,
+        seed,
+    )
+    yield Figure(
+        f"control_platform_calls_{label}",
+        calls * count,
+        "calls/s of all",
+        None,
+        None,
+        seed,
+    )
+    pids = [control_pid(fleet, x) for x in fleet.instances]
+    memory = max(resident_bytes(x) for x in pids) / MEGABYTE
+    yield Figure(
+        f"control_memory_{label}",
+        memory,
+        "MB",
+        MEMORY_TARGET_MB,
+        memory / MEMORY_TARGET_MB,
+        seed,
+    )
+
+
+def _sizes() -> dict[str, DeploymentPlan]:
+    whole = blue_mahoe()
+    return {
+        "2_instances": reduced(whole, ("kingston-1",)),
+        "4_instances": reduced(whole, ("kingston-1", "montego-1", "mandeville-1")),
+        "7_instances": whole,
+    }
+
+
+def control_cost(seed: int) -> Iterator[Figure]:
+    """Measure fleets of three sizes at rest, and the largest under changes."""
+    for label, plan in _sizes().items():
+        with Fleet(plan, FleetOptions()) as fleet:
+            yield from costs(fleet, f"rest_{label}", REST_S, seed)
+            if len(fleet.instances) == len(blue_mahoe().instances):
+                changes = int(CHANGE_S * CHANGES_PER_S)
+                yield from costs(fleet, "60_changes_a_minute", CHANGE_S, seed, changes)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -5,20 +5,29 @@
 
 from absl import flags
 
+from bench.figures.cap import cap
 from bench.figures.choice import choice
+from bench.figures.configuration import configuration
+from bench.figures.control_cost import control_cost
 from bench.figures.figure import Figure
 from bench.figures.forward import forward
 from bench.figures.lookup import lookup
+from bench.figures.overload import overload
+from bench.figures.recovery import recovery
 from ebonybend.codec import to_json
 from standins.command import parse_flags
 
 Measurement = Callable[[int], Iterator[Figure]]
 
-# Each measurement yields figures whose names start with its own.
 MEASUREMENTS: dict[str, Measurement] = {
+    "cap": cap,
     "choice": choice,
+    "config": configuration,
+    "control_cost": control_cost,
     "forward": forward,
     "lookup": lookup,
+    "overload": overload,
+    "recovery": recovery,
 }
 
 
