Don't cut off or misreport a request at the end of a graceful stop

Cause: review of the stop against the rule on "not run". In its last phase a resend of a finished key was refused as draining and not run; answers that were still being written or paced were not waited for; a last heartbeat was skipped while one was outstanding; a slot kept for a cancelled request made the release fail.

Keyed requests now always reach the owner of their key, which refuses only keys that it has not dispatched. The stop waits for unwritten answers and slots, and closes its connections after what was written is sent. A domain that is too far for the deadline is skipped before anything is charged for it.

--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -118,11 +118,11 @@
         within = bounds(request, self.clock.monotonic())
         if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
+        tried.add(server.name)
         if not self.admission.start(server.name):
             return refused(
                 ErrorKind.OVERLOADED, "no free slot in the domain", SHED_RETRY_AFTER_MS
             )
-        tried.add(server.name)
         return await self._run_on(server, request, within)
 
     async def _run_on(
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -192,6 +192,11 @@
         if instance is None:
             search.domains.add(domain)
             return refused(ErrorKind.NOT_READY, f"no entry of {domain} is ready")
+        if not self.hops.in_time(request, instance):
+            search.domains.add(domain)
+            return refused(
+                ErrorKind.OVERLOADED, f"{domain} is too far for the deadline"
+            )
         region = self.table_state.region_of(place)
         error = self._admit(request, region)
         if error is not None:
--- a/ebonybend/entry/heartbeats.py
+++ b/ebonybend/entry/heartbeats.py
@@ -66,15 +66,17 @@
         self.on_tick()
         self.send()
 
-    def send(self) -> Deferred[Any]:
-        """Send a heartbeat to every other member; fires when all have ended."""
+    def send(self, again: bool = False) -> Deferred[Any]:
+        """Send a heartbeat to every other member; fires when all have ended.
+
+        A member that has not answered the last one gets another only if again is set.
+        """
         names = [name for name in self.addresses if name != self.ledger.own]
-        sends = [run_in_background(self._send(name)) for name in names]
+        sends = [run_in_background(self._send(name, again)) for name in names]
         return DeferredList(sends)
 
-    async def _send(self, name: str) -> None:
-        # A peer that doesn't answer gets no more than one heartbeat at a time.
-        if name in self._waiting:
+    async def _send(self, name: str, again: bool) -> None:
+        if name in self._waiting and not again:
             return
         self._waiting.add(name)
         sent_at = self.clock.monotonic()
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -21,6 +21,7 @@
 )
 from ebonybend.steering.table import InstanceView
 
+MS = 1000.0
 HOP_PREFIX = "/peer/hop/"
 OWNER_PREFIX = "/peer/owner/"
 # The receiver runs the request on a server that runs nothing else.
@@ -50,6 +51,11 @@
         ]
         return self.random.choice(usable) if usable else None
 
+    def in_time(self, request: SteeredRequest, instance: InstanceView) -> bool:
+        """Tell whether an answer of an instance can arrive within the deadline."""
+        left_ms = (request.deadline - self.clock.monotonic()) * MS
+        return left_ms > 2 * self._one_way_ms(instance) + 1
+
     async def run(self, request: SteeredRequest, instance: InstanceView) -> Attempt:
         """Have a request run in an instance's failure domain."""
         return await self._send(request, instance, HOP_PREFIX)
@@ -66,8 +72,7 @@
         one_way_ms = self._one_way_ms(instance)
         now = self.clock.monotonic()
         within = bounds(request, now, one_way_ms)
-        # The answer needs the way back, too.
-        if within is None or within.deadline_ms <= one_way_ms:
+        if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -6,8 +6,9 @@
 from time import time_ns
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import CannotListenError
+from twisted.internet.task import deferLater
 
 from ebonybend.clock import SystemClock
 from ebonybend.entry.client_maps import ClientMaps
@@ -35,6 +36,9 @@
 LISTEN_BACKLOG = 1024
 # Room for a push of outcomes, whose records alone reach 512 KB.
 MIN_PEER_BODY_BYTES = 1 << 20
+# Longest time to send the last answers after everything else has ended.
+CLOSE_TIMEOUT_S = 1.0
+CLOSE_POLL_S = 0.02
 
 
 def listen(reactor: Any, flag: str, address: str, site: HttpSite) -> Any:
@@ -57,6 +61,7 @@
         self.random = Random()
         self.exit_status = 0
         self._ended = False
+        self.ports: list[Any] = []
         # Wall time makes it larger than that of any earlier process of this instance.
         incarnation = time_ns() // NANOSECONDS_PER_MS
         self.http = HttpClient(reactor, settings.source_address)
@@ -77,8 +82,9 @@
             settings,
             self.clock,
             self.activity,
-            lambda: self.plane.owner.running,
+            self.unfinished,
             self.announce_leaving,
+            self.plane.registry.close,
             lambda: Deferred.fromCoroutine(self.hand_over()),
             self.end,
         )
@@ -166,6 +172,7 @@
             steer,
             self._note_answer if measured else lambda *_: None,
             self._note_refusal if measured else lambda _: None,
+            asks_owner=prefix != HOP_PREFIX,
         )
 
     def _limits(self, max_body_bytes: int) -> HttpLimits:
@@ -186,7 +193,8 @@
     def start(self) -> None:
         """Listen and start the loops."""
         for flag, site in self.sites.items():
-            listen(self.reactor, flag, getattr(self.settings, flag), site)
+            address = getattr(self.settings, flag)
+            self.ports.append(listen(self.reactor, flag, address, site))
         loop = get_event_loop()
         for number in (SIGTERM, SIGINT):
             loop.add_signal_handler(number, self.stop.request)
@@ -220,16 +228,36 @@
             site.closing = True
         self.control.report_now()
 
+    def unfinished(self) -> int:
+        """Return the keys, slots and answers that are still in use."""
+        ledger = self.plane.ledger
+        slots = sum(ledger.in_flight(server) for server in ledger.servers)
+        answers = sum(site.running for site in self.sites.values())
+        return self.plane.owner.running + slots + answers
+
     async def hand_over(self) -> None:
         """Hand outcomes to a peer, release the slots and tell the other members."""
         plane = self.plane
         await plane.replicator.settled()
         sealed = await plane.replicator.seal(plane.registry.seal())
         plane.ledger.release()
-        await self.heartbeats.send()
+        await self.heartbeats.send(again=True)
         released = plane.ledger.is_released()
         get_logger().info("handed_over", sealed=sealed, released=released)
         await self.control.report_now()
+        await self._close_ports()
+
+    async def _close_ports(self) -> None:
+        """Close the connections once their last answers are sent."""
+        for port in self.ports:
+            await maybeDeferred(port.stopListening)
+        until = self.clock.monotonic() + CLOSE_TIMEOUT_S
+        for site in self.sites.values():
+            site.close_connections()
+        while any(site.connections for site in self.sites.values()):
+            if self.clock.monotonic() >= until:
+                return
+            await deferLater(self.reactor, CLOSE_POLL_S)
 
     def end(self, status: int) -> None:
         """End the process."""
--- a/ebonybend/entry/serving.py
+++ b/ebonybend/entry/serving.py
@@ -31,9 +31,13 @@
     # Set in the last phase of a stop: new requests are refused.
     refusing: bool = False
 
-    def begin(self, now: float) -> None:
-        """Count a request; raise DRAINING in the last phase of a stop."""
-        if self.refusing:
+    def begin(self, now: float, refusable: bool) -> None:
+        """Count a request; raise DRAINING in the last phase of a stop.
+
+        A keyed request may have run before, so only the owner of its key may say that
+        it did not run.
+        """
+        if self.refusing and refusable:
             raise SteeringError(ErrorKind.DRAINING, "this instance stops")
         self.last_request_at = now
         self.in_flight += 1
@@ -51,6 +55,7 @@
         steer: Callable[[SteeredRequest, IncomingRequest], Awaitable[Attempt]],
         note_answer: Callable[[SteeredRequest, ServedAnswer, float], None],
         note_refusal: Callable[[SteeringError], None],
+        asks_owner: bool,
     ):
         self.prefix = prefix
         self.settings = settings
@@ -59,6 +64,8 @@
         self.steer = steer
         self.note_answer = note_answer
         self.note_refusal = note_refusal
+        # Keyed requests go to the owner of their key.
+        self.asks_owner = asks_owner
 
     async def serve(
         self, incoming: IncomingRequest, pacer: Pacer | None = None
@@ -71,7 +78,8 @@
             request = parse_request(
                 incoming, self.prefix, self.settings, started, request_id
             )
-            self.activity.begin(started)
+            keyed = self.asks_owner and request.key is not None
+            self.activity.begin(started, refusable=not keyed)
         except SteeringError as error:
             self.note_refusal(error)
             return error_answer(error, request_id)
@@ -95,6 +103,8 @@
         except CancelledError:
             # The caller has gone, so nobody gets this answer.
             return OutgoingAnswer()
+        if request.caller_gone and request.idempotent:
+            return OutgoingAnswer()
         if not is_successful(attempt):
             return self._refuse(request, attempt.failure().error)
         answer = attempt.unwrap()
--- a/ebonybend/entry/stop.py
+++ b/ebonybend/entry/stop.py
@@ -28,16 +28,18 @@
         settings: Settings,
         clock: Clock,
         activity: Activity,
-        running_keys: Callable[[], int],
+        unfinished: Callable[[], int],
         announce: Callable[[], None],
+        refuse_new: Callable[[], None],
         hand_over: Callable[[], Deferred[Any]],
         end: Callable[[int], None],
     ):
         self.reactor = reactor
         self.clock = clock
         self.activity = activity
-        self.running_keys = running_keys
+        self.unfinished = unfinished
         self.announce = announce
+        self.refuse_new = refuse_new
         self.hand_over = hand_over
         self.end = end
         self.lifetime_s = settings.lookup_lifetime_ms / MS
@@ -67,6 +69,7 @@
     async def _run(self) -> None:
         await self._wait(self._quiet, self.lifetime_s + self.longest_deadline_s)
         self.activity.refusing = True
+        self.refuse_new()
         await self._wait(self._idle, self.longest_deadline_s + END_MARGIN_S)
         handed_over = self.hand_over()
         timer = self.reactor.callLater(HAND_OVER_TIMEOUT_S, handed_over.cancel)
@@ -86,7 +89,7 @@
             await deferLater(self.reactor, POLL_INTERVAL_S)
 
     def _idle(self) -> bool:
-        return not self.activity.in_flight and not self.running_keys()
+        return not self.activity.in_flight and not self.unfinished()
 
     def _quiet(self) -> bool:
         """Tell whether no caller can hold a look-up answer that names this instance."""
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -1,6 +1,7 @@
 """An HTTP server with limits, where every refusal has a kind from the closed list."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from typing import Any, Protocol
 
 from attrs import field, frozen
@@ -157,14 +158,22 @@
             return
         self.gone = False
         self.notifyFinish().addErrback(self._caller_gone)
-        self.running = Deferred.fromCoroutine(self._answer())
+        # The channel is forgotten when the answer is written.
+        site = self.channel.site
+        site.running += 1
+        self.running = Deferred.fromCoroutine(self._answer(site))
+        self.running.addBoth(partial(self._ended, site))
+
+    @staticmethod
+    def _ended(site: "HttpSite", _result: Any) -> None:
+        site.running -= 1
 
     def _caller_gone(self, _reason: Any) -> None:
         self.gone = True
         if self.on_gone is not None:
             self.on_gone()
 
-    async def _answer(self) -> None:
+    async def _answer(self, site: "HttpSite") -> None:
         try:
             path = self.path.decode("ascii")
             incoming = IncomingRequest(
@@ -174,7 +183,7 @@
                 self.content.read(),
                 self,
             )
-            answer = await self.channel.site.handler(incoming)
+            answer = await site.handler(incoming)
         except SteeringError as error:
             answer = error_answer(error)
         except UnicodeDecodeError:
@@ -230,9 +239,11 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self.site.connections += 1
+        self.site.channels.add(self)
 
     def connectionLost(self, reason: Any) -> None:
         self.site.connections -= 1
+        self.site.channels.discard(self)
         self._stop_timer()
         super().connectionLost(reason)
 
@@ -308,6 +319,9 @@
         self.handler = handler
         self.limits = limits
         self.connections = 0
+        # Requests whose answer is not written yet.
+        self.running = 0
+        self.channels: set[_Channel] = set()
         # Set while stopping: answers ask the caller to close its connection.
         self.closing = False
 
@@ -323,6 +337,11 @@
         channel.timeOut = self.timeOut
         return channel
 
+    def close_connections(self) -> None:
+        """Close each connection when what was written to it is sent."""
+        for channel in list(self.channels):
+            channel.loseConnection()
+
     def log(self, request: Any) -> None:
         """Write no access log; the handler logs what it decides."""
 
--- a/ebonybend/steering/keys.py
+++ b/ebonybend/steering/keys.py
@@ -287,10 +287,14 @@
         outcomes = tuple(OutcomeRecord(key, self._records[key].answer) for key in keys)
         return FinishedSince(outcomes, end)
 
+    def close(self) -> None:
+        """Dispatch nothing from now on; what runs may still end."""
+        self.sealed = True
+
     def seal(self) -> SealedIncarnation:
         """Dispatch nothing from now on; what still runs counts as unknown."""
         self._purge()
-        self.sealed = True
+        self.close()
         for key, record in self._records.items():
             if record.state is _State.DISPATCHED:
                 record.state = _State.UNKNOWN
