--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -94,6 +94,8 @@
         except SendTooLate as error:
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
+            if error.refused:
+                self.table_state.note_refusal(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
--- a/ebonybend/entry/replication.py
+++ b/ebonybend/entry/replication.py
@@ -12,7 +12,7 @@
 )
 from ebonybend.entry.peer_client import PeerClient
 from ebonybend.entry.table_state import TableState
-from ebonybend.http_client import RequestFailed
+from ebonybend.http_client import NotSent, RequestFailed
 from ebonybend.logs import get_logger
 from ebonybend.steering.keys import (
     FinishedSince,
@@ -152,6 +152,8 @@
                 view.peer_address, OUTCOMES_PATH, push, OutcomesTaken, PUSH_TIMEOUT_S
             )
         except RequestFailed as error:
+            if isinstance(error, NotSent) and error.refused:
+                self.table_state.note_refusal(view.name)
             get_logger().warning("outcomes_not_taken", peer=view.name, error=str(error))
             return False
         self.mark = batch.mark
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -12,6 +12,9 @@
 # A server that said in an answer that it is draining is not used for this time, within
 # which probes (every 500 ms) and the table show its state.
 DRAINING_MEMORY_S = 5.0
+# An entry that refused a connection is not used for this time, because the table shows
+# an entry of another domain as ready for seconds after its end.
+REFUSAL_MEMORY_S = 2.0
 
 
 class TableState:
@@ -32,6 +35,7 @@
         self._news_at = clock.monotonic()
         self._table_at = self._news_at
         self._draining_until: dict[str, float] = {}
+        self._refused_until: dict[str, float] = {}
         self._usable: dict[str, tuple[InstanceView, ...]] = {}
 
     def accept(self, reply: TableReply) -> None:
@@ -117,7 +121,18 @@
 
     def usable_in(self, domain: str) -> tuple[InstanceView, ...]:
         """Return a domain's instances that are ready and not leaving."""
-        return self._usable.get(domain, ())
+        usable = self._usable.get(domain, ())
+        if not self._refused_until:
+            return usable
+        now = self.clock.monotonic()
+        refused = self._refused_until
+        return tuple(v for v in usable if refused.get(v.name, now) <= now)
+
+    def note_refusal(self, instance: str) -> None:
+        """Remember that an instance refused a connection."""
+        now = self.clock.monotonic()
+        recent = {n: until for n, until in self._refused_until.items() if until > now}
+        self._refused_until = {**recent, instance: now + REFUSAL_MEMORY_S}
 
     def _find_usable(self) -> dict[str, tuple[InstanceView, ...]]:
         found: dict[str, tuple[InstanceView, ...]] = {}
