Never keep a connection that was asked to close

Cause: a trial of the cost of new connections got a lost answer. A server that is asked to close its connection need not repeat that in its answer; the client then kept the connection, and a later request raced with the close.

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -72,6 +72,8 @@
         self.answer: Deferred[HttpAnswer] | None = None
         self.parser: AnswerParser | None = None
         self.open = False
+        # The connection may carry another request after this one.
+        self.reusable = True
         self.idle_since = 0.0
         self.closed: Deferred[None] = Deferred()
 
@@ -80,10 +82,11 @@
         self.transport.setTcpNoDelay(True)
 
     def send(
-        self, request: bytes, has_body: bool, max_body: int
+        self, request: bytes, has_body: bool, max_body: int, reusable: bool
     ) -> Deferred[HttpAnswer]:
         """Send a request; cancelling the result closes the connection."""
         self.parser = AnswerParser(has_body, max_body)
+        self.reusable = reusable
         self.answer = Deferred(lambda _: self._fail(AnswerTimeout("no answer in time")))
         self.transport.write(request)
         return self.answer
@@ -101,7 +104,8 @@
         if answer is None:
             return
         waiting, self.answer = self.answer, None
-        if self.parser.keeps_connection:
+        # A server that was asked to close need not say so in its answer.
+        if self.reusable and self.parser.keeps_connection:
             self.release(self)
         else:
             self.transport.loseConnection()
@@ -223,7 +227,9 @@
         if may_send is not None and not may_send():
             connection.transport.loseConnection()
             raise SendTooLate("the connection was ready too late")
-        answer = connection.send(request, method != "HEAD", max_body)
+        answer = connection.send(
+            request, method != "HEAD", max_body, reuse is not Reuse.NEVER
+        )
         left = max(deadline - self.reactor.seconds(), 0.0)
         timer = self.reactor.callLater(left, answer.cancel)
         try:
