--- a/ebonybend/entry/budgets.py
+++ b/ebonybend/entry/budgets.py
@@ -63,7 +63,7 @@
         clock: Clock,
         table_state: TableState,
         random: Random,
-        hold_s,
+        hold_s: float,
     ):
         self.reactor = reactor
         self.clock = clock
--- a/ebonybend/entry/data_plane.py
+++ b/ebonybend/entry/data_plane.py
@@ -1,5 +1,6 @@
 """Wire the decision modules of one entry process."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -42,7 +43,7 @@
         http: HttpClient,
         incarnation: int,
         random: Random,
-        push_notice: Any = Deferred,
+        push_notice: Callable[[], Deferred[Any]],
     ):
         own = settings.instance
         hold_s = settings.hold_ms / MS
--- a/ebonybend/entry/domains.py
+++ b/ebonybend/entry/domains.py
@@ -1,5 +1,7 @@
 """Describe the failure domains that can answer a service."""
 
+from collections.abc import Callable
+
 from ebonybend.clock import Clock
 from ebonybend.entry.attempts import Search
 from ebonybend.entry.table_state import TableState
@@ -22,7 +24,7 @@
         clock: Clock,
         table_state: TableState,
         admission: Admission,
-        link_utilisation,
+        link_utilisation: Callable[[str], float],
     ):
         self.clock = clock
         self.table_state = table_state
--- a/ebonybend/entry/rules_state.py
+++ b/ebonybend/entry/rules_state.py
@@ -1,6 +1,7 @@
 """The rules in force, grouped by what the forwarder asks."""
 
 from collections.abc import Iterable
+from urllib.parse import unquote
 
 from ebonybend.rules.model import (
     CapRule,
@@ -55,6 +56,10 @@
 
     def refuses(self, service: str, method: str, path: str) -> RefuseRule | None:
         """Return the rule that refuses a request, or None."""
+        if not self.refusals:
+            return None
+        # An encoded path must not get past a rule.
+        path = unquote(path)
         for rule in self.refusals:
             if rule.service != service or rule.method not in (None, method):
                 continue
--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -10,6 +10,17 @@
     ServerScore,
 )
 from ebonybend.steering.freshness import age_weight, remote_window_factor
+from ebonybend.steering.keys import (
+    Found,
+    FoundState,
+    KeyPrefix,
+    KeyRegistry,
+    OutcomeStore,
+    Reservation,
+    ReservationState,
+    SealedIncarnation,
+    StoredAnswer,
+)
 from ebonybend.steering.links import LinkBudget
 from ebonybend.steering.lookup import (
     ClientMap,
@@ -17,6 +28,7 @@
     LookupRanker,
     encode_shard,
 )
+from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.shares import (
     CapShare,
     CapUsage,
@@ -38,15 +50,25 @@
     "DomainOption",
     "DomainQuery",
     "DomainScore",
+    "Found",
+    "FoundState",
     "Heartbeat",
+    "KeyPrefix",
+    "KeyRegistry",
     "LinkBudget",
     "Loan",
     "LookupRanker",
+    "OutcomeStore",
     "Ramp",
+    "Reservation",
+    "ReservationState",
+    "RetryBudget",
+    "SealedIncarnation",
     "ServerChooser",
     "ServerResult",
     "ServerScore",
     "SlotLedger",
+    "StoredAnswer",
     "SuspectRegistry",
     "Verdict",
     "WindowLimiter",
