--- a/ebonybend/entry/data_plane.py
+++ b/ebonybend/entry/data_plane.py
@@ -23,7 +23,8 @@
 from ebonybend.settings import Settings
 from ebonybend.steering.admission import Admission
 from ebonybend.steering.choice import DomainChooser, ServerChooser
-from ebonybend.steering.keys import KeyRegistry, OutcomeStore
+from ebonybend.steering.keys import KeyRegistry
+from ebonybend.steering.outcomes import OutcomeStore
 from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.slots import SlotLedger
 from ebonybend.steering.suspects import SuspectRegistry
--- a/ebonybend/entry/messages.py
+++ b/ebonybend/entry/messages.py
@@ -2,7 +2,8 @@
 
 from attrs import frozen
 
-from ebonybend.steering.keys import Found, OutcomeRecord, SealedIncarnation
+from ebonybend.steering.keys import OutcomeRecord, SealedIncarnation
+from ebonybend.steering.outcomes import Found
 
 
 @frozen
--- a/ebonybend/entry/owner.py
+++ b/ebonybend/entry/owner.py
@@ -16,13 +16,12 @@
 from ebonybend.entry.table_state import TableState
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.steering.keys import (
-    Found,
-    FoundState,
     KeyPrefix,
     KeyRegistry,
     ReservationState,
     StoredAnswer,
 )
+from ebonybend.steering.outcomes import Found, FoundState
 from ebonybend.steering.suspects import fingerprint
 
 FULL_RETRY_AFTER_MS = 1000
--- a/ebonybend/entry/peer_server.py
+++ b/ebonybend/entry/peer_server.py
@@ -17,7 +17,7 @@
 from ebonybend.entry.replication import FIND_PATH, OUTCOMES_PATH, answer_push
 from ebonybend.entry.serving import RequestPort
 from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
-from ebonybend.steering.keys import OutcomeStore
+from ebonybend.steering.outcomes import OutcomeStore
 from ebonybend.steering.slots import Heartbeat, SlotLedger
 
 
--- a/ebonybend/entry/replication.py
+++ b/ebonybend/entry/replication.py
@@ -14,13 +14,8 @@
 from ebonybend.entry.table_state import TableState
 from ebonybend.http_client import NotSent, RequestFailed
 from ebonybend.logs import get_logger
-from ebonybend.steering.keys import (
-    FinishedSince,
-    Found,
-    KeyRegistry,
-    OutcomeStore,
-    SealedIncarnation,
-)
+from ebonybend.steering.keys import FinishedSince, KeyRegistry, SealedIncarnation
+from ebonybend.steering.outcomes import Found, OutcomeStore
 from ebonybend.steering.table import InstanceView, Table
 
 OUTCOMES_PATH = "/peer/outcomes"
--- a/ebonybend/entry/tests/test_owner.py
+++ b/ebonybend/entry/tests/test_owner.py
@@ -8,7 +8,8 @@
 from ebonybend.entry.tests.harness import Harness, backend_answer, entry_answer
 from ebonybend.errors import ErrorKind, Outcome
 from ebonybend.http_client import AnswerLost, AnswerTimeout, HttpAnswer, NotSent
-from ebonybend.steering.keys import Found, FoundState, StoredAnswer
+from ebonybend.steering.keys import StoredAnswer
+from ebonybend.steering.outcomes import Found, FoundState
 
 
 def steer(harness, **change):
--- a/ebonybend/entry/tests/test_replication.py
+++ b/ebonybend/entry/tests/test_replication.py
@@ -15,7 +15,8 @@
 from ebonybend.entry.table_state import TableState
 from ebonybend.entry.tests.harness import OWN, ReactorClock, table
 from ebonybend.http_client import HttpAnswer, NotSent
-from ebonybend.steering.keys import FoundState, KeyRegistry, OutcomeStore, StoredAnswer
+from ebonybend.steering.keys import KeyRegistry, StoredAnswer
+from ebonybend.steering.outcomes import FoundState, OutcomeStore
 from ebonybend.steering.table import TableReply
 
 
--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -11,11 +11,8 @@
 )
 from ebonybend.steering.freshness import age_weight, remote_window_factor
 from ebonybend.steering.keys import (
-    Found,
-    FoundState,
     KeyPrefix,
     KeyRegistry,
-    OutcomeStore,
     Reservation,
     ReservationState,
     SealedIncarnation,
@@ -28,6 +25,7 @@
     LookupRanker,
     encode_shard,
 )
+from ebonybend.steering.outcomes import Found, FoundState, OutcomeStore
 from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.shares import (
     CapShare,
--- a/ebonybend/steering/tests/test_keys.py
+++ b/ebonybend/steering/tests/test_keys.py
@@ -16,13 +16,12 @@
     EPOCH_S,
     KEPT_ANSWER_BYTES,
     KEPT_EPOCHS,
-    FoundState,
     KeyPrefix,
     KeyRegistry,
-    OutcomeStore,
     ReservationState,
     StoredAnswer,
 )
+from ebonybend.steering.outcomes import FoundState, OutcomeStore
 
 ANSWER = StoredAnswer("f", 200, "text/plain", b"done", "server-1")
 
