Return to twisted's HTTP client

Cause: the commit that received answers with a parser of the project's own is withdrawn: HTTP goes through twisted.web here, and the project takes no further parsers or transports.

--- a/ebonybend/entry/tests/harness.py
+++ b/ebonybend/entry/tests/harness.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock as FakeReactor
+from twisted.web.http_headers import Headers
 
 from ebonybend.codec import pack
 from ebonybend.entry.data_plane import DataPlane
@@ -80,17 +81,17 @@
 
 
 def backend_answer(status: int = 200, **headers: str) -> HttpAnswer:
-    raw = {name.replace("_", "-"): value for name, value in headers.items()}
-    return HttpAnswer(status, {"content-type": "text/x", **raw}, b"body")
+    raw = {name.replace("_", "-"): [value] for name, value in headers.items()}
+    return HttpAnswer(status, Headers({"Content-Type": ["text/x"], **raw}), b"body")
 
 
 def entry_answer(status: int, outcome: str | None, error: str | None) -> HttpAnswer:
-    raw = {"served-by": "far-server"}
+    raw = {"Served-By": ["far-server"]}
     if outcome:
-        raw["ebonybend-outcome"] = outcome
+        raw["Ebonybend-Outcome"] = [outcome]
     if error:
-        raw["ebonybend-error"] = error
-    return HttpAnswer(status, raw, b"far body")
+        raw["Ebonybend-Error"] = [error]
+    return HttpAnswer(status, Headers(raw), b"far body")
 
 
 class FakeHttp:
@@ -114,7 +115,7 @@
     ):
         call = Call(method, address, path, dict(headers or {}))
         if path == OUTCOMES_PATH:
-            return HttpAnswer(200, {}, pack(OutcomesTaken(False)))
+            return HttpAnswer(200, Headers(), pack(OutcomesTaken(False)))
         self.calls.append(call)
         if may_send is not None and not may_send():
             raise SendTooLate("too late")
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -22,7 +22,7 @@
 UNREACHABLE = ErrorKind.BACKEND_UNREACHABLE
 LOST = ErrorKind.ANSWER_LOST
 LATE = ErrorKind.DEADLINE_EXCEEDED
-SHED = backend_answer(503, not_run="true")
+SHED = backend_answer(503, Not_Run="true")
 REMOTE_REFUSAL = entry_answer(503, "not_run", "overloaded")
 
 
@@ -263,7 +263,7 @@
 
     def test_draining_server_gets_no_new_work(self):
         harness = Harness().ready(servers=1)
-        harness.http.respond = lambda call: backend_answer(200, draining="true")
+        harness.http.respond = lambda call: backend_answer(200, Draining="true")
         results = []
         harness.steer(harness.request()).addBoth(results.append)
         harness.plane.set_server_states(harness.plane.table_state.table)
--- a/ebonybend/entry/tests/test_owner.py
+++ b/ebonybend/entry/tests/test_owner.py
@@ -82,7 +82,7 @@
 
 
 def found(state, answer=None):
-    return HttpAnswer(200, {}, pack(OutcomeFound(Found(state, answer))))
+    return HttpAnswer(200, None, pack(OutcomeFound(Found(state, answer))))
 
 
 class ForeignKeyTest(TestWithScenarios, TestCase):
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -4,38 +4,26 @@
 from enum import Enum
 from typing import Any
 
-from twisted.internet.defer import CancelledError, Deferred, DeferredList
+from attrs import frozen
+from twisted.internet.defer import CancelledError, Deferred, gatherResults, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
     ConnectingCancelledError,
     ConnectionRefusedError,
 )
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-
-from ebonybend.http_answers import (
-    AnswerLost,
-    AnswerParser,
-    AnswerTimeout,
-    AnswerTooLarge,
-    HttpAnswer,
-    NotSent,
-    RequestFailed,
-    SendTooLate,
+from twisted.web._newclient import (
+    Request,
+    RequestGenerationFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
 )
-
-__all__ = [
-    "AnswerLost",
-    "AnswerTimeout",
-    "AnswerTooLarge",
-    "HttpAnswer",
-    "HttpClient",
-    "NotSent",
-    "RequestFailed",
-    "Reuse",
-    "SendTooLate",
-]
+from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
+from zope.interface import implementer
 
 # Shorter than the idle time-out of the servers, so that a connection is not reused
 # while the other side closes it.
@@ -44,7 +32,6 @@
 # Entries close no connection that was used within the last look-up lifetime, so a
 # younger one can't be closed by the other side while the request is under way.
 RECENT_CONNECTION_S = 1.0
-SWEEP_INTERVAL_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -57,136 +44,143 @@
     NEVER = "never"
 
 
-LONGEST_IDLE_S = {
-    Reuse.ANY: IDLE_CONNECTION_S,
-    Reuse.RECENT: RECENT_CONNECTION_S,
-    Reuse.NEVER: 0.0,
-}
-
-
-class _Connection(Protocol):
-    """A connection that carries one request at a time."""
-
-    def __init__(self, release: Callable[["_Connection"], None]):
-        self.release = release
-        self.answer: Deferred[HttpAnswer] | None = None
-        self.parser: AnswerParser | None = None
-        self.open = False
-        # The connection may carry another request after this one.
-        self.reusable = True
-        self.idle_since = 0.0
-        self.closed: Deferred[None] = Deferred()
-
-    def connectionMade(self) -> None:
-        self.open = True
-        self.transport.setTcpNoDelay(True)
-
-    def send(
-        self, request: bytes, has_body: bool, max_body: int, reusable: bool
-    ) -> Deferred[HttpAnswer]:
-        """Send a request; cancelling the result closes the connection."""
-        self.parser = AnswerParser(has_body, max_body)
-        self.reusable = reusable
-        self.answer = Deferred(lambda _: self._fail(AnswerTimeout("no answer in time")))
-        self.transport.write(request)
-        return self.answer
+@frozen
+class HttpAnswer:
+    """A whole answer."""
 
-    def dataReceived(self, data: bytes) -> None:
-        if self.answer is None:
-            # No request is waiting, so the bytes belong to none.
-            self.transport.abortConnection()
-            return
-        try:
-            answer = self.parser.feed(data)
-        except RequestFailed as error:
-            self._fail(error)
-            return
-        if answer is None:
-            return
-        waiting, self.answer = self.answer, None
-        # A server that was asked to close need not say so in its answer.
-        if self.reusable and self.parser.keeps_connection:
-            self.release(self)
-        else:
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the last value of a header, or None."""
+        values = self.headers.getRawHeaders(name)
+        return values[-1] if values else None
+
+
+class RequestFailed(Exception):
+    """A request that got no whole answer."""
+
+
+class NotSent(RequestFailed):
+    """No byte of the request left this process."""
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        # The port refused the connection, so no process listens on it.
+        self.refused = refused
+
+
+class SendTooLate(NotSent):
+    """The connection was ready only after the request was to be sent."""
+
+
+class AnswerLost(RequestFailed):
+    """The connection ended after the request may have been received."""
+
+
+class AnswerTimeout(RequestFailed):
+    """No whole answer came in time; the request may run."""
+
+
+class AnswerTooLarge(RequestFailed):
+    """The answer's body is over the limit."""
+
+
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Produce a body that is in memory."""
+
+    def __init__(self, body: bytes):
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:
+        """Write the whole body."""
+        consumer.write(self.body)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:
+        """Do nothing; the body is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing; the body is written at once."""
+
+    def stopProducing(self) -> None:
+        """Do nothing; the body is written at once."""
+
+
+class _BodyReader(Protocol):
+    """Collect a body and check that it is whole."""
+
+    def __init__(self, expected: int | None, limit: int):
+        self.expected = expected
+        self.limit = limit
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
+
+    def abort(self) -> None:
+        if self.transport is not None:
             self.transport.loseConnection()
-        waiting.callback(answer)
 
-    def _fail(self, error: RequestFailed) -> None:
-        waiting, self.answer = self.answer, None
-        self.open = False
-        self.transport.abortConnection()
-        if waiting is not None:
-            waiting.errback(error)
+    def dataReceived(self, data: bytes) -> None:
+        self.size += len(data)
+        self.chunks.append(data)
+        if self.size > self.limit and not self.done.called:
+            self.abort()
+            self.done.errback(AnswerTooLarge(f"answer over {self.limit} bytes"))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.open = False
-        waiting, self.answer = self.answer, None
-        if waiting is not None:
-            size = self.parser.received
-            waiting.errback(AnswerLost(f"connection lost after {size} bytes"))
-        self.closed.callback(None)
+        if self.done.called:
+            return
+        if not reason.check(ResponseDone):
+            # Also covers a body that ends with the connection: without a length or
+            # chunks a truncated body can't be told from a whole one.
+            self.done.errback(AnswerLost(f"answer cut off after {self.size} bytes"))
+        elif self.expected is not None and self.size != self.expected:
+            self.done.errback(
+                AnswerLost(f"answer has {self.size} of {self.expected} bytes")
+            )
+        else:
+            self.done.callback(b"".join(self.chunks))
 
 
-class _IdleConnections:
-    """The connections to each address that wait for a request."""
+class _AgedPool(HTTPConnectionPool):
+    """Keep idle connections, and use none over a maximal idle age.
 
-    def __init__(self, reactor: Any, per_host: int):
-        self.reactor = reactor
-        self.per_host = per_host
-        self.by_address: dict[str, list[_Connection]] = {}
-        self._timer: Any = None
+    The age is read when a connection is taken, because the timers of a paused process
+    run late.
+    """
 
-    def take(self, address: str, longest_idle_s: float) -> _Connection | None:
-        """Return the connection used last unless it was idle for too long.
+    def __init__(self, reactor: Any, max_idle_s: float, connections_per_host: int):
+        super().__init__(reactor, persistent=True)
+        # The pool's own retry would send a request twice.
+        self.retryAutomatically = False
+        self.maxPersistentPerHost = connections_per_host
+        self.cachedConnectionTimeout = max_idle_s
 
-        The age is read here, because the timers of a paused process run late.
-        """
-        connections = self.by_address.get(address)
-        oldest = self.reactor.seconds() - longest_idle_s
+    def getConnection(self, key: Any, endpoint: Any) -> Deferred[Any]:
+        """Return the connection that was used last, or a new one."""
+        connections = self._connections.get(key)
         while connections:
-            if connections[-1].open and connections[-1].idle_since < oldest:
-                return None
             connection = connections.pop()
-            if connection.open:
-                return connection
-        return None
-
-    def put(self, address: str, connection: _Connection) -> None:
-        """Keep a connection for a later request."""
-        connections = self.by_address.setdefault(address, [])
-        if len(connections) >= self.per_host:
+            timer = self._timeouts.pop(connection)
+            fresh = timer.getTime() > self._reactor.seconds()
+            timer.cancel()
+            if connection.state != "QUIESCENT":
+                continue
+            if fresh:
+                return succeed(connection)
             connection.transport.loseConnection()
-            return
-        connection.idle_since = self.reactor.seconds()
-        connections.append(connection)
-        if self._timer is None:
-            self._timer = self.reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
-
-    def _sweep(self) -> None:
-        """Close the connections that were idle for too long."""
-        self._timer = None
-        oldest = self.reactor.seconds() - IDLE_CONNECTION_S
-        for address, connections in list(self.by_address.items()):
-            kept = [c for c in connections if c.open and c.idle_since >= oldest]
-            for connection in connections:
-                if connection.open and connection.idle_since < oldest:
-                    connection.transport.loseConnection()
-            self.by_address[address] = kept
-            if not kept:
-                del self.by_address[address]
-        if self.by_address:
-            self._timer = self.reactor.callLater(SWEEP_INTERVAL_S, self._sweep)
-
-    def close(self) -> Deferred[Any]:
-        """Close all connections; fires when they are closed."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        connections = [c for group in self.by_address.values() for c in group if c.open]
-        self.by_address.clear()
-        for connection in connections:
-            connection.transport.abortConnection()
-        return DeferredList([connection.closed for connection in connections])
+        return self._newConnection(key, endpoint)
+
+
+def _was_cancelled(error: ResponseFailed) -> bool:
+    """Tell whether this process itself ended the request."""
+    return any(reason.check(CancelledError) for reason in error.reasons)
 
 
 class HttpClient:
@@ -200,7 +194,11 @@
     ):
         self.reactor = reactor
         self.bind = (source_address, 0) if source_address else None
-        self.idle = _IdleConnections(reactor, connections_per_host)
+        self.pools = {
+            Reuse.ANY: _AgedPool(reactor, IDLE_CONNECTION_S, connections_per_host),
+            Reuse.RECENT: _AgedPool(reactor, RECENT_CONNECTION_S, connections_per_host),
+            Reuse.NEVER: HTTPConnectionPool(reactor, persistent=False),
+        }
         self.endpoints: dict[str, Any] = {}
 
     async def request(
@@ -219,33 +217,26 @@
 
         may_send is asked once the connection is ready; False raises SendTooLate.
         """
-        request = encode_request(method, address, path, headers or {}, body, reuse)
+        raw = Headers({name: [value] for name, value in (headers or {}).items()})
+        raw.setRawHeaders("Host", [address])
+        producer = _BytesProducer(body) if body or method == "POST" else None
+        persistent = reuse is not Reuse.NEVER
+        request = Request(method.encode(), path.encode(), raw, producer, persistent)
         deadline = self.reactor.seconds() + timeout
-        connection = self.idle.take(address, LONGEST_IDLE_S[reuse])
-        if connection is None:
-            connection = await self._connect(address, timeout)
+        connection = await self._connect(address, reuse, timeout)
         if may_send is not None and not may_send():
             connection.transport.loseConnection()
             raise SendTooLate("the connection was ready too late")
-        answer = connection.send(
-            request, method != "HEAD", max_body, reuse is not Reuse.NEVER
-        )
-        left = max(deadline - self.reactor.seconds(), 0.0)
-        timer = self.reactor.callLater(left, answer.cancel)
-        try:
-            return await answer
-        finally:
-            if timer.active():
-                timer.cancel()
-
-    async def _connect(self, address: str, timeout: float) -> _Connection:
-        factory = Factory.forProtocol(_Connection)
-        factory.noisy = False
-        factory.buildProtocol = lambda _: _Connection(
-            lambda connection: self.idle.put(address, connection)
-        )
-        connecting = self._endpoint(address).connect(factory)
-        timer = self.reactor.callLater(timeout, connecting.cancel)
+        response = await self._send(connection, request, address, deadline)
+        return await self._read(response, method, deadline, max_body)
+
+    async def _connect(self, address: str, reuse: Reuse, timeout: float) -> Any:
+        """Return an idle or a new connection."""
+        connecting = self.pools[reuse].getConnection(address, self._endpoint(address))
+        if connecting.called:
+            timer = None
+        else:
+            timer = self.reactor.callLater(timeout, connecting.cancel)
         try:
             return await connecting
         except (CancelledError, ConnectingCancelledError) as error:
@@ -255,7 +246,7 @@
         except (ConnectError, OSError) as error:
             raise NotSent(f"no connection to {address}: {error}") from error
         finally:
-            if timer.active():
+            if timer is not None and timer.active():
                 timer.cancel()
 
     def _endpoint(self, address: str) -> Any:
@@ -269,30 +260,50 @@
             self.endpoints[address] = endpoint
         return endpoint
 
-    def close(self) -> Deferred[Any]:
+    async def _send(
+        self, connection: Any, request: Request, address: str, deadline: float
+    ) -> Any:
+        """Send a request and return the response once its headers are received."""
+        started = connection.request(request)
+        left = max(deadline - self.reactor.seconds(), 0.0)
+        timer = self.reactor.callLater(left, started.cancel)
+        try:
+            return await started
+        except CancelledError as error:
+            raise AnswerTimeout("no answer in time") from error
+        except RequestNotSent as error:
+            raise NotSent(f"connection to {address} was not usable") from error
+        except ResponseFailed as error:
+            if _was_cancelled(error):
+                raise AnswerTimeout("no answer in time") from error
+            raise AnswerLost(f"connection to {address} lost: {error}") from error
+        except (RequestGenerationFailed, RequestTransmissionFailed) as error:
+            raise AnswerLost(f"connection to {address} lost: {error}") from error
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    async def _read(
+        self, response: Any, method: str, deadline: float, max_body: int
+    ) -> HttpAnswer:
+        """Read the body until the time at which the request's time-out ends."""
+        length = response.length
+        expected = None if length is UNKNOWN_LENGTH or method == "HEAD" else length
+        reader = _BodyReader(expected, max_body)
+        response.deliverBody(reader)
+        left = max(deadline - self.reactor.seconds(), 0.0)
+        timer = self.reactor.callLater(left, reader.done.cancel)
+        try:
+            body = await reader.done
+        except CancelledError as error:
+            raise AnswerTimeout("the answer's body did not arrive in time") from error
+        finally:
+            if timer.active():
+                timer.cancel()
+        return HttpAnswer(response.code, response.headers, body)
+
+    def close(self) -> Deferred[None]:
         """Close the idle connections."""
-        return self.idle.close()
-
-
-def encode_request(
-    method: str,
-    address: str,
-    path: str,
-    headers: Mapping[str, str],
-    body: bytes,
-    reuse: Reuse,
-) -> bytes:
-    """Return the bytes of a request; raise NotSent if they would not be one."""
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    if body or method in ("POST", "PUT"):
-        lines.append(f"Content-Length: {len(body)}")
-    if reuse is Reuse.NEVER:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines)
-    # A line break inside a value would start another header or request.
-    if head.count("\n") != len(lines) - 1 or head.count("\r") != len(lines) - 1:
-        raise NotSent("a header contains a line break")
-    if method.count(" ") or path.count(" "):
-        raise NotSent("the method or the path contains a space")
-    return head.encode() + b"\r\n\r\n" + body
+        return gatherResults(
+            [pool.closeCachedConnections() for pool in self.pools.values()]
+        ).addCallback(lambda _: None)
