--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -21,15 +21,13 @@
 )
 from ebonybend.steering.table import InstanceView
 
+MS = 1000.0
 HOP_PREFIX = "/peer/hop/"
 OWNER_PREFIX = "/peer/owner/"
 # The receiver runs the request on a server that runs nothing else.
 ALONE_HEADER = "Ebonybend-Alone"
 # The sender's region, for the budget of the link back.
 REGION_HEADER = "Ebonybend-Region"
-# Nobody listens on a port that refused a connection. The table shows that only after
-# some seconds, and until then each hop there would cost a retry token.
-REFUSED_PAUSE_S = 1.0
 
 
 class HopClient:
@@ -42,22 +40,22 @@
         self.http = http
         self.table_state = table_state
         self.random = random
-        # Until when an instance whose port refused a connection is not picked.
-        self.refused_until: dict[str, float] = {}
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
         own = self.table_state.own
-        now = self.clock.monotonic()
         usable = [
             view
             for view in self.table_state.usable_in(domain)
-            if view.name not in tried
-            and view.name != own
-            and self.refused_until.get(view.name, now) <= now
+            if view.name not in tried and view.name != own
         ]
         return self.random.choice(usable) if usable else None
 
+    def in_time(self, request: SteeredRequest, instance: InstanceView) -> bool:
+        """Tell whether an answer of an instance can arrive within the deadline."""
+        left_ms = (request.deadline - self.clock.monotonic()) * MS
+        return left_ms > 2 * self._one_way_ms(instance) + 1
+
     async def run(self, request: SteeredRequest, instance: InstanceView) -> Attempt:
         """Have a request run in an instance's failure domain."""
         return await self._send(request, instance, HOP_PREFIX)
@@ -74,8 +72,7 @@
         one_way_ms = self._one_way_ms(instance)
         now = self.clock.monotonic()
         within = bounds(request, now, one_way_ms)
-        # The answer needs the way back, too.
-        if within is None or within.deadline_ms <= one_way_ms:
+        if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
@@ -98,8 +95,7 @@
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
             if error.refused:
-                until = self.clock.monotonic() + REFUSED_PAUSE_S
-                self.refused_until[instance.name] = until
+                self.table_state.note_refusal(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
