--- a/bench/figures/cap.py
+++ b/bench/figures/cap.py
@@ -7,7 +7,7 @@
 from bench.deployments import blue_mahoe
 from bench.figures.figure import Figure
 from bench.fleet import Fleet, FleetOptions
-from bench.history import operation_name, read_server_events
+from bench.history import read_server_events
 from bench.load import LoadShape
 from bench.playing import PlayedLoad, play
 from bench.rules_tool import apply_rules
@@ -25,8 +25,18 @@
 
 
 def arrivals(fleet: Fleet, load: PlayedLoad) -> list[float]:
-    """Return when moved requests reached backend servers of the target region."""
-    moved = {x.name for x in load.operations() if x.region == SOURCE}
+    """Return when moved requests reached the backend servers of the target region.
+
+    Moved are those sent to entries of the source region, not those of callers that go
+    to entries of the target region by themselves.
+    """
+    senders = fleet.plan.deployment.region_instances(SOURCE)
+    moved = {
+        attempt.request_id
+        for operation in load.operations()
+        for attempt in operation.attempts
+        if attempt.instance in senders
+    }
     domains = [
         x.name for x in fleet.plan.deployment.failure_domains if x.region == TARGET
     ]
@@ -36,9 +46,7 @@
         if x.failure_domain in domains and x.service == SERVICE
     ]
     events = read_server_events(paths)
-    return [
-        x.at for x in events if x.event == "received" and operation_name(x) in moved
-    ]
+    return [x.at for x in events if x.event == "received" and x.request_id in moved]
 
 
 def highest(times: list[float]) -> int:
