Send probes and exchanges over a small persistent HTTP client

Exchanges with other domains no longer carry the own load record, and tables are renewed each second unless something asks for one at once.

--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -161,7 +161,6 @@
         self.shards.tasks.stop()
         self.rules_store.tasks.stop()
         self.feed.stop()
-        self.prober.close()
 
     async def entry_report(self, report: EntryReport) -> TableReply:
         """Take the entry's report and return what it lacks."""
--- /dev/null
+++ b/ebonybend/control/health_client.py
@@ -0,0 +1,52 @@
+"""Ask a backend server for its health."""
+
+from attrs import frozen
+
+from ebonybend.codec import from_json
+from ebonybend.errors import SteeringError
+from ebonybend.http_client import NotSent, RequestFailed
+from ebonybend.http_link import HttpLinks, request_bytes
+
+HEALTH_PATH = "/health"
+
+
+@frozen
+class Health:
+    """A backend server's answer to /health."""
+
+    state: str
+    in_flight: int = 0
+    slots: int = 0
+
+
+class ProbeFailed(Exception):
+    """A probe that got no usable answer."""
+
+    def __init__(self, message: str, refused: bool = False):
+        super().__init__(message)
+        # The port refused the connection, so no process listens on it.
+        self.refused = refused
+
+
+class HealthClient:
+    """Ask one server for its health over a persistent connection."""
+
+    def __init__(self, links: HttpLinks, address: str):
+        self.links = links
+        self.address = address
+        self.request = request_bytes("GET", address, HEALTH_PATH)
+
+    async def ask(self, timeout_s: float) -> Health:
+        """Return the server's health; raise ProbeFailed."""
+        try:
+            answer = await self.links.request(self.address, self.request, timeout_s)
+        except NotSent as error:
+            raise ProbeFailed(str(error), error.refused) from error
+        except RequestFailed as error:
+            raise ProbeFailed(str(error)) from error
+        if answer.status != 200:
+            raise ProbeFailed(f"answer {answer.status}")
+        try:
+            return from_json(answer.body, Health)
+        except SteeringError as error:
+            raise ProbeFailed(error.message) from error
--- a/ebonybend/control/prober.py
+++ b/ebonybend/control/prober.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from ebonybend.clock import Clock
-from ebonybend.control.probe_connection import Health, ProbeFailed
+from ebonybend.control.health_client import Health, ProbeFailed
 from ebonybend.control.table_builder import ProbeView
 from ebonybend.logs import get_logger
 from ebonybend.world import BackendServer, ServerState
@@ -33,10 +33,6 @@
         """Return the server's health; raise ProbeFailed."""
         ...
 
-    def close(self) -> None:
-        """Release the connection."""
-        ...
-
 
 Connect = Callable[[str], HealthSource]
 
@@ -84,7 +80,6 @@
             known = self.probed[name]
             server = wanted.get(name)
             if server is None or server.address != known.server.address:
-                known.source.close()
                 del self.probed[name]
         for name, server in wanted.items():
             if name not in self.probed:
@@ -115,10 +110,6 @@
         await gatherResults(workers, consumeErrors=True)
         self._judge(failed)
 
-    def close(self) -> None:
-        """Close all connections."""
-        self.set_servers(())
-
     async def _work(self, waiting: list[_Probed], failed: list[_Failed]) -> None:
         while waiting:
             probed = waiting.pop()
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -10,10 +10,11 @@
 from ebonybend.control.admin import Admin
 from ebonybend.control.core import ControlCore
 from ebonybend.control.entry_server import EntryServer
+from ebonybend.control.health_client import HealthClient
 from ebonybend.control.ports import listen
-from ebonybend.control.probe_connection import ProbeConnection
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
+from ebonybend.http_link import HttpLinks
 from ebonybend.http_server import HttpLimits, HttpSite, Router
 from ebonybend.logs import get_logger
 from ebonybend.peers.http_transport import (
@@ -45,7 +46,8 @@
         self.stopping = False
         self.http = HttpClient(reactor, settings.source_address)
         self.platform = PlatformClient(self.http, settings.platform_address)
-        self.transport = HttpPeers(self.http)
+        self.links = HttpLinks(settings.source_address, MAX_EXCHANGE_BYTES)
+        self.transport = HttpPeers(self.links)
         self.core = ControlCore(
             settings,
             time(),
@@ -53,7 +55,7 @@
             Random(),
             self.platform,
             self.transport,
-            lambda address: ProbeConnection(reactor, address, settings.source_address),
+            lambda address: HealthClient(self.links, address),
         )
         self.admin = Admin(self.core)
         self.entry_server = EntryServer(
@@ -113,6 +115,7 @@
         for port in self.ports:
             await port.stopListening()
         await self.entry_server.stop()
+        self.links.close()
         await self.http.close()
         get_logger().info("stopped")
         self.reactor.stop()
--- a/ebonybend/control/table_builder.py
+++ b/ebonybend/control/table_builder.py
@@ -20,8 +20,8 @@
 from ebonybend.steering.table import DomainView, InstanceView, ServerView, Table
 from ebonybend.world import BackendServer, Instance, LifeState, ServerState
 
-# Measurements are renewed every 500 ms, so a table built more often says nothing new.
-TABLE_PERIOD_S = 0.5
+# What must be known at once asks for a new table; the rest is renewed each second.
+TABLE_PERIOD_S = 1.0
 # A domain without news for this time serves no look-ups.
 DOMAIN_SILENCE_S = 10.0
 KEY_EPOCH_S = 60.0
--- a/ebonybend/control/tests/cluster.py
+++ b/ebonybend/control/tests/cluster.py
@@ -7,7 +7,7 @@
 
 from ebonybend.codec import pack, to_json, unpack
 from ebonybend.control.core import ControlCore
-from ebonybend.control.probe_connection import Health, ProbeFailed
+from ebonybend.control.health_client import Health, ProbeFailed
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest
 from ebonybend.platform.tests.memory_store import MemoryStore, StoreClient
 from ebonybend.settings import parse_settings
@@ -55,9 +55,6 @@
             raise ProbeFailed("no answer")
         return Health(self.state, 1, 4)
 
-    def close(self):
-        pass
-
 
 @define
 class EntryDouble:
--- a/ebonybend/peers/exchange.py
+++ b/ebonybend/peers/exchange.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Protocol
 
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, gatherResults, succeed
 
 from ebonybend.errors import SteeringError
 from ebonybend.logs import get_logger
@@ -99,18 +99,18 @@
         near, far = self._split()
         for peer in near:
             if self.own < peer.name or self._silent(peer.name):
-                self.start(peer.address, peer.name)
+                self.start(peer)
         for peer in self._choose(far, FAR_PEERS_PER_ROUND):
-            self.start(peer.address, peer.name)
+            self.start(peer)
         if not near and not far:
             for address in self.seeds:
-                self.start(address)
+                self.tasks.start(self.exchange(address))
 
     def push_rules(self) -> None:
         """Exchange at once with the own domain and some others."""
         near, far = self._split()
         for peer in (*near, *self._choose(far, FAR_PEERS_FOR_RULES)):
-            self.start(peer.address, peer.name)
+            self.start(peer)
 
     def push_suspects(self, everywhere: bool) -> Deferred[list[None]]:
         """Send the suspects to the own domain and, if asked, to all others."""
@@ -121,7 +121,7 @@
             for domain in sorted(domains):
                 members = [peer for peer in far if peer.failure_domain == domain]
                 chosen += self._choose(members, FAR_PEERS_PER_DOMAIN_FOR_SUSPECTS)
-        sent = [self.start(peer.address, peer.name) for peer in chosen]
+        sent = [self.start(peer) for peer in chosen]
         return gatherResults(sent, consumeErrors=True)
 
     async def synchronise(self) -> int:
@@ -137,33 +137,34 @@
         replies = await gatherResults(runs, consumeErrors=True)
         return sum(1 for reply in replies if reply is not None and reply.ready)
 
-    def start(self, address: str, name: str = "") -> Deferred[None]:
+    def start(self, peer: PeerAddress) -> Deferred[None]:
         """Exchange with a peer in the background, once at a time for each peer."""
-        if address in self.busy:
+        if peer.name in self.busy:
             # What the running exchange has sent may be out of date already.
-            self.busy[address] = True
-            return Deferred.fromCoroutine(_nothing())
-        self.busy[address] = False
-        return self.tasks.start(self._run(address, name))
+            self.busy[peer.name] = True
+            return succeed(None)
+        self.busy[peer.name] = False
+        return self.tasks.start(self._run(peer))
 
-    async def _run(self, address: str, name: str) -> None:
+    async def _run(self, peer: PeerAddress) -> None:
+        near = peer.failure_domain == self.failure_domain
         try:
-            reply = await self.exchange(address)
-            while reply is not None and self.busy[address]:
-                self.busy[address] = False
-                reply = await self.exchange(address)
+            reply = await self.exchange(peer.address, near)
+            while reply is not None and self.busy[peer.name]:
+                self.busy[peer.name] = False
+                reply = await self.exchange(peer.address, near)
         finally:
-            del self.busy[address]
+            del self.busy[peer.name]
         if reply is None:
-            self.failures[name] = self.timers.seconds()
+            self.failures[peer.name] = self.timers.seconds()
         else:
-            self.failures.pop(name, None)
-            self.contacts[name] = self.timers.seconds()
+            self.failures.pop(peer.name, None)
+            self.contacts[peer.name] = self.timers.seconds()
 
-    async def exchange(self, address: str) -> ExchangeReply | None:
+    async def exchange(self, address: str, near: bool = False) -> ExchangeReply | None:
         """Exchange with the peer at an address; return its first reply."""
         self.started += 1
-        reply = await self.transport.send(address, self.request())
+        reply = await self.transport.send(address, self.request(near))
         if reply is None:
             self.failed += 1
             return None
@@ -175,7 +176,7 @@
         differ = reply.suspects_digest != self.suspects.digest()
         suspects = self.suspects.records() if differ else ()
         if records or older or suspects:
-            rest = self.request(records, suspects, tuple(older))
+            rest = self.request(near, records, suspects, tuple(older))
             second = await self.transport.send(address, rest)
             if second is not None:
                 self._take(second.records, second.suspects, second.failure_domain)
@@ -183,11 +184,17 @@
 
     def request(
         self,
+        near: bool,
         records: tuple[Record, ...] = (),
         suspects: tuple[SuspectRecord, ...] = (),
         wanted: tuple[RecordName, ...] = (),
     ) -> ExchangeRequest:
-        """Return a request that says what is held here."""
+        """Return a request that says what is held here.
+
+        Loads are told only inside the domain.
+        """
+        if near:
+            records = (*records, *self._own_load())
         return ExchangeRequest(
             self.own,
             self.failure_domain,
@@ -195,8 +202,8 @@
             self.replica.slow_digest(),
             self.suspects.digest(),
             self.replica.versions(Kind.DOMAIN),
-            self.replica.versions(Kind.LOAD),
-            records or self._own_load(),
+            self.replica.versions(Kind.LOAD) if near else {},
+            records,
             suspects,
             wanted,
         )
@@ -281,7 +288,3 @@
     def _failed_lately(self, peer: PeerAddress) -> bool:
         failed_at = self.failures.get(peer.name, float("-inf"))
         return self.timers.seconds() - failed_at < FAILED_PEER_S
-
-
-async def _nothing() -> None:
-    return None
--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -5,7 +5,8 @@
 
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_client import HttpClient, RequestFailed
+from ebonybend.http_client import RequestFailed
+from ebonybend.http_link import HttpLinks, request_bytes
 from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
 from ebonybend.peers.exchange import PeerExchange
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest, ShardVersion
@@ -17,15 +18,15 @@
 MAX_EXCHANGE_BYTES = 8 << 20
 # A shard is below 1 MB; another region sends it at a few MB/s.
 SHARD_TIMEOUT_S = 5.0
-MAX_SHARD_BYTES = 2 << 20
-HEADERS = {"Content-Type": "application/msgpack"}
+CONTENT_TYPE = "application/msgpack"
+HEADERS = {"Content-Type": CONTENT_TYPE}
 
 
 class HttpPeers:
     """Send exchanges to the peer port of other controls."""
 
-    def __init__(self, http: HttpClient):
-        self.http = http
+    def __init__(self, links: HttpLinks):
+        self.links = links
         # Bytes of bodies since the start, for metrics.
         self.peer_bytes_sent = 0
         self.peer_bytes_received = 0
@@ -35,30 +36,28 @@
     ) -> ExchangeReply | None:
         """Return the reply, or None when there was none."""
         body = pack(request)
-        self.peer_bytes_sent += len(body)
+        sent = request_bytes("POST", address, EXCHANGE_PATH, CONTENT_TYPE, body)
+        answer = await self._request(address, sent, EXCHANGE_TIMEOUT_S)
+        if answer is None:
+            return None
         try:
-            answer = await self.http.request(
-                "POST",
-                address,
-                EXCHANGE_PATH,
-                HEADERS,
-                body,
-                EXCHANGE_TIMEOUT_S,
-                MAX_EXCHANGE_BYTES,
-            )
-            self.peer_bytes_received += len(answer.body)
-            return unpack(answer.body, ExchangeReply) if answer.status == 200 else None
-        except (RequestFailed, SteeringError):
+            return unpack(answer, ExchangeReply)
+        except SteeringError:
             return None
 
     async def fetch_shard(self, address: str, shard: ShardVersion) -> bytes | None:
         """Return a shard of the client map, or None if the peer doesn't have it."""
         name = quote(shard.name, safe="")
         path = f"{SHARD_PATH}?name={name}&version={shard.version}"
+        sent = request_bytes("GET", address, path)
+        return await self._request(address, sent, SHARD_TIMEOUT_S)
+
+    async def _request(
+        self, address: str, request: bytes, timeout_s: float
+    ) -> bytes | None:
+        self.peer_bytes_sent += len(request)
         try:
-            answer = await self.http.request(
-                "GET", address, path, timeout=SHARD_TIMEOUT_S, max_body=MAX_SHARD_BYTES
-            )
+            answer = await self.links.request(address, request, timeout_s)
         except RequestFailed:
             return None
         self.peer_bytes_received += len(answer.body)
