--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -15,7 +15,7 @@
     refused,
 )
 from ebonybend.entry.dispatch import SHED_RETRY_AFTER_MS, LocalDispatcher
-from ebonybend.entry.domains import DomainOptions
+from ebonybend.entry.domains import SIBLINGS, DomainOptions
 from ebonybend.entry.hops import HopClient
 from ebonybend.entry.metrics import EntryMetrics
 from ebonybend.entry.requests import SteeredRequest
@@ -37,6 +37,12 @@
         """Charge a request to a region's caps and link; return why it can't go."""
         ...
 
+    def observe(
+        self, service: str, region: str, latency_s: float, answered: bool
+    ) -> None:
+        """Take in how a region answered a request."""
+        ...
+
 
 class Forwarder:
     """Find a place for a request and return its answer."""
@@ -113,7 +119,8 @@
         """Return the answer of a server of the own failure domain."""
         search = Search()
         while True:
-            attempt = await self.local.run(request, search.servers)
+            server = self.local.pick(request, search.servers)
+            attempt = await self.local.run(request, server, search.servers)
             if is_successful(attempt):
                 return attempt
             search.note(attempt.failure())
@@ -152,14 +159,15 @@
     async def _attempt(self, request: SteeredRequest, search: Search) -> Attempt:
         """Try the best place that is left."""
         own = self.table_state.table.failure_domain
-        if self.local.pick(request, search.servers) is None:
+        server = self.local.pick(request, search.servers)
+        if server is None:
             search.domains.add(own)
         query = self.options.query(request.service, search)
         score = self.domains.choose(query)
         if score is None:
             return self._no_place(search)
         if score.domain == own:
-            return await self.local.run(request, search.servers)
+            return await self.local.run(request, server, search.servers)
         return await self._hop(request, search, score.domain)
 
     def _no_place(self, search: Search) -> Attempt:
@@ -168,8 +176,9 @@
             search.shifted_to = None
             return refused(ErrorKind.OVERLOADED, "the shift's target has no room")
         search.exhausted = True
-        if search.last is not None and search.last.error.kind in ELSEWHERE:
-            return search.last.as_failure()
+        if search.last is not None:
+            # The reason why the last place could not take it says more.
+            return AttemptFailure(search.last.error, False).as_failure()
         return refused(
             ErrorKind.OVERLOADED, "no domain has a free slot", SHED_RETRY_AFTER_MS
         )
@@ -178,21 +187,30 @@
         self, request: SteeredRequest, search: Search, domain: str
     ) -> Attempt:
         """Send a request to an entry of another failure domain."""
-        instance = self.hops.pick(domain, search.instances)
+        place = domain.removesuffix(SIBLINGS)
+        instance = self.hops.pick(place, search.instances)
         if instance is None:
             search.domains.add(domain)
             return refused(ErrorKind.NOT_READY, f"no entry of {domain} is ready")
-        region = self.table_state.region_of(domain)
+        if not self.hops.in_time(request, instance):
+            search.domains.add(domain)
+            return refused(
+                ErrorKind.OVERLOADED, f"{domain} is too far for the deadline"
+            )
+        region = self.table_state.region_of(place)
         error = self._admit(request, region)
         if error is not None:
             search.domains.update(self.options.domains_of(region))
             return AttemptFailure(error, False).as_failure()
+        started = self.clock.monotonic()
         self.domains.started(domain, request.service)
         try:
             attempt = await self.hops.run(request, instance)
         finally:
             self.domains.finished(domain, request.service)
         self._learn(request, search, domain, attempt)
+        latency_s = self.clock.monotonic() - started
+        self.budgets.observe(request.service, region, latency_s, is_successful(attempt))
         if not is_successful(attempt):
             search.instances.add(instance.name)
         return attempt
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -21,6 +21,7 @@
 )
 from ebonybend.steering.table import InstanceView
 
+MS = 1000.0
 HOP_PREFIX = "/peer/hop/"
 OWNER_PREFIX = "/peer/owner/"
 # The receiver runs the request on a server that runs nothing else.
@@ -42,13 +43,19 @@
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
+        own = self.table_state.own
         usable = [
             view
-            for view in self.table_state.usable_instances(domain)
-            if view.name not in tried and view.name != self.table_state.own
+            for view in self.table_state.usable_in(domain)
+            if view.name not in tried and view.name != own
         ]
         return self.random.choice(usable) if usable else None
 
+    def in_time(self, request: SteeredRequest, instance: InstanceView) -> bool:
+        """Tell whether an answer of an instance can arrive within the deadline."""
+        left_ms = (request.deadline - self.clock.monotonic()) * MS
+        return left_ms > 2 * self._one_way_ms(instance) + 1
+
     async def run(self, request: SteeredRequest, instance: InstanceView) -> Attempt:
         """Have a request run in an instance's failure domain."""
         return await self._send(request, instance, HOP_PREFIX)
@@ -65,8 +72,7 @@
         one_way_ms = self._one_way_ms(instance)
         now = self.clock.monotonic()
         within = bounds(request, now, one_way_ms)
-        # The answer needs the way back, too.
-        if within is None or within.deadline_ms <= one_way_ms:
+        if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
@@ -88,13 +94,15 @@
         except SendTooLate as error:
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
+            if error.refused:
+                self.table_state.note_refusal(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
         except RequestFailed as error:
             return failed(ErrorKind.ANSWER_LOST, f"{instance.name}: {error}")
         except SteeringError as error:
-            return AttemptFailure(error, True).as_failure()
+            return AttemptFailure(error, True, stated=True).as_failure()
 
     def _one_way_ms(self, instance: InstanceView) -> float:
         table = self.table_state.table
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -12,6 +12,9 @@
 # A server that said in an answer that it is draining is not used for this time, within
 # which probes (every 500 ms) and the table show its state.
 DRAINING_MEMORY_S = 5.0
+# An entry that refused a connection is not used for this time, because the table shows
+# an entry of another domain as ready for seconds after its end.
+REFUSAL_MEMORY_S = 2.0
 
 
 class TableState:
@@ -23,13 +26,17 @@
         self.wall = wall
         self.table: Table | None = None
         self.rules = RulesInForce(())
+        self._rules_text = ""
         self.servers: dict[str, tuple[ServerView, ...]] = {}
         self.instances: dict[str, InstanceView] = {}
         self.services: frozenset[str] = frozenset()
         self.region = ""
         self.listeners: list[Callable[[Table], None]] = []
         self._news_at = clock.monotonic()
+        self._table_at = self._news_at
         self._draining_until: dict[str, float] = {}
+        self._refused_until: dict[str, float] = {}
+        self._usable: dict[str, tuple[InstanceView, ...]] = {}
 
     def accept(self, reply: TableReply) -> None:
         """Take a reply of the control; an older table or revision is not taken."""
@@ -40,9 +47,13 @@
         if table is None:
             return
         self.table = table
+        self._table_at = self.clock.monotonic()
         self._derive(table)
+        self._notify()
+
+    def _notify(self) -> None:
         for listener in self.listeners:
-            listener(table)
+            listener(self.table)
 
     def _is_older(self, table: Table) -> bool:
         old = self.table
@@ -54,7 +65,7 @@
         return same_control and table.serial < old.serial
 
     def _derive(self, table: Table) -> None:
-        self.rules = RulesInForce.from_text(table.rules_text, self.wall())
+        self._compile(table.rules_text)
         by_service: dict[str, list[ServerView]] = {}
         for server in table.servers:
             by_service.setdefault(server.service, []).append(server)
@@ -62,11 +73,20 @@
         self.instances = {view.name: view for view in table.instances}
         self.services = frozenset(s.name for s in table.deployment.services)
         self.region = self.region_of(table.failure_domain)
+        self._usable = self._find_usable()
+
+    def _compile(self, text: str) -> None:
+        """Compile the rules if their text or their validity has changed."""
+        now = self.wall()
+        if text != self._rules_text or self.rules.expired(now):
+            self._rules_text = text
+            self.rules = RulesInForce.from_text(text, now)
 
     def refresh_rules(self) -> None:
         """Drop the rules whose validity has ended."""
         if self.table is not None and self.rules.expired(self.wall()):
-            self.rules = RulesInForce.from_text(self.table.rules_text, self.wall())
+            self._derive(self.table)
+            self._notify()
 
     def region_of(self, domain_name: str) -> str:
         """Return the region of a failure domain, or an empty name."""
@@ -89,18 +109,36 @@
         """Return the age of the newest news behind the table."""
         return (self.clock.monotonic() - self._news_at) * MS
 
+    @property
+    def views_age_ms(self) -> float:
+        """Return the time since the views in the table were received."""
+        return (self.clock.monotonic() - self._table_at) * MS
+
     @property
     def revision(self) -> int:
         """Return the rules revision in force, or 0 without a table."""
         return self.table.rules_revision if self.table else 0
 
-    def usable_instances(self, domain: str | None = None) -> tuple[InstanceView, ...]:
-        """Return the ready instances that are not leaving, of one domain or of all."""
-        return tuple(
-            view
-            for view in self.instances.values()
-            if view.ready
-            and view.state is LifeState.LIVE
-            and view.name not in self.rules.drained_instances
-            and (domain is None or view.failure_domain == domain)
-        )
+    def usable_in(self, domain: str) -> tuple[InstanceView, ...]:
+        """Return a domain's instances that are ready and not leaving."""
+        usable = self._usable.get(domain, ())
+        if not self._refused_until:
+            return usable
+        now = self.clock.monotonic()
+        refused = self._refused_until
+        return tuple(v for v in usable if refused.get(v.name, now) <= now)
+
+    def note_refusal(self, instance: str) -> None:
+        """Remember that an instance refused a connection."""
+        now = self.clock.monotonic()
+        recent = {n: until for n, until in self._refused_until.items() if until > now}
+        self._refused_until = {**recent, instance: now + REFUSAL_MEMORY_S}
+
+    def _find_usable(self) -> dict[str, tuple[InstanceView, ...]]:
+        found: dict[str, tuple[InstanceView, ...]] = {}
+        for view in self.instances.values():
+            usable = view.ready and view.state is LifeState.LIVE
+            if usable and view.name not in self.rules.drained_instances:
+                domain = view.failure_domain
+                found[domain] = (*found.get(domain, ()), view)
+        return found
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -1,11 +1,12 @@
 """An HTTP server with limits, where every refusal has a kind from the closed list."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from functools import partial
+from typing import Any, Protocol
 
 from attrs import field, frozen
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Protocol as ConnectionProtocol
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
@@ -49,6 +50,16 @@
         return values[0].decode("utf-8", "replace") if values else None
 
 
+class Pacer(Protocol):
+    """Spread a body over time."""
+
+    chunk_bytes: int
+
+    async def admit(self, size: int) -> None:
+        """Return when a number of bytes may be sent."""
+        ...
+
+
 @frozen
 class OutgoingAnswer:
     """An answer to send."""
@@ -56,6 +67,7 @@
     status: int = 200
     body: bytes = b""
     headers: Mapping[str, str] = field(factory=dict)
+    pacer: Pacer | None = None
 
 
 Handler = Callable[[IncomingRequest], Awaitable[OutgoingAnswer]]
@@ -119,6 +131,10 @@
     """A request that is passed to the site's handler once it is whole."""
 
     received = 0
+    # Called when the caller closes its connection before it has its answer.
+    on_gone: Callable[[], None] | None = None
+    # The handler's work; cancelling it ends the request.
+    running: Deferred[None] | None = None
 
     def gotLength(self, length: int | None) -> None:
         limit = self.channel.site.limits.max_body_bytes
@@ -142,12 +158,22 @@
             return
         self.gone = False
         self.notifyFinish().addErrback(self._caller_gone)
-        Deferred.fromCoroutine(self._answer())
+        # The channel is forgotten when the answer is written.
+        site = self.channel.site
+        site.running += 1
+        self.running = Deferred.fromCoroutine(self._answer(site))
+        self.running.addBoth(partial(self._ended, site))
+
+    @staticmethod
+    def _ended(site: "HttpSite", _result: Any) -> None:
+        site.running -= 1
 
     def _caller_gone(self, _reason: Any) -> None:
         self.gone = True
+        if self.on_gone is not None:
+            self.on_gone()
 
-    async def _answer(self) -> None:
+    async def _answer(self, site: "HttpSite") -> None:
         try:
             path = self.path.decode("ascii")
             incoming = IncomingRequest(
@@ -157,7 +183,7 @@
                 self.content.read(),
                 self,
             )
-            answer = await self.channel.site.handler(incoming)
+            answer = await site.handler(incoming)
         except SteeringError as error:
             answer = error_answer(error)
         except UnicodeDecodeError:
@@ -167,21 +193,40 @@
         except Exception as error:
             get_logger().exception("request_failed", error=repr(error))
             answer = error_answer(SteeringError(ErrorKind.INTERNAL, "internal error"))
-        self.send(answer)
+        if answer.pacer is None or self.method == b"HEAD":
+            self.send(answer)
+        else:
+            await self._send_paced(answer, answer.pacer)
 
     def send(self, answer: OutgoingAnswer) -> None:
         """Write an answer unless the caller has gone."""
         if self.gone:
             return
+        self._write_head(answer)
+        if self.method != b"HEAD":
+            self.write(answer.body)
+        self.finish()
+
+    async def _send_paced(self, answer: OutgoingAnswer, pacer: Pacer) -> None:
+        """Write an answer in chunks, each when the pacer admits it."""
+        if not self.gone:
+            self._write_head(answer)
+        # Also an empty body is written, because the first write sends the headers.
+        for start in range(0, max(len(answer.body), 1), pacer.chunk_bytes):
+            chunk = answer.body[start : start + pacer.chunk_bytes]
+            await pacer.admit(len(chunk))
+            if self.gone:
+                return
+            self.write(chunk)
+        self.finish()
+
+    def _write_head(self, answer: OutgoingAnswer) -> None:
         self.setResponseCode(answer.status)
         for name, value in answer.headers.items():
             self.responseHeaders.setRawHeaders(name, [value])
         self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
         if self.channel.site.closing:
             self.responseHeaders.setRawHeaders("Connection", ["close"])
-        if self.method != b"HEAD":
-            self.write(answer.body)
-        self.finish()
 
 
 class _Channel(HTTPChannel):
@@ -194,9 +239,11 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self.site.connections += 1
+        self.site.channels.add(self)
 
     def connectionLost(self, reason: Any) -> None:
         self.site.connections -= 1
+        self.site.channels.discard(self)
         self._stop_timer()
         super().connectionLost(reason)
 
@@ -250,7 +297,7 @@
             self.transport.loseConnection()
 
 
-class _RefusedConnection(Protocol):
+class _RefusedConnection(ConnectionProtocol):
     """A connection over the limit."""
 
     def connectionMade(self) -> None:
@@ -272,6 +319,9 @@
         self.handler = handler
         self.limits = limits
         self.connections = 0
+        # Requests whose answer is not written yet.
+        self.running = 0
+        self.channels: set[_Channel] = set()
         # Set while stopping: answers ask the caller to close its connection.
         self.closing = False
 
@@ -287,6 +337,11 @@
         channel.timeOut = self.timeOut
         return channel
 
+    def close_connections(self) -> None:
+        """Close each connection when what was written to it is sent."""
+        for channel in list(self.channels):
+            channel.loseConnection()
+
     def log(self, request: Any) -> None:
         """Write no access log; the handler logs what it decides."""
 
