Notice the platform's return with a short watch

In a trial with a hanging platform the status still said that it was unreachable 15 s after its return: a watch that fails is repeated as a long poll, and a long poll without changes answers only after 10 s. After a failure the watch now asks for an answer at once. Tests of the client map's way to all controls are added.

--- a/ebonybend/control/tests/test_cluster.py
+++ b/ebonybend/control/tests/test_cluster.py
@@ -4,11 +4,12 @@
 from testtools import TestCase
 from twisted.internet.defer import Deferred
 
+from ebonybend.control.client_map import ClientMapObject
 from ebonybend.control.platform_feed import rules_record
 from ebonybend.control.tests.cluster import Cluster
 from ebonybend.peers.records import MAIN, Kind
 from ebonybend.platform.rules_store import ProposedChange
-from ebonybend.steering.table import ServerLoad, SuspectView
+from ebonybend.steering.table import ClientMapRequest, ServerLoad, SuspectView
 from ebonybend.world import LifeState, ServerState
 
 TEXT = "# Ana (test): {}\nweights service=rides latency=0.8 headroom=0.2\n"
@@ -242,6 +243,46 @@
         self.assertFalse(any(table.suspects for table in self.cluster.tables()))
 
 
+class ClientMapTest(ClusterCase):
+    """Guards against an entry that gets an incomplete or mixed client map."""
+
+    def write(self, number, body):
+        self.cluster.write("clientmap", f"{number:04d}", ClientMapObject(body))
+
+    def shards(self, name):
+        core = self.nodes[name].core
+        version = core.shards.version
+        count = core.shards.answer(ClientMapRequest(version, 0)).shards
+        requests = [ClientMapRequest(version, number) for number in range(count)]
+        return [core.shards.answer(request).body for request in requests]
+
+    def test_changes_reach_all_controls(self):
+        self.write(0, b"a")
+        self.write(1, b"b")
+        self.cluster.start_all()
+        self.write(1, b"c")
+        self.cluster.run(8.0)
+        version = self.nodes["k1-a"].core.shards.version
+        for name, node in self.nodes.items():
+            self.assertEqual([b"a", b"c"], self.shards(name))
+            self.assertEqual(version, node.entry.table.client_map_version)
+
+    def test_a_start_without_platform_gets_it_from_peers(self):
+        self.write(0, b"a")
+        self.cluster.start_all()
+        self.cluster.kill("v1-a")
+        for node in self.nodes.values():
+            node.store.down = True
+        self.cluster.start("v1-a")
+        self.cluster.run(15.0)
+        self.assertEqual([b"a"], self.shards("v1-a"))
+
+    def test_unknown_shard_has_no_body(self):
+        self.cluster.start_all()
+        answer = self.nodes["k1-a"].core.shards.answer(ClientMapRequest(1, 5))
+        self.assertEqual((0, b""), (answer.shards, answer.body))
+
+
 class LeavingTest(TestWithScenarios, ClusterCase):
     """Guards against new work on a server that leaves, whoever noticed it first."""
 
--- a/ebonybend/platform/tests/test_watcher.py
+++ b/ebonybend/platform/tests/test_watcher.py
@@ -48,6 +48,7 @@
         self.assertTrue(self.watcher.failing)
         self.client.down = False
         self.run_for(LONGEST_BACKOFF_S + 2.5)
+        self.assertFalse(self.watcher.failing)
         self.assertEqual([["a"], ["a", "b"]], self.seen)
         self.assertLess(calls, 12)
 
--- a/ebonybend/platform/watcher.py
+++ b/ebonybend/platform/watcher.py
@@ -96,7 +96,10 @@
         if self.version is None:
             return await self.read()
         since = self.version
-        answer = await self.store.watch(self.kind, since, WATCH_TIMEOUT_MS)
+        # After a failure an answer at once tells that the platform is back; a long
+        # poll would tell it 10 s later.
+        timeout_ms = 0 if self.failing else WATCH_TIMEOUT_MS
+        answer = await self.store.watch(self.kind, since, timeout_ms)
         if isinstance(answer, Success) and answer.unwrap().version < since:
             # The platform lost its state or forgot this version: read everything.
             self.version = None
