Tighten tests that let changed code pass

Those for a peer that is not ready, for an instance that was just listed and for two writers of one version now look at exactly these cases.

--- a/ebonybend/control/tests/test_cluster.py
+++ b/ebonybend/control/tests/test_cluster.py
@@ -6,8 +6,8 @@
 
 from ebonybend.control.client_map import ClientMapObject
 from ebonybend.control.platform_feed import rules_record
-from ebonybend.control.tests.cluster import Cluster
-from ebonybend.peers.records import MAIN, Kind
+from ebonybend.control.tests.cluster import Cluster, deployment
+from ebonybend.peers.records import MAIN, DeploymentRecord, Kind
 from ebonybend.platform.rules_store import ProposedChange
 from ebonybend.steering.table import ClientMapRequest, ServerLoad, SuspectView
 from ebonybend.world import LifeState, ServerState
@@ -132,6 +132,17 @@
         self.cluster.run(10.0)
         self.assertFalse(self.nodes["k1-a"].core.synchronised)
 
+    def test_a_peer_that_has_only_read_the_deployment_is_not_enough(self):
+        planned = DeploymentRecord(deployment(self.cluster.domains))
+        for name in ("k1-a", "k1-b"):
+            self.nodes[name].store.down = True
+            self.cluster.start(name)
+            core = self.nodes[name].core
+            core.replica.write(Kind.DEPLOYMENT, MAIN, 1, planned)
+        self.cluster.run(10.0)
+        self.assertFalse(self.nodes["k1-a"].core.synchronised)
+        self.assertFalse(self.nodes["k1-b"].core.synchronised)
+
     def test_a_peer_is_enough(self):
         self.cluster.start_all()
         revision = self.change("k1-a")
@@ -218,10 +229,13 @@
         new.name, new.address = "v1-z", "127.0.0.1:2999"
         self.cluster.list_instance(new)
         new.name, new.address = "v1-a", "127.0.0.1:2005"
-        self.cluster.run(4.0)
-        for node in self.nodes.values():
-            status = node.core.status.status()
-            self.assertEqual(("v1-z",), status.waiting_for)
+        for _ in range(400):
+            self.cluster.run(0.01)
+            for node in self.nodes.values():
+                status = node.core.status.status()
+                if "v1-z" in [instance.name for instance in status.instances]:
+                    self.assertFalse(status.in_force_everywhere)
+        self.assertEqual(("v1-z",), self.nodes["k1-a"].core.status.waiting_for(1))
 
 
 class SuspectsTest(ClusterCase):
--- a/ebonybend/peers/tests/test_merge.py
+++ b/ebonybend/peers/tests/test_merge.py
@@ -60,6 +60,15 @@
         self.assertEqual(contents(first), contents(second))
         self.assertEqual(first.slow_digest(), second.slow_digest())
 
+    def test_writers_of_one_version_are_ordered(self):
+        first, second = Replica(ManualClock()), Replica(ManualClock())
+        records = [domain("d", 1, "x"), domain("d", 1, "y")]
+        for record in records:
+            first.offer(record)
+        for record in reversed(records):
+            second.offer(record)
+        self.assertEqual(contents(first), contents(second))
+
     @given(st.lists(st.tuples(st.integers(0, 2), RECORDS), max_size=30))
     def test_replicas_converge_after_losses(self, deliveries):
         replicas = [Replica(ManualClock()) for _ in range(3)]
--- a/ebonybend/tests/test_http_link.py
+++ b/ebonybend/tests/test_http_link.py
@@ -1,4 +1,4 @@
-from asyncio import new_event_loop, sleep, start_server
+from asyncio import all_tasks, gather, new_event_loop, sleep, start_server
 
 from testscenarios import TestWithScenarios
 from testtools import TestCase
@@ -16,8 +16,16 @@
         super().setUp()
         self.loop = new_event_loop()
         self.addCleanup(self.loop.close)
+        self.addCleanup(self.end_tasks)
         self.connections = 0
 
+    def end_tasks(self):
+        tasks = all_tasks(self.loop)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.loop.run_until_complete(gather(*tasks, return_exceptions=True))
+
     def ask(self, answers, max_body=100, requests=1):
         """Ask a server that gives these answers; None closes the connection."""
         return self.loop.run_until_complete(self._ask(answers, max_body, requests))
