Send probes and exchanges through twisted's HTTP client; report each 500 ms

Cause: the control had come with a small HTTP client of its own; HTTP goes through twisted.web here. Change: HttpClient for probes and exchanges; reports each 500 ms, crash notices at once as before; an entry counts as silent after 1.5 s in place of 1.0 s. The stand-in's crash test waits for the refused port, which the proxy learns of a moment after the crash.

--- a/ebonybend/control/entry_link.py
+++ b/ebonybend/control/entry_link.py
@@ -5,7 +5,7 @@
 from ebonybend.world import LifeState
 
 # Four missed reports.
-ENTRY_SILENCE_S = 1.0
+ENTRY_SILENCE_S = 1.5
 
 
 class EntryLink:
--- a/ebonybend/control/health_client.py
+++ b/ebonybend/control/health_client.py
@@ -4,8 +4,7 @@
 
 from ebonybend.codec import from_json
 from ebonybend.errors import SteeringError
-from ebonybend.http_client import NotSent, RequestFailed
-from ebonybend.http_link import HttpLinks, request_bytes
+from ebonybend.http_client import HttpClient, NotSent, RequestFailed
 
 HEALTH_PATH = "/health"
 
@@ -31,15 +30,16 @@
 class HealthClient:
     """Ask one server for its health over a persistent connection."""
 
-    def __init__(self, links: HttpLinks, address: str):
-        self.links = links
+    def __init__(self, http: HttpClient, address: str):
+        self.http = http
         self.address = address
-        self.request = request_bytes("GET", address, HEALTH_PATH)
 
     async def ask(self, timeout_s: float) -> Health:
         """Return the server's health; raise ProbeFailed."""
         try:
-            answer = await self.links.request(self.address, self.request, timeout_s)
+            answer = await self.http.request(
+                "GET", self.address, HEALTH_PATH, timeout=timeout_s
+            )
         except NotSent as error:
             raise ProbeFailed(str(error), error.refused) from error
         except RequestFailed as error:
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -14,7 +14,6 @@
 from ebonybend.control.ports import listen
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
-from ebonybend.http_link import HttpLinks
 from ebonybend.http_server import HttpLimits, HttpSite, Router
 from ebonybend.logs import get_logger
 from ebonybend.peers.http_transport import (
@@ -46,8 +45,7 @@
         self.stopping = False
         self.http = HttpClient(reactor, settings.source_address)
         self.platform = PlatformClient(self.http, settings.platform_address)
-        self.links = HttpLinks(settings.source_address, MAX_EXCHANGE_BYTES)
-        self.transport = HttpPeers(self.links)
+        self.transport = HttpPeers(self.http)
         self.core = ControlCore(
             settings,
             time(),
@@ -55,7 +53,7 @@
             Random(),
             self.platform,
             self.transport,
-            lambda address: HealthClient(self.links, address),
+            lambda address: HealthClient(self.http, address),
         )
         self.admin = Admin(self.core)
         self.entry_server = EntryServer(
@@ -115,7 +113,6 @@
         for port in self.ports:
             await port.stopListening()
         await self.entry_server.stop()
-        self.links.close()
         await self.http.close()
         get_logger().info("stopped")
         self.reactor.stop()
--- a/ebonybend/entry/control_client.py
+++ b/ebonybend/entry/control_client.py
@@ -21,7 +21,7 @@
 
 EXCHANGE_METHOD = "/ebonybend.Control/Exchange"
 CLIENT_MAP_METHOD = "/ebonybend.Control/ClientMap"
-REPORT_INTERVAL_S = 0.25
+REPORT_INTERVAL_S = 0.5
 EXCHANGE_TIMEOUT_S = 1.0
 # A table of 520 nodes is larger than gRPC's default limit of 4 MB.
 MAX_MESSAGE_BYTES = 64 << 20
--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -5,8 +5,7 @@
 
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_client import RequestFailed
-from ebonybend.http_link import HttpLinks, request_bytes
+from ebonybend.http_client import HttpClient, RequestFailed
 from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
 from ebonybend.peers.exchange import PeerExchange
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest, ShardVersion
@@ -25,8 +24,8 @@
 class HttpPeers:
     """Send exchanges to the peer port of other controls."""
 
-    def __init__(self, links: HttpLinks):
-        self.links = links
+    def __init__(self, http: HttpClient):
+        self.http = http
         # Bytes of bodies since the start, for metrics.
         self.peer_bytes_sent = 0
         self.peer_bytes_received = 0
@@ -36,8 +35,9 @@
     ) -> ExchangeReply | None:
         """Return the reply, or None when there was none."""
         body = pack(request)
-        sent = request_bytes("POST", address, EXCHANGE_PATH, CONTENT_TYPE, body)
-        answer = await self._request(address, sent, EXCHANGE_TIMEOUT_S)
+        answer = await self._request(
+            "POST", address, EXCHANGE_PATH, body, EXCHANGE_TIMEOUT_S
+        )
         if answer is None:
             return None
         try:
@@ -49,15 +49,17 @@
         """Return a shard of the client map, or None if the peer doesn't have it."""
         name = quote(shard.name, safe="")
         path = f"{SHARD_PATH}?name={name}&version={shard.version}"
-        sent = request_bytes("GET", address, path)
-        return await self._request(address, sent, SHARD_TIMEOUT_S)
+        return await self._request("GET", address, path, b"", SHARD_TIMEOUT_S)
 
     async def _request(
-        self, address: str, request: bytes, timeout_s: float
+        self, method: str, address: str, path: str, body: bytes, timeout_s: float
     ) -> bytes | None:
-        self.peer_bytes_sent += len(request)
+        self.peer_bytes_sent += len(body)
+        headers = HEADERS if body else {}
         try:
-            answer = await self.links.request(address, request, timeout_s)
+            answer = await self.http.request(
+                method, address, path, headers, body, timeout_s, MAX_EXCHANGE_BYTES
+            )
         except RequestFailed:
             return None
         self.peer_bytes_received += len(answer.body)
