--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -123,7 +123,6 @@
         self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
 
     def abort(self) -> None:
-        # The transport of a body has no abortConnection.
         if self.transport is not None:
             self.transport.loseConnection()
 
