--- a/bench/history.py
+++ b/bench/history.py
@@ -115,9 +115,11 @@
         if event.event == "started":
             starts[operation_name(event)].append(event)
     started_requests = {x.request_id for x in events if x.event == "started"}
+    started_keys = {x.key for x in events if x.event == "started"}
     for operation in operations:
         _check_operation(report, operation, starts[operation.name])
         _check_attempts(report, operation, started_requests)
+        _check_keys(report, operation, started_keys)
     _check_servers(report, events, leaving_since or {})
     return report
 
@@ -162,6 +164,17 @@
             report.fault("untruthful", f"{text}, but it ran")
 
 
+def _check_keys(
+    report: Report, operation: Operation, started_keys: set[str]
+) -> None:
+    """Count a write that was refused under a key with which it ran, then or later."""
+    for attempt in operation.attempts:
+        if attempt.covers_key and attempt.key in started_keys:
+            text = f"attempt {attempt.request_id}: {attempt.error}"
+            report.fault("untruthful", f"{text}, but {attempt.key} ran")
+            return
+
+
 def _check_servers(
     report: Report, events: list[ServerEvent], leaving_since: Mapping[str, float]
 ) -> None:
--- a/bench/load.py
+++ b/bench/load.py
@@ -69,6 +69,9 @@
     # Backend server that the answer names.
     server: str = ""
     retry_after_ms: int = 0
+    # A refusal by an entry that had read the request: no copy under the key ran or
+    # will run. A refused connection says this of one copy only.
+    covers_key: bool = False
 
 
 @frozen
