Make "not run" final for a key and keep it from those who can't know

Cause: three refusals were untrue of the key that they named. 1. A refused key was released. A copy that was held back on its way (a paused owner, a frozen connection) ran after its caller had been told "not run". 2. An entry in the last phase of its stop refused every request before it looked at the key, also one that it had answered. 3. A port that refuses a connection does not read the key; the refusal was passed on as if it were the owner's.

Change: the registry keeps refusals (for 2 epochs; older keys without a record are not dispatched, so they need no record). A closing owner still answers what it knows. Refusals of unread copies lead to the replicated outcome or "unknown". Callers send again under a new key (new kind key_not_run, 409).

--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -69,6 +69,9 @@
         # The answer needs the way back, too.
         if within is None or within.deadline_ms <= one_way_ms:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
+        # An owner answers by the deadline and goes on listening itself.
+        owned = prefix == OWNER_PREFIX
+        timeout_s = request.deadline - now if owned else within.timeout_s
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
         if request.alone:
@@ -80,7 +83,7 @@
                 f"{prefix}{request.service}{request.path}",
                 headers,
                 request.body,
-                within.timeout_s,
+                timeout_s,
                 MAX_ANSWER_BYTES,
                 Reuse.ANY if request.idempotent else Reuse.RECENT,
                 lambda: self.clock.monotonic() < request.deadline,
--- a/ebonybend/entry/owner.py
+++ b/ebonybend/entry/owner.py
@@ -29,6 +29,7 @@
 
 _REFUSALS = {
     ReservationState.UNKNOWN: ErrorKind.OUTCOME_UNKNOWN,
+    ReservationState.NOT_RUN: ErrorKind.KEY_NOT_RUN,
     ReservationState.EXPIRED: ErrorKind.KEY_EXPIRED,
     ReservationState.NOT_OWNED: ErrorKind.OUTCOME_UNKNOWN,
     ReservationState.NOT_ISSUED: ErrorKind.BAD_KEY,
@@ -38,6 +39,11 @@
 }
 
 
+# Refusals by which an entry's port did not read the key. They concern one copy of the
+# request, and another may have run.
+_COPY_REFUSALS = (ErrorKind.TOO_MANY_CONNECTIONS, ErrorKind.SLOW_CALLER)
+
+
 @define(eq=False)
 class _Run:
     """The only dispatch of a key, and those who wait for its outcome."""
@@ -141,7 +147,7 @@
         return await self.forwarder.forward(request)
 
     def _record(self, request: SteeredRequest, run: _Run) -> None:
-        """Record the outcome; only a provable refusal releases the key."""
+        """Record the outcome; only a provable refusal counts as not run."""
         key = request.key
         if is_successful(run.outcome):
             answer = run.outcome.unwrap()
@@ -184,6 +190,8 @@
         if is_successful(attempt):
             return attempt
         failure = attempt.failure()
+        if failure.error.kind in _COPY_REFUSALS:
+            return await self._find(request, prefix)
         if failure.stated or failure.may_have_run:
             return attempt
         return await self._find(request, prefix)
--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -79,6 +79,7 @@
             self.activity,
             lambda: self.plane.owner.running,
             self.announce_leaving,
+            self.refuse_new,
             lambda: Deferred.fromCoroutine(self.hand_over()),
             self.end,
         )
@@ -127,7 +128,7 @@
             settings.lookup_lifetime_ms,
             lambda: str(plane.registry.prefix()),
         )
-        callers = self._port(SERVICE_PREFIX, plane.steering.from_caller, True)
+        callers = self._port(SERVICE_PREFIX, plane.steering.from_caller, True, True)
         self.caller_server = CallerServer(
             callers,
             self.lookups,
@@ -140,8 +141,8 @@
             self.lending,
             plane.store,
             plane.budgets,
-            self._port(HOP_PREFIX, plane.steering.from_hop, False),
-            self._port(OWNER_PREFIX, plane.steering.from_owner_hop, False),
+            self._port(HOP_PREFIX, plane.steering.from_hop, False, False),
+            self._port(OWNER_PREFIX, plane.steering.from_owner_hop, False, True),
         )
         self.sites = {
             "public_listen": HttpSite(
@@ -156,7 +157,9 @@
             ),
         }
 
-    def _port(self, prefix: str, steer: Any, measured: bool) -> RequestPort:
+    def _port(
+        self, prefix: str, steer: Any, measured: bool, decides_keys: bool
+    ) -> RequestPort:
         """Return a request port; only callers' requests are measured."""
         return RequestPort(
             prefix,
@@ -166,6 +169,7 @@
             steer,
             self._note_answer if measured else lambda *_: None,
             self._note_refusal if measured else lambda _: None,
+            decides_keys,
         )
 
     def _limits(self, max_body_bytes: int) -> HttpLimits:
@@ -220,6 +224,11 @@
             site.closing = True
         self.control.report_now()
 
+    def refuse_new(self) -> None:
+        """Start nothing new; what is known of keys is still answered."""
+        self.activity.refusing = True
+        self.plane.registry.close()
+
     async def hand_over(self) -> None:
         """Hand outcomes to a peer, release the slots and tell the other members."""
         plane = self.plane
--- a/ebonybend/entry/serving.py
+++ b/ebonybend/entry/serving.py
@@ -31,9 +31,9 @@
     # Set in the last phase of a stop: new requests are refused.
     refusing: bool = False
 
-    def begin(self, now: float) -> None:
+    def begin(self, now: float, may_refuse: bool) -> None:
         """Count a request; raise DRAINING in the last phase of a stop."""
-        if self.refusing:
+        if self.refusing and may_refuse:
             raise SteeringError(ErrorKind.DRAINING, "this instance stops")
         self.last_request_at = now
         self.in_flight += 1
@@ -51,6 +51,7 @@
         steer: Callable[[SteeredRequest, IncomingRequest], Awaitable[Attempt]],
         note_answer: Callable[[SteeredRequest, ServedAnswer, float], None],
         note_refusal: Callable[[SteeringError], None],
+        decides_keys: bool,
     ):
         self.prefix = prefix
         self.settings = settings
@@ -59,6 +60,9 @@
         self.steer = steer
         self.note_answer = note_answer
         self.note_refusal = note_refusal
+        # Keyed requests are passed to the key's owner, which may know that an earlier
+        # copy ran, so they are not refused here.
+        self.decides_keys = decides_keys
 
     async def serve(
         self, incoming: IncomingRequest, pacer: Pacer | None = None
@@ -71,7 +75,8 @@
             request = parse_request(
                 incoming, self.prefix, self.settings, started, request_id
             )
-            self.activity.begin(started)
+            keyed = self.decides_keys and request.key is not None
+            self.activity.begin(started, not keyed)
         except SteeringError as error:
             self.note_refusal(error)
             return error_answer(error, request_id)
--- a/ebonybend/entry/stop.py
+++ b/ebonybend/entry/stop.py
@@ -30,6 +30,7 @@
         activity: Activity,
         running_keys: Callable[[], int],
         announce: Callable[[], None],
+        refuse_new: Callable[[], None],
         hand_over: Callable[[], Deferred[Any]],
         end: Callable[[int], None],
     ):
@@ -38,6 +39,7 @@
         self.activity = activity
         self.running_keys = running_keys
         self.announce = announce
+        self.refuse_new = refuse_new
         self.hand_over = hand_over
         self.end = end
         self.lifetime_s = settings.lookup_lifetime_ms / MS
@@ -66,7 +68,7 @@
 
     async def _run(self) -> None:
         await self._wait(self._quiet, self.lifetime_s + self.longest_deadline_s)
-        self.activity.refusing = True
+        self.refuse_new()
         await self._wait(self._idle, self.longest_deadline_s + END_MARGIN_S)
         handed_over = self.hand_over()
         timer = self.reactor.callLater(HAND_OVER_TIMEOUT_S, handed_over.cancel)
@@ -76,6 +78,8 @@
             get_logger().warning("hand_over_failed", error=repr(error))
         if timer.active():
             timer.cancel()
+        # Questions for the outcomes of keys are answered during the hand-over, too.
+        await self._wait(self._idle, END_MARGIN_S)
         elapsed_s = self.clock.monotonic() - self.started_at
         get_logger().info("stopped", seconds=round(elapsed_s, 3))
         self.end(0)
--- a/ebonybend/errors.py
+++ b/ebonybend/errors.py
@@ -43,6 +43,7 @@
     ANSWER_NOT_KEPT = "answer_not_kept"
     OUTCOME_UNKNOWN = "outcome_unknown"
     KEY_EXPIRED = "key_expired"
+    KEY_NOT_RUN = "key_not_run"
     INVALID_RULES = "invalid_rules"
     CONFLICT = "conflict"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
@@ -61,9 +62,18 @@
     advice: str
 
 
-_RESEND = "The request did not run. It is safe to send it again."
+_RESEND = (
+    "The request did not run and won't. It is safe to send it again, "
+    "a write under a new key."
+)
 _RESEND_LATER = (
-    "The request did not run. It is safe to send it again after the retry time."
+    "The request did not run and won't. It is safe to send it again "
+    "after the retry time, a write under a new key."
+)
+# The key was not read, so nothing is said of other copies of the request.
+_RESEND_COPY = (
+    "This copy of the request did not run. It is safe to send it again, "
+    "a write under the same key."
 )
 _CORRECT = "The request did not run. Correct it before sending it again."
 _CHECK = (
@@ -82,8 +92,8 @@
         ErrorKind.BAD_DEADLINE: Answer(400, Outcome.BAD_REQUEST, _CORRECT),
         ErrorKind.KEY_REQUIRED: Answer(428, Outcome.BAD_REQUEST, _CORRECT),
         ErrorKind.BAD_KEY: Answer(400, Outcome.BAD_REQUEST, _CORRECT),
-        ErrorKind.SLOW_CALLER: Answer(408, Outcome.NOT_RUN, _RESEND),
-        ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
+        ErrorKind.SLOW_CALLER: Answer(408, Outcome.NOT_RUN, _RESEND_COPY),
+        ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Outcome.NOT_RUN, _RESEND_COPY),
         ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
         ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, _RESEND),
         ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, _RESEND_LATER),
@@ -106,6 +116,7 @@
         ),
         ErrorKind.OUTCOME_UNKNOWN: Answer(502, Outcome.UNKNOWN, _CHECK),
         ErrorKind.KEY_EXPIRED: Answer(410, Outcome.UNKNOWN, _CHECK),
+        ErrorKind.KEY_NOT_RUN: Answer(409, Outcome.NOT_RUN, _RESEND),
         ErrorKind.INVALID_RULES: Answer(422, Outcome.BAD_REQUEST, _CORRECT),
         ErrorKind.CONFLICT: Answer(
             412,
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -178,6 +178,27 @@
         return self._newConnection(key, endpoint)
 
 
+class _Timeout:
+    """Cancel a Deferred after a time, once what has arrived by then is read.
+
+    A process that was paused fires its timers before it reads its connections. The
+    answer may have arrived during the pause.
+    """
+
+    def __init__(self, reactor: Any, seconds: float, waiting: Deferred[Any]):
+        self.reactor = reactor
+        self.waiting = waiting
+        self.timer = reactor.callLater(seconds, self._due)
+
+    def _due(self) -> None:
+        self.timer = self.reactor.callLater(0, self.waiting.cancel)
+
+    def stop(self) -> None:
+        """Don't cancel."""
+        if self.timer.active():
+            self.timer.cancel()
+
+
 def _was_cancelled(error: ResponseFailed) -> bool:
     """Tell whether this process itself ended the request."""
     return any(reason.check(CancelledError) for reason in error.reasons)
@@ -266,7 +287,7 @@
         """Send a request and return the response once its headers are received."""
         started = connection.request(request)
         left = max(deadline - self.reactor.seconds(), 0.0)
-        timer = self.reactor.callLater(left, started.cancel)
+        timeout = _Timeout(self.reactor, left, started)
         try:
             return await started
         except CancelledError as error:
@@ -280,8 +301,7 @@
         except (RequestGenerationFailed, RequestTransmissionFailed) as error:
             raise AnswerLost(f"connection to {address} lost: {error}") from error
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
 
     async def _read(
         self, response: Any, method: str, deadline: float, max_body: int
@@ -292,14 +312,13 @@
         reader = _BodyReader(expected, max_body)
         response.deliverBody(reader)
         left = max(deadline - self.reactor.seconds(), 0.0)
-        timer = self.reactor.callLater(left, reader.done.cancel)
+        timeout = _Timeout(self.reactor, left, reader.done)
         try:
             body = await reader.done
         except CancelledError as error:
             raise AnswerTimeout("the answer's body did not arrive in time") from error
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
         return HttpAnswer(response.code, response.headers, body)
 
     def close(self) -> Deferred[None]:
--- a/ebonybend/steering/keys.py
+++ b/ebonybend/steering/keys.py
@@ -11,6 +11,9 @@
 EPOCH_S = 60.0
 # Keys of older epochs are not dispatched, and their records are dropped.
 KEPT_EPOCHS = 60
+# A key is first used soon after it was given out. Keys without a record are not
+# dispatched after this number of epochs, so refusals need no longer be remembered.
+FRESH_EPOCHS = 2
 # Larger answers are not kept: only that the request was answered.
 KEPT_ANSWER_BYTES = 64 << 10
 # Bodies kept by one process; above it the oldest are dropped.
@@ -106,6 +109,8 @@
     RUNNING = "running"
     FINISHED = "finished"
     UNKNOWN = "unknown"
+    # The request did not run under this key and won't.
+    NOT_RUN = "not_run"
     EXPIRED = "expired"
     NOT_OWNED = "not_owned"
     # The key's epoch is in the future, so this process did not give it out.
@@ -129,6 +134,8 @@
     DISPATCHED = "dispatched"
     FINISHED = "finished"
     UNKNOWN = "unknown"
+    # Refused. A copy that was delayed on its way must not run after the refusal.
+    NOT_RUN = "not_run"
 
 
 @define
@@ -177,8 +184,11 @@
         self.clock = clock
         self.started = clock.monotonic()
         self.sealed = False
+        # Set while stopping: no new key is reserved.
+        self.closed = False
         self._records: dict[str, _Record] = {}
         self._by_epoch: dict[int, set[str]] = {}
+        self._refused_by_epoch: dict[int, list[str]] = {}
         self._purged_epoch = 0
         self._bodies = _BodyBudget()
         # Keys with a final outcome, by their place in the order of completion.
@@ -207,7 +217,9 @@
         record = self._records.get(key)
         if record is not None:
             return self._known(record, fingerprint)
-        if self.sealed:
+        if prefix.epoch < self.epoch() - FRESH_EPOCHS:
+            return Reservation(ReservationState.NOT_RUN)
+        if self.closed:
             return Reservation(ReservationState.SEALED)
         if len(self._records) >= MAX_RECORDS:
             return Reservation(ReservationState.FULL)
@@ -232,6 +244,8 @@
             return Reservation(ReservationState.FINISHED, record.answer)
         if record.state is _State.UNKNOWN:
             return Reservation(ReservationState.UNKNOWN)
+        if record.state is _State.NOT_RUN:
+            return Reservation(ReservationState.NOT_RUN)
         return Reservation(ReservationState.RUNNING)
 
     def dispatched(self, key: str) -> bool:
@@ -273,12 +287,12 @@
         self._log_end += 1
 
     def not_run(self, key: str) -> None:
-        """Release a key whose request provably did not run."""
+        """Record that a key's request provably did not run; it never will."""
         record = self._records.get(key)
-        if record is None or record.state in (_State.FINISHED, _State.UNKNOWN):
+        if record is None or record.state not in (_State.RESERVED, _State.DISPATCHED):
             return
-        del self._records[key]
-        self._by_epoch[record.epoch].discard(key)
+        record.state = _State.NOT_RUN
+        self._refused_by_epoch.setdefault(record.epoch, []).append(key)
 
     def finished_since(self, mark: int, most: int = 256) -> FinishedSince:
         """Return outcomes after a mark, oldest first, at most a number of them."""
@@ -287,21 +301,27 @@
         outcomes = tuple(OutcomeRecord(key, self._records[key].answer) for key in keys)
         return FinishedSince(outcomes, end)
 
+    def close(self) -> None:
+        """Reserve no new key; what is known of other keys is still answered."""
+        self.closed = True
+
     def seal(self) -> SealedIncarnation:
         """Dispatch nothing from now on; what still runs counts as unknown."""
         self._purge()
+        self.close()
         self.sealed = True
         for key, record in self._records.items():
             if record.state is _State.DISPATCHED:
                 record.state = _State.UNKNOWN
                 self._append_log(key, record)
         epoch = self.epoch()
-        final = sum(r.state is not _State.RESERVED for r in self._records.values())
+        final = sum(r.logged is not None for r in self._records.values())
         oldest = max(0, epoch - KEPT_EPOCHS)
         return SealedIncarnation(self.own, self.incarnation, oldest, epoch, final)
 
     def _purge(self) -> None:
-        """Drop the records of expired epochs."""
+        """Drop the records of expired epochs, and refusals sooner."""
+        self._purge_refusals()
         oldest = self.epoch() - KEPT_EPOCHS
         if oldest <= self._purged_epoch:
             return
@@ -312,6 +332,13 @@
                 if record.logged is not None:
                     del self._log[record.logged]
 
+    def _purge_refusals(self) -> None:
+        oldest = self.epoch() - FRESH_EPOCHS
+        for epoch in [e for e in self._refused_by_epoch if e < oldest]:
+            for key in self._refused_by_epoch.pop(epoch):
+                del self._records[key]
+                self._by_epoch[epoch].discard(key)
+
 
 class FoundState(Enum):
     """What a peer knows about a key of another incarnation."""
