--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,16 +1,14 @@
 """Show a deployment under load with a kill, a drain and a change of rules."""
 
-import signal
 import sys
 from pathlib import Path
 from time import monotonic, sleep
-from typing import Any
 
 from absl import flags
 from attrs import define, field
 
 from bench.deployments import DEPLOYMENTS, LINK_RATE_FACTOR, DeploymentPlan
-from bench.fleet import Fleet
+from bench.fleet import Fleet, FleetOptions
 from bench.history import Report, read_server_events
 from bench.http_calls import call
 from bench.load import LoadShape, Operation
@@ -20,14 +18,19 @@
 from bench.tables import HEADINGS, format_table, operation_rows
 from ebonybend.codec import from_json
 from ebonybend.errors import SteeringError
+from standins.backend_server import Health
 from standins.command import parse_flags
 
 LOAD_S = 24.0
+# Long enough that the kill and the drain meet requests in flight.
+SERVICE_MS = 60.0
+SHAPE = LoadShape(read_rate=20.0, write_rate=10.0)
 BEFORE_KILL_S = 5.0
 BEFORE_DRAIN_S = 5.0
 BEFORE_RULE_S = 4.0
 EFFECT_TIMEOUT_S = 10.0
 POLL_S = 0.05
+BUSY_TRIES = 20
 AUTHOR = "Ben (operations)"
 
 
@@ -39,6 +42,7 @@
     rules_in_force_s: float = 0.0
     kill_unlisted_s: float | None = None
     rule_in_force_s: float | None = None
+    drained: str = ""
     last_new_work_s: float = 0.0
     drain_s: float = 0.0
     problems: list[str] = field(factory=list)
@@ -76,7 +80,7 @@
 def listed(fleet: Fleet, asked: str) -> tuple[str, ...]:
     """Return the instances that an instance's look-up answer names."""
     region = fleet.plan.deployment.regions[0].name
-    client = f"{fleet.addresses.caller_network(region)}1"
+    client = fleet.addresses.client_ip(region, 1)
     address = fleet.addresses.public(asked).listen
     answer = call("GET", address, f"/v1/lookup?client={client}")
     try:
@@ -86,6 +90,17 @@
     return tuple(x.name for x in found.instances)
 
 
+def busy_server(fleet: Fleet) -> str:
+    """Return a backend server that runs requests, or the first."""
+    for _ in range(BUSY_TRIES):
+        for server in fleet.plan.servers:
+            address = fleet.addresses.server(server.name).listen
+            health = from_json(call("GET", address, "/health").body, Health)
+            if health.in_flight:
+                return server.name
+    return fleet.plan.servers[0].name
+
+
 def disturb(fleet: Fleet, timings: Timings) -> None:
     """Kill an instance, drain a backend server and change a rule."""
     asked, killed = fleet.plan.instances[:2]
@@ -94,7 +109,7 @@
     fleet.unlist_instance(killed)
     timings.kill_unlisted_s = wait_unlisted(fleet, killed, asked)
     sleep(BEFORE_DRAIN_S)
-    fleet.drain_server(fleet.plan.servers[0].name)
+    fleet.drain_server(busy_server(fleet))
     sleep(BEFORE_RULE_S)
     path = changed_rules(fleet.plan, fleet.directory)
     started = monotonic()
@@ -110,6 +125,7 @@
 def measure_drain(fleet: Fleet, timings: Timings) -> None:
     """Find when the drained server got its last new work and ended its last request."""
     drained = next(x for x in fleet.events if x.event == "drain_server")
+    timings.drained = drained.name
     events = read_server_events([fleet.server_history(drained.name)])
     after = [x for x in events if x.at > drained.at]
     received = [x.at - drained.at for x in after if x.event == "received"]
@@ -133,6 +149,7 @@
     print(f"first rules in force after   {seconds(timings.rules_in_force_s)}")
     print(f"killed instance unlisted in  {seconds(timings.kill_unlisted_s)}")
     print(f"changed rule in force after  {seconds(timings.rule_in_force_s)}")
+    print(f"backend server drained       {timings.drained}")
     print(f"last new work after drain    {seconds(timings.last_new_work_s)}")
     print(f"drain time (last work ended) {seconds(timings.drain_s)}")
     print(f"requests started on servers  {report.started}, shed {report.sheds}")
@@ -152,13 +169,13 @@
     """Run the demonstration and return the exit status."""
     timings = Timings()
     started = monotonic()
-    with Fleet(plan) as fleet:
+    with Fleet(plan, FleetOptions(service_ms=SERVICE_MS)) as fleet:
         timings.fleet_start_s = monotonic() - started
         admin = fleet.addresses.admin(plan.instances[0])
         started = monotonic()
         apply_rules(admin, rules_path(plan), AUTHOR, "first rules")
         timings.rules_in_force_s = monotonic() - started
-        load = play(fleet, LoadShape(), LOAD_S)
+        load = play(fleet, SHAPE, LOAD_S)
         disturb(fleet, timings)
         load.wait()
         measure_drain(fleet, timings)
@@ -181,12 +198,6 @@
 
 def main(arguments: list[str]) -> int:
     """Run the demonstration."""
-
-    def terminated(*_: Any) -> None:
-        raise SystemExit(1)
-
-    # As an exception, so that the fleet's processes are ended.
-    signal.signal(signal.SIGTERM, terminated)
     values = parse_flags(define_flags, arguments)
     return run_demo(DEPLOYMENTS[values["deployment"].value]())
 
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -161,6 +161,21 @@
             _, attempt = self.run_first_fails("POST", failure)
             self.assertTrue(is_successful(attempt))
 
+    def test_instance_that_refused_a_hop_is_not_tried_by_the_next_request(self):
+        harness = Harness().ready(servers=0)
+
+        def respond(call):
+            refused = call.address == "m1a:2"
+            return (
+                NotSent("x", True) if refused else entry_answer(200, "answered", None)
+            )
+
+        harness.http.respond = respond
+        for _ in range(20):
+            harness.steer(harness.request())
+        hops = [call.address for call in harness.http.sent("to_hop")]
+        self.assertEqual((1, 20), (hops.count("m1a:2"), hops.count("m1b:2")))
+
     def test_not_run_is_not_said_after_a_doubtful_attempt(self):
         harness = Harness().ready()
         answers = [AnswerLost("x"), SHED, SHED]
@@ -207,6 +222,23 @@
         self.assertIs(ErrorKind.SUSPECT_REFUSED, results[1].value.kind)
 
 
+class GaveUpTest(TestCase):
+    """Guards against "answered" for a server that gave up at the deadline."""
+
+    def test_504_at_the_deadline_is_unknown_and_an_earlier_one_is_an_answer(self):
+        harness = Harness().ready()
+        results = []
+        answer = Deferred()
+        harness.http.respond = lambda call: answer
+        harness.steer(harness.request("POST")).addBoth(results.append)
+        harness.reactor.advance(1.96)
+        answer.callback(backend_answer(504))
+        self.assertIs(LATE, results[0].failure().error.kind)
+        harness.http.respond = lambda call: backend_answer(504)
+        harness.steer(harness.request()).addBoth(results.append)
+        self.assertEqual(504, results[1].unwrap().status)
+
+
 class SlotTest(TestCase):
     """Guards against more requests on a server than slots."""
 
