--- a/ebonybend/entry/data_plane.py
+++ b/ebonybend/entry/data_plane.py
@@ -1,5 +1,6 @@
 """Wire the decision modules of one entry process."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -22,7 +23,8 @@
 from ebonybend.settings import Settings
 from ebonybend.steering.admission import Admission
 from ebonybend.steering.choice import DomainChooser, ServerChooser
-from ebonybend.steering.keys import KeyRegistry, OutcomeStore
+from ebonybend.steering.keys import KeyRegistry
+from ebonybend.steering.outcomes import OutcomeStore
 from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.slots import SlotLedger
 from ebonybend.steering.suspects import SuspectRegistry
@@ -42,7 +44,7 @@
         http: HttpClient,
         incarnation: int,
         random: Random,
-        push_notice: Any = Deferred,
+        push_notice: Callable[[], Deferred[Any]],
     ):
         own = settings.instance
         hold_s = settings.hold_ms / MS
--- a/ebonybend/entry/stop.py
+++ b/ebonybend/entry/stop.py
@@ -28,7 +28,7 @@
         settings: Settings,
         clock: Clock,
         activity: Activity,
-        running_keys: Callable[[], int],
+        unfinished: Callable[[], int],
         announce: Callable[[], None],
         refuse_new: Callable[[], None],
         hand_over: Callable[[], Deferred[Any]],
@@ -37,7 +37,7 @@
         self.reactor = reactor
         self.clock = clock
         self.activity = activity
-        self.running_keys = running_keys
+        self.unfinished = unfinished
         self.announce = announce
         self.refuse_new = refuse_new
         self.hand_over = hand_over
@@ -68,6 +68,7 @@
 
     async def _run(self) -> None:
         await self._wait(self._quiet, self.lifetime_s + self.longest_deadline_s)
+        self.activity.refusing = True
         self.refuse_new()
         await self._wait(self._idle, self.longest_deadline_s + END_MARGIN_S)
         handed_over = self.hand_over()
@@ -78,8 +79,6 @@
             get_logger().warning("hand_over_failed", error=repr(error))
         if timer.active():
             timer.cancel()
-        # Questions for the outcomes of keys are answered during the hand-over, too.
-        await self._wait(self._idle, END_MARGIN_S)
         elapsed_s = self.clock.monotonic() - self.started_at
         get_logger().info("stopped", seconds=round(elapsed_s, 3))
         self.end(0)
@@ -90,7 +89,7 @@
             await deferLater(self.reactor, POLL_INTERVAL_S)
 
     def _idle(self) -> bool:
-        return not self.activity.in_flight and not self.running_keys()
+        return not self.activity.in_flight and not self.unfinished()
 
     def _quiet(self) -> bool:
         """Tell whether no caller can hold a look-up answer that names this instance."""
--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -10,6 +10,14 @@
     ServerScore,
 )
 from ebonybend.steering.freshness import age_weight, remote_window_factor
+from ebonybend.steering.keys import (
+    KeyPrefix,
+    KeyRegistry,
+    Reservation,
+    ReservationState,
+    SealedIncarnation,
+    StoredAnswer,
+)
 from ebonybend.steering.links import LinkBudget
 from ebonybend.steering.lookup import (
     ClientMap,
@@ -17,6 +25,8 @@
     LookupRanker,
     encode_shard,
 )
+from ebonybend.steering.outcomes import Found, FoundState, OutcomeStore
+from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.shares import (
     CapShare,
     CapUsage,
@@ -38,15 +48,25 @@
     "DomainOption",
     "DomainQuery",
     "DomainScore",
+    "Found",
+    "FoundState",
     "Heartbeat",
+    "KeyPrefix",
+    "KeyRegistry",
     "LinkBudget",
     "Loan",
     "LookupRanker",
+    "OutcomeStore",
     "Ramp",
+    "Reservation",
+    "ReservationState",
+    "RetryBudget",
+    "SealedIncarnation",
     "ServerChooser",
     "ServerResult",
     "ServerScore",
     "SlotLedger",
+    "StoredAnswer",
     "SuspectRegistry",
     "Verdict",
     "WindowLimiter",
