--- a/bench/tests/test_caller.py
+++ b/bench/tests/test_caller.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.web.http_headers import Headers
 
 from bench.caller import Caller, Wanted
 from bench.load import RegionLoad, Traffic
@@ -25,12 +26,12 @@
 
 
 def answer(outcome, status=200, body=b"", **headers):
-    raw = {name.replace("_", "-"): value for name, value in headers.items()}
-    return HttpAnswer(status, {"ebonybend-outcome": outcome, **raw}, body)
+    raw = {name.replace("_", "-"): [value] for name, value in headers.items()}
+    return HttpAnswer(status, Headers({"Ebonybend-Outcome": [outcome], **raw}), body)
 
 
 NOT_RUN = answer("not_run", 503)
-KEY_NOT_RUN = answer("not_run", 503, request_id="op1.1")
+KEY_NOT_RUN = answer("not_run", 503, Request_Id="op1.1")
 UNKNOWN = answer("unknown", 502)
 
 
@@ -43,7 +44,7 @@
 
     async def request(self, method, address, path, headers=None, body=b"", *_, **__):
         if path.startswith("/v1/lookup"):
-            return HttpAnswer(200, {}, LOOKUP)
+            return HttpAnswer(200, Headers(), LOOKUP)
         self.sent.append((address, headers.get("Idempotency-Key", "")))
         result = self.results.pop(0) if self.results else "whole"
         if isinstance(result, Exception):
