--- a/bench/tests/test_caller.py
+++ b/bench/tests/test_caller.py
@@ -31,6 +31,7 @@
 
 
 NOT_RUN = answer("not_run", 503)
+KEY_NOT_RUN = answer("not_run", 503, Request_Id="op1.1")
 UNKNOWN = answer("unknown", 502)
 
 
@@ -88,9 +89,13 @@
             {"results": [LOST, REFUSED], "keys": ["a~7~0~op1"] * 3},
         ),
         (
-            "not_run_keeps_the_key",
+            "refusal_of_a_copy_that_was_not_read_keeps_the_key",
             {"results": [NOT_RUN], "keys": ["a~7~0~op1"] * 2},
         ),
+        (
+            "refusal_of_the_key_takes_a_new_key",
+            {"results": [KEY_NOT_RUN], "keys": ["a~7~0~op1", "b~7~0~op1"]},
+        ),
         (
             "unknown_keeps_the_key",
             {"results": [UNKNOWN, UNKNOWN], "keys": ["a~7~0~op1"] * 3},
