--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -10,8 +10,8 @@
 from ebonybend.control.admin import Admin
 from ebonybend.control.core import ControlCore
 from ebonybend.control.entry_server import EntryServer
+from ebonybend.control.health_client import HealthClient
 from ebonybend.control.ports import listen
-from ebonybend.control.probe_connection import ProbeConnection
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite, Router
@@ -53,7 +53,7 @@
             Random(),
             self.platform,
             self.transport,
-            lambda address: ProbeConnection(reactor, address, settings.source_address),
+            lambda address: HealthClient(self.http, address),
         )
         self.admin = Admin(self.core)
         self.entry_server = EntryServer(
