--- a/ebonybend/steering/admission.py
+++ b/ebonybend/steering/admission.py
@@ -73,7 +73,7 @@
         owned = self.ledger.owned(server)
         if owned == 0 or server in self.drained:
             return 0
-        gate = self._gate(server)
+        gate = self.gates.get(server) or self._gate(server)
         if gate.state is not ServerState.READY:
             return 1 if gate.state is ServerState.COLD else 0
         if gate.start_at is None and gate.back_off_at is None:
@@ -117,8 +117,8 @@
 
     def failures(self, server: str) -> float:
         """Return the number of failures since the last success, less with age."""
-        gate = self._gate(server)
-        if not gate.failures:
+        gate = self.gates.get(server)
+        if gate is None or not gate.failures:
             return 0.0
         age_s = self.clock.monotonic() - gate.failed_at
         return gate.failures * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
--- a/ebonybend/steering/choice.py
+++ b/ebonybend/steering/choice.py
@@ -137,20 +137,22 @@
         # An unmeasured server counts as the fastest, so that it is tried.
         unmeasured = min(measured, default=UNMEASURED_LATENCY_S)
         weights = self._weights(entries)
+        failures_of = self.admission.failures
         scored = []
         for index, (server, in_flight, limit) in enumerate(entries):
             name = server.name
-            score = latencies.get(name, unmeasured) * (in_flight + 1) / max(limit, 1)
+            score = latencies.get(name, unmeasured) * (in_flight + 1) / (limit or 1)
             if server.reported_in_flight and server.slots:
                 load = server.reported_in_flight / server.slots
                 score *= 1 + load * age_weight(server.reported_age_ms)
-            score *= 1 + self.admission.failures(name)
+            score *= 1 + failures_of(name)
             scored.append((score / weights[index], index))
         return scored
 
     def _weights(self, entries: list[tuple[ServerView, int, int]]) -> list[float]:
         """Return the weight of each server by the age of its measurements."""
-        if all(entry[0].reported_age_ms <= FRESH_MS for entry in entries):
+        ages_ms = [entry[0].reported_age_ms for entry in entries]
+        if max(ages_ms, default=0.0) <= FRESH_MS:
             return [1.0] * len(entries)
         now = self.clock.monotonic()
         weights = [self._weight(entry[0], now) for entry in entries]
--- a/ebonybend/steering/lookup.py
+++ b/ebonybend/steering/lookup.py
@@ -118,20 +118,18 @@
 
 
 @lru_cache(maxsize=RANK_CACHE_SIZE)
-def _ranked(names: tuple[str, ...], group: int) -> tuple[int, ...]:
+def _ranked(names: tuple[bytes, ...], group: int) -> tuple[int, ...]:
     """Return the positions of the names that serve a group of blocks first."""
-
-    def rank(index: int) -> int:
-        return xxh3_64_intdigest(f"{group}/{names[index]}".encode())
-
-    return tuple(sorted(range(len(names)), key=rank, reverse=True)[:MOST_PER_DOMAIN])
+    hashes = [xxh3_64_intdigest(name, group) for name in names]
+    order = sorted(range(len(names)), key=hashes.__getitem__, reverse=True)
+    return tuple(order[:MOST_PER_DOMAIN])
 
 
 @frozen
 class ReadyInstances:
     """A failure domain's instances that callers can use, by name."""
 
-    names: tuple[str, ...]
+    names: tuple[bytes, ...]
     views: tuple[InstanceView, ...]
 
 
@@ -201,6 +199,8 @@
         if usable and view.name not in drained:
             grouped.setdefault(view.failure_domain, []).append(view)
     return {
-        domain: ReadyInstances(tuple(view.name for view in views), tuple(views))
+        domain: ReadyInstances(
+            tuple(view.name.encode() for view in views), tuple(views)
+        )
         for domain, views in grouped.items()
     }
