Prove the steering decisions by breaking each mechanism

Cause: a property that passes shows nothing until it has been seen to fail.

Change: a state machine for suspects; directed tests for evidence of death, for the acknowledgements of a starting member and for loans of a predecessor.

Broken by hand on scratch copies, one at a time, and what failed: - takeover on silence alone: SlotMachine (7 owned of 6) and 2 examples - no pause check in owned: SlotMachine (8 owned of 6) and 1 example - no synchronisation after a pause: SlotMachine (8 running on 6) and 1 example - no start wait: SlotMachine (8 running on 6) and 3 examples - released while requests are in flight: SlotMachine (8 running on 6) - acknowledgement without a fitting share, or before the start wait is over, evidence of death used at once, no silence needed, superseded ignored: one or two examples each, not SlotMachine with its 60 examples - lender does not subtract the loan, token bucket in place of the window, lease counted from receipt, lender reuses units at the end of the lease, new incarnation opens at once, link opens at once, ten buckets in place of eleven: CapMachine - new incarnation opens after HOLD: one example, not CapMachine - crash while alone or second crash not refused, merge ignores refusals, success does not clear, clearing forgotten: SuspectMachine

Not seen to fail by any test: acknowledgements from before a pause count, released members are kept after any pause, a buffered release counts after a pause, a release during the start wait.

Conclusion: the named properties hold and fail when their mechanism is broken, apart from the four listed above.

--- a/ebonybend/steering/tests/test_shares.py
+++ b/ebonybend/steering/tests/test_shares.py
@@ -59,6 +59,18 @@
             pass
         self.assertEqual(0, self.lender.lend(18, "entry-1").units)
 
+    def test_new_incarnation_waits_for_its_predecessors_loans(self):
+        """Guards against units that a predecessor has lent and a successor uses."""
+        loan = self.lender.lend(18, "entry-1")
+        self.borrower.borrow(loan, self.clock.monotonic())
+        successor = CapShare(140, "entry-0", NAMES, self.clock, 2.0)
+        self.clock.advance(1.99)
+        self.assertEqual(38, sum(self.borrower.take() for _ in range(50)))
+        self.clock.advance(0.02)
+        self.assertFalse(successor.take())
+        self.clock.advance(1.25)
+        self.assertTrue(successor.take())
+
     def test_late_and_repeated_answers_add_nothing(self):
         """Guards against a loan that is used twice or too late."""
         sent_at = self.clock.monotonic()
--- a/ebonybend/steering/tests/test_slots.py
+++ b/ebonybend/steering/tests/test_slots.py
@@ -86,6 +86,38 @@
         self.assertGreater(self.domain.total("a"), 0)
         self.assertEqual(60, self.domain.total())
 
+    def test_evidence_of_death_waits_for_the_longest_deadline(self):
+        """Guards against takeover while requests of a member that was cut off run."""
+        self.domain.run(8)
+        share = self.domain.total("a")
+        self.domain.cuts = {frozenset("ab"), frozenset("ac")}
+        self.domain.run(10)
+        self.domain.kill(self.domain.current["a"])
+        self.domain.cuts = set()
+        self.domain.run(DEADLINE_S)
+        self.assertEqual(60 - share, self.domain.total())
+        self.domain.run(1.5)
+        self.assertEqual(60, self.domain.total())
+
+    def test_starting_member_acknowledges_nobody(self):
+        """Guards against slots on which a predecessor's requests still run."""
+        self.domain.run(8)
+        self.domain.kill(self.domain.current["a"])
+        self.domain.run(8)
+        # The predecessor of "b" uses slots of "a" until it dies.
+        ledger = self.domain.current["b"].ledger
+        for server in TWELVE_SERVERS:
+            for _ in range(ledger.owned(server)):
+                ledger.started(server)
+        self.domain.start("a")
+        self.domain.run(6.5)
+        self.domain.kill(self.domain.current["b"])
+        self.domain.start("b")
+        self.domain.run(6.4)
+        self.assertEqual(0, self.domain.total("a"))
+        self.domain.run(1.0)
+        self.assertEqual(60, self.domain.total())
+
     def test_graceful_release_moves_slots_at_once(self):
         """Guards against headroom lost to a planned stop."""
         self.domain.run(8)
--- a/ebonybend/steering/tests/test_suspects.py
+++ b/ebonybend/steering/tests/test_suspects.py
@@ -1,10 +1,16 @@
+from collections import Counter
+
 from attrs import evolve
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.strategies import integers, sampled_from
 from testtools import TestCase
 
 from ebonybend.clock import ManualClock
 from ebonybend.steering import SuspectRegistry, Verdict, fingerprint
+from ebonybend.steering.tests.profile import MACHINE
 
 POISON = fingerprint("rides", "GET", "/poison", b"")
+POISONS = [POISON, *(fingerprint("rides", "GET", f"/{n}", b"") for n in range(3))]
 READ = fingerprint("rides", "GET", "/history", b"")
 
 
@@ -68,3 +74,72 @@
         self.assertEqual((READ,), self.registry.cleared())
         self.registry.merge(*(evolve(view, age_ms=1000) for view in old))
         self.assertIs(Verdict.ALLOW, self.registry.verdict(READ))
+
+
+class SuspectMachine(RuleBasedStateMachine):
+    """Guards against a third crash, and against refusing what has succeeded."""
+
+    def __init__(self):
+        super().__init__()
+        # Each registry has its own clock; the servers of each are its own.
+        self.clocks = [ManualClock(1000.0 * number) for number in range(1, 4)]
+        self.registries = [SuspectRegistry(clock) for clock in self.clocks]
+        self.notices = []
+        self.crashes = Counter()
+        self.read_is_clear = True
+
+    @rule(at=integers(0, 2), poison=sampled_from(POISONS), repeats=integers(0, 2))
+    def send_poison(self, at, poison, repeats):
+        registry = self.registries[at]
+        verdict = registry.verdict(poison)
+        if verdict is Verdict.REFUSE:
+            return
+        self.crashes[poison] += 1
+        alone = verdict is Verdict.ALONE
+        beside = []
+        if not alone and registry.verdict(READ) is Verdict.ALLOW:
+            beside = [READ]
+            self.read_is_clear = False
+        registry.crashed([poison, *beside], alone, f"server of {at}")
+        # The notice reaches every domain before the caller can send it again.
+        for other in self.registries:
+            for _ in range(1 + repeats):
+                other.merge(*registry.views())
+        self.notices.append((registry.views(), self.clocks[0].now))
+
+    @rule(at=integers(0, 2))
+    def send_read(self, at):
+        """Run the read with success, and announce it as a report's `cleared` does."""
+        self.read_is_clear = True
+        self.registries[at].succeeded(READ)
+        for name in self.registries[at].cleared():
+            for other in self.registries:
+                other.succeeded(name)
+
+    @rule(at=integers(0, 2), index=integers(0, 5))
+    def receive_late(self, at, index):
+        if index < len(self.notices):
+            views, sent_at = self.notices[index]
+            age_ms = (self.clocks[0].now - sent_at) * 1000
+            late = (evolve(view, age_ms=view.age_ms + age_ms) for view in views)
+            self.registries[at].merge(*late)
+
+    @rule(seconds=sampled_from([0.1, 0.5, 2.0]))
+    def wait(self, seconds):
+        for clock in self.clocks:
+            clock.advance(seconds)
+
+    @invariant()
+    def two_crashes_refuse(self):
+        assert max(self.crashes.values(), default=0) <= 2, self.crashes
+
+    @invariant()
+    def success_clears(self):
+        verdicts = {registry.verdict(READ) for registry in self.registries}
+        assert Verdict.REFUSE not in verdicts
+        if self.read_is_clear:
+            assert verdicts == {Verdict.ALLOW}, verdicts
+
+
+class SuspectMachineTest(SuspectMachine.TestCase):
+    settings = MACHINE
