Draw the same hypothesis examples in every test run

Cause: only the tests with a settings object of their own were repeatable; the others drew new examples in each run. Change: the runner loads a derandomized profile.

--- a/bench/run_tests.py
+++ b/bench/run_tests.py
@@ -4,6 +4,7 @@
 import unittest
 from pathlib import Path
 
+from hypothesis import settings
 from testtools import TestResult, TextTestResult
 from testtools.testsuite import iterate_tests
 
@@ -39,6 +40,11 @@
 
 def main(arguments: list[str]) -> int:
     """Run the selected tests and return the exit status."""
+    # Without this, hypothesis draws new examples in each run.
+    settings.register_profile(
+        "repeatable", derandomize=True, database=None, deadline=None
+    )
+    settings.load_profile("repeatable")
     known = known_failures()
     selected = unittest.TestSuite()
     passed_over = []
--- a/ebonybend/steering/tests/test_suspects.py
+++ b/ebonybend/steering/tests/test_suspects.py
@@ -7,7 +7,7 @@
 
 from ebonybend.clock import ManualClock
 from ebonybend.steering import SuspectRegistry, Verdict, fingerprint
-from ebonybend.steering.tests.profile import MACHINE
+from ebonybend.tests.profile import MACHINE
 
 POISON = fingerprint("rides", "GET", "/poison", b"")
 POISONS = [POISON, *(fingerprint("rides", "GET", f"/{n}", b"") for n in range(3))]
