--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,6 +6,7 @@
 from ipaddress import ip_address
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from threading import Lock
 from time import monotonic, sleep
 
 from attrs import evolve, frozen
@@ -68,6 +69,7 @@
         self.stack = ExitStack()
         self.events: list[FleetEvent] = []
         self.faults: dict[str, ProxyRule] = {}
+        self.proxy_lock = Lock()
         self.directory = Path()
 
     def __enter__(self) -> "Fleet":
@@ -375,6 +377,13 @@
             self.faults[rule.name] = rule
         self._configure_proxy()
 
+    def remove_proxy_rules(self, *names: str) -> None:
+        """Remove some faults between addresses."""
+        for name in names:
+            self.note("proxy_rule_removed", name)
+            self.faults.pop(name, None)
+        self._configure_proxy()
+
     def clear_proxy_rules(self) -> None:
         """Remove all faults between addresses."""
         self.note("proxy_rules_cleared", "")
@@ -382,10 +391,12 @@
         self._configure_proxy()
 
     def _configure_proxy(self) -> None:
-        config = self.addresses.proxy_config()
-        rules = (*config.rules, *self.faults.values())
-        config = evolve(config, rules=rules)
-        must_call("POST", self.addresses.proxy_faults, "/config", config)
+        # Faults are injected from several threads, and the newest must be sent last.
+        with self.proxy_lock:
+            config = self.addresses.proxy_config()
+            rules = (*config.rules, *tuple(self.faults.values()))
+            config = evolve(config, rules=rules)
+            must_call("POST", self.addresses.proxy_faults, "/config", config)
 
     # Records
 
