--- a/bench/revisions.py
+++ b/bench/revisions.py
@@ -4,7 +4,7 @@
 from threading import Event, Thread
 from time import monotonic
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from bench.fleet import Fleet
 from bench.http_calls import call
@@ -15,11 +15,13 @@
 _CONTROL = re.compile(rb"^ebonybend_control_rules_revision ([0-9.e+]+)$", re.MULTILINE)
 
 
-@frozen
+@define
 class Sample:
     """A revision that a process showed."""
 
+    # When the first poll that showed it ended, and the last such poll began.
     at: float
+    until: float
     revision: int
 
 
@@ -64,19 +66,30 @@
 
     def _watch(self, name: str) -> None:
         while not self.ending.wait(WATCH_PERIOD_S):
-            self._take(f"{name}-entry", entry_revision(self.fleet, name))
-            self._take(f"{name}-control", control_revision(self.fleet, name))
-
-    def _take(self, process: str, revision: int | None) -> None:
+            for role, read in (
+                ("entry", entry_revision),
+                ("control", control_revision),
+            ):
+                began = monotonic()
+                self._take(f"{name}-{role}", began, read(self.fleet, name))
+
+    def _take(self, process: str, began: float, revision: int | None) -> None:
         if revision is None:
             return
         seen = self.samples.setdefault(process, [])
         if seen and revision < seen[-1].revision:
             self.falls.append(f"{process}: {seen[-1].revision} to {revision}")
         if not seen or revision != seen[-1].revision:
-            seen.append(Sample(monotonic(), revision))
+            seen.append(Sample(monotonic(), began, revision))
+        else:
+            seen[-1].until = began
 
     def reached(self, process: str, revision: int) -> float | None:
         """Return the time at which a process first showed a revision or a later one."""
         seen = self.samples.get(process, [])
         return next((x.at for x in seen if x.revision >= revision), None)
+
+    def lacked(self, process: str, revision: int) -> float:
+        """Return the last time at which a process surely lacked a revision."""
+        seen = self.samples.get(process, [])
+        return max((x.until for x in seen if x.revision < revision), default=0.0)
--- /dev/null
+++ b/bench/tests/test_soak.py
@@ -0,0 +1,53 @@
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from bench.deployments import blue_mahoe, reduced
+from bench.soak import run_soak
+from bench.soak_checks import late_work_of_drains, most_moved
+from bench.soak_faults import Leaving, plan_faults
+from standins.server_history import ServerEvent
+
+DOMAINS = ("kingston-1", "montego-1", "mandeville-1")
+QUICK = ("--hold_ms=500", "--longest_deadline_ms=2000", "--lookup_lifetime_ms=1000")
+SEED = 11
+SECONDS = 14.0
+
+
+class SoakTest(TestCase):
+    """The soak run and its own checks."""
+
+    def test_short_soak(self):
+        # Guards against a promise that breaks under two faults at a time.
+        plan = reduced(blue_mahoe(), DOMAINS)
+        with TemporaryDirectory() as directory:
+            result = run_soak(plan, SECONDS, SEED, Path(directory), QUICK)
+        self.assertEqual([], result.violations, result.line())
+        self.assertGreater(result.report.whole, 0)
+
+    def test_plan_depends_on_the_seed_only(self):
+        # Guards against a failing run that can't be repeated.
+        plans = [plan_faults(blue_mahoe(), 100.0, Random(x)) for x in (1, 1, 2)]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+        for fault in plans[0]:
+            self.assertLessEqual(fault.at + fault.lasts_s, 100.0)
+
+    def test_window_count(self):
+        # Guards against a cap check that sees no excess, or sees one in a bunch.
+        excess = [(x / 10, x / 10 + 0.05) for x in range(12)]
+        self.assertEqual(10, most_moved(excess))
+        bunched = [(x / 10, 1.5) for x in range(12)]
+        self.assertEqual(6, most_moved(bunched))
+
+    def test_late_work_count(self):
+        # Guards against work on a leaving server that isn't counted.
+        times = (0.5, 2.5, 4.0, 6.0)
+        events = [
+            ServerEvent(x, "a", 1, "received", "", "", "", "GET", "/", 0, 3, True)
+            for x in times
+        ]
+        late = late_work_of_drains(events, [Leaving("a", 0.0, 5.0)])
+        self.assertEqual(["a: 4.0 s after leaving"], late)
--- a/ebonybend/peers/exchange.py
+++ b/ebonybend/peers/exchange.py
@@ -121,9 +121,20 @@
             for domain in sorted(domains):
                 members = [peer for peer in far if peer.failure_domain == domain]
                 chosen += self._choose(members, FAR_PEERS_PER_DOMAIN_FOR_SUSPECTS)
-        sent = [self.start(peer.address, peer.name) for peer in chosen]
+        notice = self.request(suspects=self.suspects.records())
+        sent = [self.tasks.start(self._notify(peer.address, notice)) for peer in chosen]
         return gatherResults(sent, consumeErrors=True)
 
+    async def _notify(self, address: str, notice: ExchangeRequest) -> None:
+        """Send suspects at once, also while an exchange with the peer is running.
+
+        An exchange sends them only with its second request, and a crash notice that
+        waits for a running one is later than the entry's resend of the suspect.
+        """
+        reply = await self.transport.send(address, notice)
+        if reply is not None:
+            self._take(reply.records, reply.suspects, reply.failure_domain)
+
     async def synchronise(self) -> int:
         """Ask the seeds and known peers for everything; return how many are ready."""
         near, far = self._split()
