Let the soak's shift reach its cap

Cause: with the cap check switched off in a scratch copy (WindowLimiter.take always true), the soak still passed: at most 7 requests were moved in 1 s under a cap of 15. Change: a cap of 5/s, shares of 50 to 100% and 15 reads/s per region and service, so that the shift asks for more than the cap.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,7 +39,7 @@
 LONGEST_QUIET_S = 15.0
 # The hold time, the longest deadline and the spread of the newest rules.
 CONVERGE_S = 20.0
-SHAPE = LoadShape(read_rate=12.0, write_rate=8.0)
+SHAPE = LoadShape(read_rate=15.0, write_rate=8.0)
 
 
 @define
--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -17,8 +17,9 @@
 CONFIRM_WAIT_S = 5.0
 TOOL_TIMEOUT_S = 40.0
 ADMINS = 3
-SHIFT_CAP = 15
-SHARES = (20, 50, 80)
+# Below the rate that the shares move, so that the cap is reached.
+SHIFT_CAP = 5
+SHARES = (50, 80, 100)
 STATUSES = (0, 1, 2)
 
 
