--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -17,8 +17,8 @@
 MAX_EXCHANGE_BYTES = 8 << 20
 # A shard is below 1 MB; another region sends it at a few MB/s.
 SHARD_TIMEOUT_S = 5.0
-MAX_SHARD_BYTES = 2 << 20
-HEADERS = {"Content-Type": "application/msgpack"}
+CONTENT_TYPE = "application/msgpack"
+HEADERS = {"Content-Type": CONTENT_TYPE}
 
 
 class HttpPeers:
@@ -35,29 +35,30 @@
     ) -> ExchangeReply | None:
         """Return the reply, or None when there was none."""
         body = pack(request)
-        self.peer_bytes_sent += len(body)
+        answer = await self._request(
+            "POST", address, EXCHANGE_PATH, body, EXCHANGE_TIMEOUT_S
+        )
+        if answer is None:
+            return None
         try:
-            answer = await self.http.request(
-                "POST",
-                address,
-                EXCHANGE_PATH,
-                HEADERS,
-                body,
-                EXCHANGE_TIMEOUT_S,
-                MAX_EXCHANGE_BYTES,
-            )
-            self.peer_bytes_received += len(answer.body)
-            return unpack(answer.body, ExchangeReply) if answer.status == 200 else None
-        except (RequestFailed, SteeringError):
+            return unpack(answer, ExchangeReply)
+        except SteeringError:
             return None
 
     async def fetch_shard(self, address: str, shard: ShardVersion) -> bytes | None:
         """Return a shard of the client map, or None if the peer doesn't have it."""
         name = quote(shard.name, safe="")
         path = f"{SHARD_PATH}?name={name}&version={shard.version}"
+        return await self._request("GET", address, path, b"", SHARD_TIMEOUT_S)
+
+    async def _request(
+        self, method: str, address: str, path: str, body: bytes, timeout_s: float
+    ) -> bytes | None:
+        self.peer_bytes_sent += len(body)
+        headers = HEADERS if body else {}
         try:
             answer = await self.http.request(
-                "GET", address, path, timeout=SHARD_TIMEOUT_S, max_body=MAX_SHARD_BYTES
+                method, address, path, headers, body, timeout_s, MAX_EXCHANGE_BYTES
             )
         except RequestFailed:
             return None
