--- a/bench/tests/test_configuration.py
+++ b/bench/tests/test_configuration.py
@@ -94,6 +94,7 @@
 
     def assert_in_force(self, revision, accepted_at, names=None):
         """Check that instances show a revision in time and none has gone back."""
+        slowest = 0.0
         for name in names or self.fleet.instances:
             process = f"{name}-entry"
             limit = accepted_at + IN_FORCE_S
@@ -102,6 +103,8 @@
             reached = self.watch.reached(process, revision)
             self.assertIsNotNone(reached, f"{name} lacks {revision} after 5 s")
             self.assertLess(reached - accepted_at, IN_FORCE_S, name)
+            slowest = max(slowest, reached - accepted_at)
+        print(f"in force after {slowest:.2f} s")
         self.assertEqual([], self.watch.falls)
 
     def cut_from_platform(self, *sources):
