--- a/bench/soak.py
+++ b/bench/soak.py
@@ -18,7 +18,7 @@
 from bench.revisions import RevisionWatch
 from bench.rules_tool import apply_rules
 from bench.soak_checks import (
-    late_work_of_drains,
+    late_work,
     most_moved,
     moved,
     not_converged,
@@ -117,7 +117,7 @@
     result = SoakResult(seed, runner.faults, check(operations, events))
     result.changes = sum(run.status == 0 for run in operators.runs)
     result.violations += _broken(result.report)
-    late = late_work_of_drains(events, [*runner.leaving, *operators.leaving])
+    late = late_work(events, [*runner.leaving, *operators.leaving])
     result.violations += [f"late work: {x}" for x in late]
     result.most_moved = _most_moved(fleet, operations, events)
     if result.most_moved > SHIFT_CAP:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -14,9 +14,7 @@
 CONVERGE_POLL_S = 0.25
 
 
-def late_work(
-    events: Iterable[ServerEvent], leaving: Iterable[Leaving], clear_s: float
-) -> list[str]:
+def late_work(events: Iterable[ServerEvent], leaving: Iterable[Leaving]) -> list[str]:
     """Return the requests that reached servers too late after they began to leave."""
     leaving = list(leaving)
     found = []
@@ -26,19 +24,12 @@
         for time in leaving:
             if time.server != event.server:
                 continue
-            if time.since + clear_s < event.at < time.until:
+            if time.since + LEAVING_LIMIT_S < event.at < time.until:
                 after = event.at - time.since
                 found.append(f"{event.server}: {after:.1f} s after leaving")
     return found
 
 
-def late_work_of_drains(
-    events: Iterable[ServerEvent], leaving: Iterable[Leaving]
-) -> list[str]:
-    """Return late work with the limit of the promise."""
-    return late_work(events, leaving, LEAVING_LIMIT_S)
-
-
 def moved(
     operations: Iterable[Operation],
     events: Iterable[ServerEvent],
--- a/bench/tests/test_soak.py
+++ b/bench/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from bench.deployments import blue_mahoe, reduced
 from bench.soak import run_soak
-from bench.soak_checks import late_work_of_drains, most_moved
+from bench.soak_checks import late_work, most_moved
 from bench.soak_faults import Leaving, plan_faults
 from standins.server_history import ServerEvent
 
@@ -49,5 +49,5 @@
             ServerEvent(x, "a", 1, "received", "", "", "", "GET", "/", 0, 3, True)
             for x in times
         ]
-        late = late_work_of_drains(events, [Leaving("a", 0.0, 5.0)])
+        late = late_work(events, [Leaving("a", 0.0, 5.0)])
         self.assertEqual(["a: 4.0 s after leaving"], late)
