Wait for half of the time for a read elsewhere, and pass over a silent instance

A read that was sent to a paused entry waited for its whole deadline, and the next reads were sent to the same entry. The hop client now waits for half of the time that is left, or for four times the usual latency of the service, and passes over an instance that gave no answer for 2 s. A time-out is no sign of a crash, so the next attempt needs no idle backend server. Writes wait as before, because their outcome must be known.

Ruled out: a fixed time-out, which would cut off services slower than it.

Conclusion: a read has time left for a second place.

--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -136,7 +136,9 @@
         if self.clock.monotonic() >= request.deadline:
             return False
         if failure.may_have_run:
-            if not request.idempotent or not self._may_run_again(request):
+            if not request.idempotent:
+                return False
+            if not self._may_run_again(request, failure.error.kind):
                 return False
         elif failure.error.kind not in ELSEWHERE:
             return False
@@ -147,11 +149,14 @@
         self.metrics.retries.inc()
         return True
 
-    def _may_run_again(self, request: SteeredRequest) -> bool:
+    def _may_run_again(self, request: SteeredRequest, kind: ErrorKind) -> bool:
         """Mark a read that was lost to run alone, unless it is refused by now."""
         verdict = self.suspects.verdict(request.fingerprint)
         if verdict is Verdict.REFUSE:
             return False
+        if kind is ErrorKind.DEADLINE_EXCEEDED:
+            # A server that crashes ends its connection, so this is no suspicion.
+            return True
         # The crash may be known only in the domain that ran the request.
         request.verdict = Verdict.ALONE
         return True
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -30,6 +30,14 @@
 # Nobody listens on a port that refused a connection. The table shows that only after
 # some seconds, and until then each hop there would cost a retry token.
 REFUSED_PAUSE_S = 1.0
+# An instance that gave no answer in time is paused or cut off. The table shows that
+# after the silence limit of its domain; until then each hop there would wait in vain.
+SILENT_PAUSE_S = 2.0
+# A read may run twice, so it waits for an instance for this part of the time that is
+# left, or for a multiple of the service's usual latency if that is longer.
+READ_ATTEMPT_PART = 0.5
+READ_LATENCIES = 4.0
+LATENCY_GAIN = 0.2
 
 
 class HopClient:
@@ -42,8 +50,10 @@
         self.http = http
         self.table_state = table_state
         self.random = random
-        # Until when an instance whose port refused a connection is not picked.
-        self.refused_until: dict[str, float] = {}
+        # Until when an instance that refused a connection or was silent isn't picked.
+        self.passed_over_until: dict[str, float] = {}
+        # Moving average of the time that reads of a service take elsewhere, in seconds.
+        self.latencies: dict[str, float] = {}
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
@@ -54,7 +64,7 @@
             for view in self.table_state.usable_in(domain)
             if view.name not in tried
             and view.name != own
-            and self.refused_until.get(view.name, now) <= now
+            and self.passed_over_until.get(view.name, now) <= now
         ]
         return self.random.choice(usable) if usable else None
 
@@ -77,6 +87,7 @@
         # The answer needs the way back, too.
         if within is None or within.deadline_ms <= one_way_ms:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
+        timeout_s = self._timeout_s(request, within.timeout_s, prefix)
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
         if request.alone:
@@ -88,26 +99,47 @@
                 f"{prefix}{request.service}{request.path}",
                 headers,
                 request.body,
-                within.timeout_s,
+                timeout_s,
                 MAX_ANSWER_BYTES,
                 Reuse.ANY if request.idempotent else Reuse.RECENT,
                 lambda: self.clock.monotonic() < request.deadline,
             )
+            self._observe(request, self.clock.monotonic() - now)
             return Success(from_entry(answer))
         except SendTooLate as error:
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
             if error.refused:
-                until = self.clock.monotonic() + REFUSED_PAUSE_S
-                self.refused_until[instance.name] = until
+                self._pass_over(instance, REFUSED_PAUSE_S)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
+            self._observe(request, timeout_s)
+            if not request.caller_gone:
+                self._pass_over(instance, SILENT_PAUSE_S)
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
         except RequestFailed as error:
             return failed(ErrorKind.ANSWER_LOST, f"{instance.name}: {error}")
         except SteeringError as error:
             return AttemptFailure(error, True, stated=True).as_failure()
 
+    def _timeout_s(self, request: SteeredRequest, left_s: float, prefix: str) -> float:
+        """Return how long to wait for an answer."""
+        if not request.idempotent or prefix != HOP_PREFIX:
+            return left_s
+        usual_s = READ_LATENCIES * self.latencies.get(request.service, 0.0)
+        return min(left_s, max(READ_ATTEMPT_PART * left_s, usual_s))
+
+    def _observe(self, request: SteeredRequest, latency_s: float) -> None:
+        """Take in how long a read took, or how long it was waited for."""
+        if not request.idempotent:
+            return
+        known = self.latencies.setdefault(request.service, latency_s)
+        self.latencies[request.service] = known + LATENCY_GAIN * (latency_s - known)
+
+    def _pass_over(self, instance: InstanceView, pause_s: float) -> None:
+        """Don't pick an instance for a time in seconds."""
+        self.passed_over_until[instance.name] = self.clock.monotonic() + pause_s
+
     def _one_way_ms(self, instance: InstanceView) -> float:
         table = self.table_state.table
         return table.deployment.one_way_latency_ms(
--- a/ebonybend/entry/tests/harness.py
+++ b/ebonybend/entry/tests/harness.py
@@ -99,6 +99,7 @@
 
     def __init__(self):
         self.calls: list[Call] = []
+        self.timeouts: list[float] = []
         self.respond: Callable[[Call], Any] = lambda call: backend_answer()
 
     async def request(
@@ -117,6 +118,7 @@
         if path == OUTCOMES_PATH:
             return HttpAnswer(200, Headers(), pack(OutcomesTaken(False)))
         self.calls.append(call)
+        self.timeouts.append(timeout)
         if may_send is not None and not may_send():
             raise SendTooLate("too late")
         result = self.respond(call)
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -161,21 +161,32 @@
             _, attempt = self.run_first_fails("POST", failure)
             self.assertTrue(is_successful(attempt))
 
-    def test_instance_that_refused_a_hop_is_not_tried_by_the_next_request(self):
+    def assert_passed_over(self, failure):
         harness = Harness().ready(servers=0)
-
-        def respond(call):
-            refused = call.address == "m1a:2"
-            return (
-                NotSent("x", True) if refused else entry_answer(200, "answered", None)
-            )
-
-        harness.http.respond = respond
+        whole = entry_answer(200, "answered", None)
+        harness.http.respond = lambda call: (
+            failure if call.address == "m1a:2" else whole
+        )
         for _ in range(20):
             harness.steer(harness.request())
         hops = [call.address for call in harness.http.sent("to_hop")]
         self.assertEqual((1, 20), (hops.count("m1a:2"), hops.count("m1b:2")))
 
+    def test_instance_that_refused_a_hop_is_not_tried_by_the_next_request(self):
+        self.assert_passed_over(NotSent("x", True))
+
+    def test_silent_instance_is_not_tried_by_the_next_request(self):
+        """Guards against each read waiting for a paused instance."""
+        self.assert_passed_over(AnswerTimeout("x"))
+
+    def test_read_waits_for_another_entry_for_half_of_its_time(self):
+        """Guards against a read that has no time left for a second place."""
+        harness = Harness().ready(servers=0)
+        harness.http.respond = lambda call: entry_answer(200, "answered", None)
+        for method in ("GET", "POST"):
+            harness.steer(harness.request(method))
+        self.assertEqual([1.0, 2.25], harness.http.timeouts)
+
     def test_not_run_is_not_said_after_a_doubtful_attempt(self):
         harness = Harness().ready()
         answers = [AnswerLost("x"), SHED, SHED]
