--- a/bench/caller.py
+++ b/bench/caller.py
@@ -14,7 +14,13 @@
 from bench.lookup_cache import ListedInstance, LookupCache
 from ebonybend.clock import SystemClock
 from ebonybend.codec import from_json
-from ebonybend.http_client import HttpAnswer, HttpClient, NotSent, RequestFailed
+from ebonybend.http_client import (
+    AnswerTimeout,
+    HttpAnswer,
+    HttpClient,
+    NotSent,
+    RequestFailed,
+)
 from standins.command import run, sleep
 from standins.echo import body_checksum, read_answer
 
@@ -26,6 +32,10 @@
 UNKNOWN_PAUSE_S = 0.2
 # Refused by a rule, or suspected of crashing servers: sending again is of no use.
 FINAL_STATUSES = (403, 422)
+# A read may be sent again, so an attempt takes this part of the time that is left; a
+# silent instance would take all of it otherwise. Writes are bound to one owner.
+READ_ATTEMPT_PART = 0.5
+SHORTEST_READ_ATTEMPT_S = 0.3
 # Less time than this is not worth an attempt.
 SHORTEST_ATTEMPT_S = 0.005
 MAX_ANSWER_BYTES = 16 << 20
@@ -113,6 +123,13 @@
         last = progress.attempts[-1].instance
         return tuple(sorted(listed, key=lambda x: x.name == last))
 
+    def _attempt_s(self, wanted: Wanted) -> float:
+        """Return the time that one attempt may take."""
+        left = self._left(wanted)
+        if wanted.write:
+            return left
+        return min(left, max(READ_ATTEMPT_PART * left, SHORTEST_READ_ATTEMPT_S))
+
     async def _pause(self, wanted: Wanted, progress: Progress) -> None:
         """Wait for as long as the last answer asks, within the deadline."""
         pause = progress.attempts[-1].retry_after_ms / 1000
@@ -138,10 +155,12 @@
             self.lookups.expire()
             attempt = evolve(attempt, result="not_sent", error=str(error))
         except RequestFailed as error:
+            if isinstance(error, AnswerTimeout):
+                self.lookups.note_silent(instance.name)
             attempt = evolve(attempt, error=f"{type(error).__name__}: {error}")
         else:
             attempt = self._conclude(wanted, progress, attempt, answer)
-        progress.attempts.append(attempt)
+        progress.attempts.append(evolve(attempt, ended_at=monotonic()))
 
     def _key(self, wanted: Wanted, progress: Progress, instance: ListedInstance) -> str:
         if not wanted.write:
@@ -151,10 +170,10 @@
     async def _send(
         self, wanted: Wanted, instance: ListedInstance, request_id: str, key: str
     ) -> HttpAnswer:
-        left = self._left(wanted)
+        within = self._attempt_s(wanted)
         headers = {
             "Request-Id": request_id,
-            "Deadline-Ms": str(max(int(left * 1000), 1)),
+            "Deadline-Ms": str(max(int(within * 1000), 1)),
         }
         if key:
             headers["Idempotency-Key"] = key
@@ -164,7 +183,7 @@
             f"/s/{wanted.traffic.service}{wanted.path}",
             headers,
             wanted.body,
-            left + ANSWER_GRACE_S,
+            within + ANSWER_GRACE_S,
             MAX_ANSWER_BYTES,
         )
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -9,6 +9,9 @@
 
 from bench.addresses import AddressPlan
 
+# Sizes of answers to reads vary by this factor.
+SMALLEST_ANSWER_DIVISOR = 20
+
 # The result of one attempt or operation as the caller may conclude it.
 # "not_sent": no byte left the caller. "lost": the connection ended or the time was up.
 AttemptResult = Literal[
@@ -71,6 +74,8 @@
     # Backend server that the answer names.
     server: str = ""
     retry_after_ms: int = 0
+    # When the attempt's result was known.
+    ended_at: float = 0.0
 
 
 @frozen
@@ -106,14 +111,20 @@
     write_rate: float = 4.0
     callers_per_region: int = 4
     deadline_ms: int = 2000
+    # Services that are used; all if empty.
     services: tuple[str, ...] = field(default=())
+    # Regions whose callers send; all if empty.
+    regions: tuple[str, ...] = field(default=())
+    largest_answer: int = 2000
 
 
 def region_loads(addresses: AddressPlan, shape: LoadShape) -> tuple[RegionLoad, ...]:
-    """Return callers in every region that use every service."""
+    """Return the callers of each region."""
+    regions = (x.name for x in addresses.plan.deployment.regions)
     return tuple(
-        _region_load(addresses, shape, region.name)
-        for region in addresses.plan.deployment.regions
+        _region_load(addresses, shape, region)
+        for region in regions
+        if not shape.regions or region in shape.regions
     )
 
 
@@ -133,6 +144,7 @@
         tuple(
             _traffic(plan.write_service, service.name, shape)
             for service in plan.deployment.services
+            if not shape.services or service.name in shape.services
         ),
     )
 
@@ -141,7 +153,16 @@
     if service == write_service:
         rate, deadline = shape.write_rate, shape.deadline_ms
         return Traffic(service, "POST", rate, "/file", deadline)
-    return Traffic(service, "GET", shape.read_rate, "/item", shape.deadline_ms)
+    smallest = shape.largest_answer // SMALLEST_ANSWER_DIVISOR
+    return Traffic(
+        service,
+        "GET",
+        shape.read_rate,
+        "/item",
+        shape.deadline_ms,
+        smallest,
+        shape.largest_answer,
+    )
 
 
 def read_operations(path: Path) -> Iterator[Operation]:
--- a/bench/lookup_cache.py
+++ b/bench/lookup_cache.py
@@ -7,7 +7,10 @@
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient, RequestFailed
 
-LOOKUP_TIMEOUT_S = 1.0
+# Several round trips between regions; a read's whole deadline is 2 s.
+LOOKUP_TIMEOUT_S = 0.5
+# An instance that gave no answer in time is used last for this time.
+SILENT_PAUSE_S = 5.0
 
 
 @frozen
@@ -39,19 +42,31 @@
         self.client = client
         self.instances: tuple[ListedInstance, ...] = ()
         self.expires_at = float("-inf")
+        # Until when an instance that gave no answer is used last.
+        self.silent_until: dict[str, float] = {}
 
     async def get(self) -> tuple[ListedInstance, ...]:
         """Return the listed instances; an old list if nobody answers."""
         if self.clock.monotonic() >= self.expires_at:
             await self._refresh()
-        return self.instances
+        return self._ordered()
+
+    def note_silent(self, name: str) -> None:
+        """Use an instance last for a while; it gave no answer in time."""
+        self.silent_until[name] = self.clock.monotonic() + SILENT_PAUSE_S
+
+    def _ordered(self) -> tuple[ListedInstance, ...]:
+        """Return the listed instances; those that are silent come last."""
+        now = self.clock.monotonic()
+        silent = {name for name, until in self.silent_until.items() if until > now}
+        return tuple(sorted(self.instances, key=lambda x: x.name in silent))
 
     def expire(self) -> None:
         """Ask again at the next use; a listed instance refused a connection."""
         self.expires_at = float("-inf")
 
     async def _refresh(self) -> None:
-        known = [x.address for x in self.instances]
+        known = [x.address for x in self._ordered()]
         others = [x for x in self.seeds if x not in known]
         for address in (*known, *others):
             answer = await self._ask(address)
