End loans with a lowered cap, and key bounds by the rule's key

Cause: a lender whose share fell from 7 to 3 with 5 units lent owned none, but its borrower used 3 + 5, so the senders together were over the new cap until the lease ended. Bounds were keyed by a name of their own; it held no figure, so a changed cap kept its log of sends (checked), but it repeated rule_key. Change: a changed cap ends the loans that a sender uses; a loan asked for before the change is not taken; a request for a loan carries the cap, and a lender with another cap grants nothing. Bounds are keyed by rule_key(body). A domain that gives no answer lowers the window like one that refuses, so that its traffic grows step by step when a cut heals.

Figure (unit test, cap 140 to 70): 40 units in use by two senders whose shares are 20 before the change, 10 after.

--- a/ebonybend/entry/budgets.py
+++ b/ebonybend/entry/budgets.py
@@ -9,7 +9,7 @@
 from ebonybend.clock import Clock
 from ebonybend.entry.table_state import TableState
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.rules.model import CapRule, Rule, ShiftRule
+from ebonybend.rules import CapRule, Rule, ShiftRule, rule_key
 from ebonybend.steering.links import LinkBudget
 from ebonybend.steering.shares import CapShare, Ramp
 from ebonybend.steering.table import ShiftUsage, Table
@@ -47,13 +47,6 @@
         return body.target == region and body.service in (None, service)
 
 
-def bound_name(rule: Rule) -> str:
-    """Return the name of a bound; a changed cap keeps it, and so its send log."""
-    body = rule.body
-    kind = "shift" if isinstance(body, ShiftRule) else "cap"
-    return f"{kind} {body.service or '*'} {body.source} {body.target}"
-
-
 class RegionBudgets:
     """All bounds on what this entry sends to other regions."""
 
@@ -83,7 +76,8 @@
         for rule in (*self.table_state.rules.shifts, *self.table_state.rules.caps):
             if rule.body.source != self.table_state.region:
                 continue
-            name = bound_name(rule)
+            # A changed cap or end keeps the key, and so the log of sends.
+            name = rule_key(rule.body)
             known = rules.get(name)
             if known is None or _cap(rule) < _cap(known):
                 rules[name] = rule
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -25,6 +25,15 @@
 from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.suspects import SuspectRegistry, Verdict, fingerprint
 
+# The domain did not answer; another of its instances may.
+UNANSWERED = frozenset(
+    {
+        ErrorKind.BACKEND_UNREACHABLE,
+        ErrorKind.DEADLINE_EXCEEDED,
+        ErrorKind.ANSWER_LOST,
+    }
+)
+
 
 class Budgets(Protocol):
     """What bounds the traffic to other regions."""
@@ -229,6 +238,9 @@
             self.domains.admitted(domain, request.service)
             return
         kind = attempt.failure().error.kind
-        if kind in ELSEWHERE and kind is not ErrorKind.BACKEND_UNREACHABLE:
+        if kind in UNANSWERED:
+            # So that a domain that returns from a cut gets its traffic step by step.
+            self.domains.refused(domain, request.service)
+        elif kind in ELSEWHERE:
             self.domains.refused(domain, request.service)
             search.domains.add(domain)
--- a/ebonybend/entry/lending.py
+++ b/ebonybend/entry/lending.py
@@ -52,7 +52,7 @@
     def lend(self, request: LendRequest) -> Loan:
         """Answer a request for a loan."""
         bound = self.budgets.bounds.get(request.bound)
-        if bound is None:
+        if bound is None or bound.share.cap != request.cap:
             return Loan(self.table_state.own, 0)
         if request.units < 0:
             raise SteeringError(ErrorKind.BAD_REQUEST, "units are negative")
@@ -97,7 +97,7 @@
     async def _ask(self, lender: str, name: str, bound: Bound, units: int) -> int:
         """Return the units that a lender granted."""
         sent_at = self.clock.monotonic()
-        request = LendRequest(self.table_state.own, name, units)
+        request = LendRequest(self.table_state.own, name, units, bound.share.cap)
         address = self.table_state.instances[lender].peer_address
         try:
             loan = await self.peers.ask(
--- a/ebonybend/entry/messages.py
+++ b/ebonybend/entry/messages.py
@@ -10,9 +10,12 @@
     """Ask for units of a shift or cap."""
 
     borrower: str
-    # Name of the bound, see budgets.bound_name.
+    # Key of the rule, see rules.rule_key.
     bound: str
     units: int
+    # The borrower's cap; a lender with another cap grants nothing, so that no unit of
+    # a larger cap is used under a smaller one.
+    cap: int
 
 
 @frozen
--- a/ebonybend/steering/shares.py
+++ b/ebonybend/steering/shares.py
@@ -96,6 +96,8 @@
     ):
         self.own = own
         self.clock = clock
+        self.cap = cap
+        self.changed_at = clock.monotonic()
         self.configured = split_units(cap, names).get(own, 0)
         self.effective = self.configured
         # Share of a changed configuration and the time when it may be used.
@@ -150,6 +152,8 @@
 
     def borrow(self, loan: Loan, sent_at: float) -> None:
         """Use a loan that was asked for at a time of the own clock."""
+        if sent_at < self.changed_at:
+            return
         now = self.clock.monotonic()
         grants = [g for g in self.borrowed.get(loan.lender, []) if g.until > now]
         self.borrowed[loan.lender] = [*grants, Grant(loan.units, sent_at + LEASE_S)]
@@ -169,11 +173,17 @@
     def configure(self, cap: int, names: Iterable[str]) -> None:
         """Change the cap or the senders; a smaller share counts at once.
 
+        Loans end with a changed cap: they may be more than the lender's smaller share.
+
         A larger share waits until all senders have the change, so that the old and new
         shares together stay within the larger cap.
         """
         share = split_units(cap, names).get(self.own, 0)
         now = self.clock.monotonic()
+        if cap != self.cap:
+            self.cap = cap
+            self.changed_at = now
+            self.borrowed.clear()
         self._apply_raise(now)
         if self.raised is not None and self.raised[0] == share:
             return
--- a/ebonybend/steering/tests/test_shares.py
+++ b/ebonybend/steering/tests/test_shares.py
@@ -49,6 +49,17 @@
         self.clock.advance(1.25)
         self.assertEqual(20, self.lender.units())
 
+    def test_loan_ends_with_a_lowered_cap(self):
+        """Guards against 38 + 2 units in use under a cap that leaves 10 to each."""
+        asked_at = self.clock.monotonic()
+        loan = self.lender.lend(50, "entry-1")
+        self.borrower.borrow(loan, asked_at)
+        self.clock.advance(0.1)
+        for share in (self.lender, self.borrower):
+            share.configure(70, NAMES)
+        self.borrower.borrow(loan, asked_at)
+        self.assertEqual((0, 10), (self.lender.units(), self.borrower.units()))
+
     def test_loan_is_renewed_until_the_lender_needs_it(self):
         """Guards against a gap between loans, and a lender that starves."""
         for _ in range(20):
