Renew a loan up to the lender's present share only

Cause: a lender whose share was lowered with its cap renewed a loan at its old size, because a renewal looked at the units already lent and not at the share. Ruled out: loans of the time before the change, which end with it; sends of before the change that arrive late, as the excess lasted for seconds. Change: a loan is never more than the lender's share less its other loans.

--- a/ebonybend/steering/shares.py
+++ b/ebonybend/steering/shares.py
@@ -144,7 +144,9 @@
         held = _most(self.lent.get(borrower, []), now)
         # A lender that refuses its own requests ends its loans.
         renewed = 0 if self.refusals.used() else held
-        granted = max(0, min(units, renewed + self.spare()))
+        # A renewal is no larger than a share that was lowered since.
+        most = self._own_units(now) - (self._lent(now) - held)
+        granted = max(0, min(units, renewed + self.spare(), most))
         if granted:
             grants = [g for g in self.lent.get(borrower, []) if g.until > now]
             self.lent[borrower] = [*grants, Grant(granted, now + LOAN_HOLD_S)]
--- a/ebonybend/steering/tests/test_shares.py
+++ b/ebonybend/steering/tests/test_shares.py
@@ -59,6 +59,7 @@
             share.configure(70, NAMES)
         self.borrower.borrow(loan, asked_at)
         self.assertEqual((0, 10), (self.lender.units(), self.borrower.units()))
+        self.assertEqual(10, self.lender.lend(50, "entry-1").units)
 
     def test_loan_is_renewed_until_the_lender_needs_it(self):
         """Guards against a gap between loans, and a lender that starves."""
