Test caps under faults; record the connections of backend servers

bench/tests/test_caps.py counts what three senders move to another region under a shift, through a partition, a kill and restart, a platform outage, a paused borrower, a lowered cap, the rule's end and a cap rule at overload.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -140,17 +140,26 @@
     )
 
 
-def reduced(plan: DeploymentPlan, domains: tuple[str, ...]) -> DeploymentPlan:
-    """Return a deployment with some of its failure domains only."""
+def reduced(
+    plan: DeploymentPlan, domains: tuple[str, ...], services: tuple[str, ...] = ()
+) -> DeploymentPlan:
+    """Return a deployment with some of its failure domains and services only.
+
+    All services are kept if none are given.
+    """
+    services = services or tuple(x.name for x in plan.deployment.services)
     kept = tuple(x for x in plan.deployment.failure_domains if x.name in domains)
     names = {domain.region for domain in kept}
     deployment = evolve(
         plan.deployment,
         regions=tuple(x for x in plan.deployment.regions if x.name in names),
         failure_domains=kept,
+        services=tuple(x for x in plan.deployment.services if x.name in services),
         links=tuple(x for x in plan.deployment.links if {x.source, x.target} <= names),
     )
-    servers = tuple(x for x in plan.servers if x.failure_domain in domains)
+    servers = tuple(
+        x for x in plan.servers if x.failure_domain in domains and x.service in services
+    )
     return evolve(plan, deployment=deployment, servers=servers)
 
 
--- a/bench/history.py
+++ b/bench/history.py
@@ -41,6 +41,7 @@
     sheds: int = 0
     started: int = 0
     highest_in_flight: dict[str, int] = field(factory=dict)
+    highest_connections: dict[str, int] = field(factory=dict)
     examples: dict[str, list[str]] = field(factory=dict)
 
     @property
@@ -166,8 +167,10 @@
     report: Report, events: list[ServerEvent], leaving_since: Mapping[str, float]
 ) -> None:
     highest: Counter[str] = Counter()
+    connections: Counter[str] = Counter()
     for event in events:
         highest[event.server] = max(highest[event.server], event.in_flight)
+        connections[event.server] = max(connections[event.server], event.connections)
         if event.in_flight > event.slots:
             report.fault("over_slots", f"{event.server}: {event.in_flight}")
         if event.event == "started":
@@ -176,6 +179,7 @@
             report.sheds += 1
         _check_leaving(report, event, leaving_since.get(event.server))
     report.highest_in_flight = dict(highest)
+    report.highest_connections = dict(connections)
 
 
 def _check_leaving(report: Report, event: ServerEvent, since: float | None) -> None:
--- /dev/null
+++ b/bench/tests/test_caps.py
@@ -0,0 +1,147 @@
+from datetime import UTC, datetime
+from time import monotonic, sleep, time
+
+from testtools import TestCase
+
+from bench.deployments import blue_mahoe, reduced
+from bench.fleet import Fleet, FleetOptions
+from bench.history import read_server_events
+from bench.load import LoadShape
+from bench.playing import check_run, play
+from bench.rules_tool import apply_rules
+from bench.windows import between, most_in_window, moved_at
+from standins.platform import PlatformFaults
+from standins.proxy_rules import ProxyRule
+
+QUICK = ("--hold_ms=500", "--longest_deadline_ms=2000", "--lookup_lifetime_ms=1000")
+SERVICE = "ride-history"
+SOURCE, TARGET = "Kingston", "Montego"
+DOMAINS = ("kingston-1", "kingston-2", "montego-1")
+BORROWER, LENDERS = "kingston-2-a", ("kingston-1-a", "kingston-1-b")
+CAP, LOWERED_CAP, OVERFLOW_CAP = 20, 10, 10
+MEAN_PART = 0.85
+# A new rule's share is held back for 3.25 s and then ramps up for 10 s.
+FULL_AFTER_S = 14.0
+STEADY_S = 5.0
+CUT_S = 4.0
+LOAD_S = 57.0
+# 16 slots at 100 ms answer 160 requests per second in Kingston.
+SHAPE = LoadShape(read_rate=50.0, callers_per_region=3, regions=(SOURCE,))
+OVERLOAD = LoadShape(
+    read_rate=220.0, callers_per_region=3, regions=(SOURCE,), deadline_ms=1000
+)
+OVERLOAD_S = 8.0
+# Entries read the clock of a rule's end at each heartbeat, every 250 ms.
+END_SLACK_S = 0.5
+
+
+def shift_rule(cap, until=None):
+    end = f" until={until:%Y-%m-%dT%H:%M:%SZ}" if until else ""
+    return (
+        f"# Ben (operations): patch Kingston\nshift service={SERVICE} from={SOURCE} "
+        f"to={TARGET} share=100% cap={cap}/s{end}\n"
+    )
+
+
+CAP_RULE = (
+    f"# Ben (operations): narrow link\ncap from={SOURCE} to={TARGET} "
+    f"rate={OVERFLOW_CAP}/s\n"
+)
+
+
+class CapTest(TestCase):
+    """Traffic moved between regions, counted where it arrives."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        options = FleetOptions(daemon_flags=QUICK, cold_s=0.2, service_ms=100.0)
+        plan = reduced(blue_mahoe(), DOMAINS, (SERVICE,))
+        cls.fleet = Fleet(plan, options)
+        cls.fleet.__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__)
+
+    def apply(self, text):
+        path = self.fleet.directory / "cap.rules"
+        path.write_text(text)
+        admin = self.fleet.addresses.admin(LENDERS[0])
+        apply_rules(admin, path, "Ben (operations)", "test of caps")
+        return monotonic()
+
+    def partition_senders(self):
+        """Cut the borrower from its lenders, both ways."""
+        network = self.fleet.addresses.domain_network
+        one, two = network("kingston-1"), network("kingston-2")
+        self.fleet.add_proxy_rules(
+            ProxyRule(name="cut there", source=one, target=two, action="cut"),
+            ProxyRule(name="cut back", source=two, target=one, action="cut"),
+        )
+        sleep(CUT_S)
+        self.fleet.clear_proxy_rules()
+
+    def disturb_senders(self):
+        """Partition, kill, restart and pause senders; the platform is down."""
+        self.partition_senders()
+        self.fleet.set_platform_faults(PlatformFaults(down="refuse"))
+        self.fleet.kill_instance(LENDERS[1])
+        sleep(0.5)
+        self.fleet.restart_instance(LENDERS[1])
+        sleep(4.0)
+        self.fleet.pause_instance(BORROWER)
+        sleep(3.0)
+        self.fleet.resume_instance(BORROWER)
+        sleep(3.0)
+        self.fleet.set_platform_faults(PlatformFaults())
+        self.fleet.wait_until(self.fleet.instances_ready, "instances are ready")
+
+    def test_moved_traffic_stays_under_each_cap(self):
+        load = play(self.fleet, SHAPE, LOAD_S)
+        first = self.apply(shift_rule(CAP))
+        sleep(FULL_AFTER_S + STEADY_S)
+        import os
+
+        if "SHORT" not in os.environ:
+            self.disturb_senders()
+        asked = monotonic()
+        lowered = self.apply(shift_rule(LOWERED_CAP))
+        sleep(STEADY_S)
+        end_time = time() + 4.0
+        until = datetime.fromtimestamp(int(end_time), UTC)
+        self.apply(shift_rule(LOWERED_CAP, until))
+        ended = monotonic() + int(end_time) - time() + END_SLACK_S
+        sleep(max(ended + 1.0 - monotonic(), 0.0))
+        last = self.apply(CAP_RULE)
+        more = play(self.fleet, OVERLOAD, OVERLOAD_S, seed=2)
+        for played in (load, more):
+            played.wait()
+        self.check([load, more], first, asked, lowered, ended, last)
+
+    def check(self, loads, first, asked, lowered, ended, last):
+        report = check_run(self.fleet, loads)
+        self.assertTrue(report.ok, report.examples)
+        servers = [
+            x.name for x in self.fleet.plan.servers if "mont" in x.failure_domain
+        ]
+        operations = [x for load in loads for x in load.operations()]
+        events = read_server_events(self.fleet.server_histories())
+        moved = moved_at(operations, events, (BORROWER, *LENDERS), servers)
+        steady = first + FULL_AFTER_S
+        rate = len(between(moved, steady, steady + STEADY_S)) / STEADY_S
+        peaks = {
+            "shift": most_in_window(between(moved, first, asked)).count,
+            "lowered": most_in_window(between(moved, lowered, ended)).count,
+            "after the end": len(between(moved, ended, last)),
+            "cap": most_in_window(between(moved, last, float("inf"))).count,
+        }
+        overflow = len(between(moved, last, float("inf")))
+        print(f"moved: {peaks}, steady {rate:.1f}/s, overflow {overflow}")
+        limits = {
+            "shift": CAP,
+            "lowered": LOWERED_CAP,
+            "after the end": 0,
+            "cap": OVERFLOW_CAP,
+        }
+        over = {x: peaks[x] for x in peaks if peaks[x] > limits[x]}
+        self.assertEqual({}, over)
+        self.assertGreater(rate, MEAN_PART * CAP)
+        self.assertGreater(overflow, 3 * OVERFLOW_CAP)
--- a/bench/windows.py
+++ b/bench/windows.py
@@ -5,7 +5,6 @@
 
 from attrs import frozen
 
-from bench.history import operation_name
 from bench.load import Operation
 from standins.server_history import ServerEvent
 
@@ -42,18 +41,23 @@
 def moved_at(
     operations: Iterable[Operation],
     events: Iterable[ServerEvent],
-    source: str,
+    senders: Iterable[str],
     target_servers: Iterable[str],
 ) -> list[float]:
-    """Return when requests of a region's callers reached the given servers."""
-    names = {x.name for x in operations if x.region == source}
+    """Return when requests that callers gave to the senders reached the servers.
+
+    A request that a caller itself takes to another region was not moved by a sender.
+    """
+    senders = frozenset(senders)
+    attempts = (a for x in operations for a in x.attempts if a.instance in senders)
+    requests = {a.request_id for a in attempts}
     servers = frozenset(target_servers)
     return [
         event.at
         for event in events
         if event.event == "received"
         and event.server in servers
-        and operation_name(event) in names
+        and event.request_id in requests
     ]
 
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -104,6 +104,8 @@
         self.faults = ServerFaults()
         self.lose_answers = 0
         self.in_flight = 0
+        # The site that serves the requests, once it listens.
+        self.site: TrackingSite | None = None
         self.started_at = monotonic()
         self.samples: deque[tuple[float, int]] = deque(maxlen=HEALTH_SAMPLES)
 
@@ -209,6 +211,7 @@
                 self.in_flight + change,
                 self.options.slots,
                 self.faults.draining,
+                self.site.connections if self.site else 0,
             )
         )
 
@@ -280,11 +283,8 @@
     async def start() -> None:
         server = RunningServer(reactor, options, history)
         limits = HttpLimits(max_connections=options.connections)
-        listen(
-            reactor,
-            values["listen"].value,
-            TrackingSite(reactor, server.handle, limits),
-        )
+        server.site = TrackingSite(reactor, server.handle, limits)
+        listen(reactor, values["listen"].value, server.site)
         admin = TrackingSite(reactor, admin_router(server))
         listen(reactor, values["faults"].value, admin)
 
--- a/standins/server_history.py
+++ b/standins/server_history.py
@@ -28,6 +28,8 @@
     in_flight: int
     slots: int
     draining: bool = False
+    # Open connections to the server's port.
+    connections: int = 0
 
 
 class HistoryFile:
