Refuse a request that has less time left than answers take

Cause: at overload, requests that callers had tried elsewhere first were run with less time than an answer takes and were cut off at their deadlines; they took slots from requests that could be answered. A hop's deadline allowed for the way there only, so answers from another region came too late. A caller's read attempt takes half of the read's whole deadline at most (it was half of what was left, which cut off reads across regions).

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -32,10 +32,9 @@
 UNKNOWN_PAUSE_S = 0.2
 # Refused by a rule, or suspected of crashing servers: sending again is of no use.
 FINAL_STATUSES = (403, 422)
-# A read may be sent again, so an attempt takes this part of the time that is left; a
+# A read may be sent again, so an attempt takes this part of its deadline at most; a
 # silent instance would take all of it otherwise. Writes are bound to one owner.
 READ_ATTEMPT_PART = 0.5
-SHORTEST_READ_ATTEMPT_S = 0.3
 # Less time than this is not worth an attempt.
 SHORTEST_ATTEMPT_S = 0.005
 MAX_ANSWER_BYTES = 16 << 20
@@ -128,7 +127,7 @@
         left = self._left(wanted)
         if wanted.write:
             return left
-        return min(left, max(READ_ATTEMPT_PART * left, SHORTEST_READ_ATTEMPT_S))
+        return min(left, READ_ATTEMPT_PART * wanted.traffic.deadline_ms / 1000)
 
     async def _pause(self, wanted: Wanted, progress: Progress) -> None:
         """Wait for as long as the last answer asks, within the deadline."""
--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -52,11 +52,14 @@
 
 
 def bounds(
-    request: SteeredRequest, now: float, one_way_ms: float = 0.0
+    request: SteeredRequest, now: float, way_ms: float = 0.0
 ) -> RequestBounds | None:
-    """Return the bounds at the moment of dispatch, or None if it is too late."""
+    """Return the bounds at the moment of dispatch, or None if it is too late.
+
+    The way to another entry and back, in milliseconds, is taken off its deadline.
+    """
     remaining_s = request.deadline - now
-    deadline_ms = int(remaining_s * MS - one_way_ms)
+    deadline_ms = int(remaining_s * MS - way_ms)
     if deadline_ms < 1:
         return None
     grace_s = 0.0 if request.idempotent else WRITE_GRACE_S
@@ -118,6 +121,10 @@
         within = bounds(request, self.clock.monotonic())
         if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
+        if self.chooser.needed_s(server.name) * MS > within.deadline_ms:
+            # At twice the capacity, requests that were cut off at their deadlines took
+            # a quarter of the slots' time.
+            return refused(ErrorKind.DEADLINE_NOT_RUN, "less time than answers take")
         if not self.admission.start(server.name):
             return refused(
                 ErrorKind.OVERLOADED, "no free slot in the domain", SHED_RETRY_AFTER_MS
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -83,9 +83,8 @@
     ) -> Attempt:
         one_way_ms = self._one_way_ms(instance)
         now = self.clock.monotonic()
-        within = bounds(request, now, one_way_ms)
-        # The answer needs the way back, too.
-        if within is None or within.deadline_ms <= one_way_ms:
+        within = bounds(request, now, 2 * one_way_ms)
+        if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
         timeout_s = self._timeout_s(request, within.timeout_s, prefix)
         headers = request_headers(request, within.deadline_ms)
--- a/ebonybend/steering/choice.py
+++ b/ebonybend/steering/choice.py
@@ -12,6 +12,8 @@
 
 # Weight of a new latency in the moving average; about the last ten requests count.
 LATENCY_GAIN = 0.2
+# Few answers take longer than the average plus this many mean deviations.
+DEVIATIONS = 2.0
 # Latency that is assumed while no candidate has been measured.
 UNMEASURED_LATENCY_S = 0.02
 # Scores within this factor of the best are drawn from at random, so that the entries
@@ -54,21 +56,34 @@
         self.random = random
         # Moving average in seconds and time of the last measurement.
         self.latencies: dict[str, float] = {}
+        # Moving average of the distance from it.
+        self.deviations: dict[str, float] = {}
         self.observed_at: dict[str, float] = {}
 
     def observe(self, server: str, latency_s: float) -> None:
         """Take in the latency of an answer."""
-        known = self.latencies.get(server)
-        if known is None:
-            self.latencies[server] = latency_s
-        else:
-            self.latencies[server] = known + LATENCY_GAIN * (latency_s - known)
+        known = self.latencies.setdefault(server, latency_s)
+        deviation = self.deviations.setdefault(server, 0.0)
+        change = latency_s - known
+        self.latencies[server] = known + LATENCY_GAIN * change
+        self.deviations[server] = deviation + LATENCY_GAIN * (abs(change) - deviation)
         self.observed_at[server] = self.clock.monotonic()
 
     def latency_ms(self, server: str) -> float:
         """Return the average latency of a server, 0 if it was not measured."""
         return self.latencies.get(server, 0.0) * 1000
 
+    def needed_s(self, server: str) -> float:
+        """Return the time that most answers take, 0 if none was measured lately."""
+        observed_at = self.observed_at.get(server)
+        # An old latency must not keep requests away that would measure a new one.
+        if observed_at is None or self._age_ms(observed_at) > FRESH_MS:
+            return 0.0
+        return self.latencies[server] + DEVIATIONS * self.deviations[server]
+
+    def _age_ms(self, observed_at: float) -> float:
+        return (self.clock.monotonic() - observed_at) * 1000
+
     def choose(
         self, candidates: tuple[ServerView, ...], exclude: Collection[str] = ()
     ) -> ServerView | None:
