--- /dev/null
+++ b/bench/tests/test_cut_off.py
@@ -0,0 +1,187 @@
+from time import monotonic, sleep
+
+from testtools import TestCase
+
+from bench.deployments import blue_mahoe, reduced
+from bench.fleet import Fleet, FleetOptions
+from bench.history import read_server_events
+from bench.load import LoadShape
+from bench.playing import check_run, play
+from bench.rules_tool import apply_rules, current_rules
+from bench.windows import between, moved_at, recovery
+from standins.platform import PlatformFaults
+from standins.proxy_rules import ProxyRule
+
+QUICK = ("--hold_ms=500", "--longest_deadline_ms=2000", "--lookup_lifetime_ms=1000")
+DOMAINS = ("kingston-1", "montego-1")
+READS, WRITES = "ride-history", "sign-off-filing"
+FIRST, KILLED, FAR = "kingston-1-a", "kingston-1-b", "montego-1-a"
+SERVICE_MS = 60.0
+MODERATE = LoadShape(read_rate=20.0, write_rate=8.0, callers_per_region=4)
+# 9 slots in Kingston at 60 ms answer 150 reads per second; the rest overflows.
+OVERFLOWING = LoadShape(
+    read_rate=200.0,
+    write_rate=0.0,
+    callers_per_region=4,
+    deadline_ms=1000,
+    regions=("Kingston",),
+)
+CUT_S = 4.0
+# Requests that are in flight when a fault begins may fail, and reads that find a
+# silent instance wait for half of their 2 s; after that, callers know.
+RECOVERY_LIMIT_S = 3.0
+# The design's target for accepted rules on reachable instances.
+CONVERGE_LIMIT_S = 5.0
+# A window starts at 1 after a cut and grows by one in each round trip of at least
+# 2 x 55 ms + 42 ms (the shortest service), so after n rounds a sender has sent at
+# most 1 + 2 + ... + n requests; 1 s has 7 rounds, and a cut that begins in a round
+# adds the requests of one more.
+SENDERS = 2
+ROUNDS_PER_S = 7
+MOST_IN_FIRST_SECOND = SENDERS * sum(range(1, ROUNDS_PER_S + 2))
+SHORT_S = 0.3
+MOST_AT_FIRST = SENDERS * sum(range(1, 4))
+
+RULE = (
+    "# Ben (operations): export is abused\n"
+    "refuse service=ride-history path=/export-{number}\n"
+)
+
+
+class CutOffTest(TestCase):
+    """Failure domains that are cut off, killed or without the platform."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        options = FleetOptions(daemon_flags=QUICK, cold_s=0.2, service_ms=SERVICE_MS)
+        plan = reduced(blue_mahoe(), DOMAINS, (READS, WRITES))
+        cls.fleet = Fleet(plan, options)
+        cls.fleet.__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__)
+
+    def assert_sound(self, load):
+        report = check_run(self.fleet, [load])
+        self.assertTrue(report.ok, report.examples)
+        print(report.line(), end=" ")
+        return report
+
+    def assert_recovered(self, load, fault_at, name):
+        found = recovery(load.operations(), fault_at)
+        print(f"{name}: {found}")
+        self.assertLess(found.seconds, RECOVERY_LIMIT_S)
+
+    def ready(self, name):
+        self.fleet.wait_until(lambda: self.fleet.instance_ready(name), f"{name} ready")
+        self.fleet.wait_until(lambda: self.fleet.instance_serves(name), "it serves")
+
+    def cut(self, domain):
+        """Cut a domain off from other domains; its own callers still reach it."""
+        networks = self.fleet.addresses.domain_network
+        own = networks(domain)
+        rules = []
+        for other in (x for x in DOMAINS if x != domain):
+            pairs = ((networks(other), own), (own, networks(other)))
+            for number, (source, target) in enumerate(pairs):
+                name = f"cut {other} {number}"
+                rule = ProxyRule(name=name, source=source, target=target, action="cut")
+                rules.append(rule)
+        self.fleet.add_proxy_rules(*rules)
+
+    def apply(self, number):
+        path = self.fleet.directory / "refuse.rules"
+        path.write_text(RULE.format(number=number))
+        admin = self.fleet.addresses.admin(FIRST)
+        apply_rules(admin, path, "Ben (operations)", "test of convergence")
+
+    def test_1_reads_don_t_wait_for_a_paused_instance(self):
+        load = play(self.fleet, MODERATE, 8.0, seed=1)
+        sleep(1.5)
+        self.fleet.pause_instance(KILLED)
+        sleep(3.0)
+        self.fleet.resume_instance(KILLED)
+        load.wait()
+        self.assert_sound(load)
+        reads = [x for x in load.operations() if x.method == "GET"]
+        failed = [x for x in reads if x.result != "whole"]
+        self.assertLessEqual(len(failed), 0.01 * len(reads), failed[:3])
+
+    def test_2_requests_are_whole_soon_after_a_kill(self):
+        for seed, name in ((2, KILLED), (3, FAR)):
+            load = play(self.fleet, MODERATE, 8.0, seed)
+            sleep(2.0)
+            killed_at = monotonic()
+            self.fleet.kill_instance(name)
+            load.wait()
+            self.assert_sound(load)
+            self.assert_recovered(load, killed_at, f"killed {name}")
+            self.fleet.restart_instance(name)
+            self.ready(name)
+
+    def test_3_instances_start_and_serve_without_the_platform(self):
+        self.fleet.set_platform_faults(PlatformFaults(down="refuse"))
+        load = play(self.fleet, MODERATE, 12.0, seed=4)
+        sleep(1.0)
+        killed_at = monotonic()
+        self.fleet.kill_instance(KILLED)
+        sleep(0.5)
+        self.fleet.restart_instance(KILLED)
+        self.ready(KILLED)
+        load.wait()
+        self.fleet.set_platform_faults(PlatformFaults())
+        self.assert_sound(load)
+        self.assert_recovered(load, killed_at, "killed without the platform")
+
+    def test_4_a_domain_serves_while_cut_off_and_returns_without_a_surge(self):
+        self.apply(1)
+        near = play(self.fleet, OVERFLOWING, 14.0, seed=5)
+        far = LoadShape(read_rate=20.0, write_rate=8.0, regions=("Montego",))
+        load = play(self.fleet, far, 14.0, seed=6)
+        sleep(2.0)
+        self.cut("montego-1")
+        cut_at = monotonic()
+        sleep(CUT_S)
+        healed_at = monotonic()
+        self.fleet.clear_proxy_rules()
+        self.apply(2)
+        applied_s = monotonic() - healed_at
+        sleep(2.0)
+        for played in (near, load):
+            played.wait()
+            self.assert_sound(played)
+        revisions = {
+            current_rules(self.fleet.addresses.admin(x)).revision
+            for x in self.fleet.instances
+        }
+        self.assertEqual(1, len(revisions))
+        self.assertLess(applied_s, CONVERGE_LIMIT_S)
+        self.check_local(load, cut_at, healed_at)
+        self.check_growth(near, cut_at, healed_at)
+
+    def check_local(self, load, cut_at, healed_at):
+        """The domain's own callers are answered while it is cut off."""
+        inside = [x for x in load.operations() if cut_at < x.started_at < healed_at]
+        failed = [x for x in inside if x.result != "whole"]
+        print(f"cut off: {len(failed)} of {len(inside)} not whole", end=" ")
+        self.assertLessEqual(len(failed), 0.05 * len(inside), failed[:3])
+
+    def check_growth(self, load, cut_at, healed_at):
+        """The traffic to the returned domain grows step by step."""
+        servers = [
+            x.name for x in self.fleet.plan.servers if "mont" in x.failure_domain
+        ]
+        events = read_server_events(self.fleet.server_histories())
+        moved = moved_at(load.operations(), events, (FIRST, KILLED), servers)
+        returned = min(between(moved, healed_at, healed_at + 8), default=None)
+        self.assertIsNotNone(returned, "no traffic after the cut")
+        counts = [
+            len(between(moved, returned + x / 2, returned + (x + 1) / 2))
+            for x in range(8)
+        ]
+        before = len(between(moved, cut_at - 1, cut_at))
+        print(f"back after {returned - healed_at:.2f} s, per half second {counts}")
+        print(f"in the second before the cut {before}")
+        first = len(between(moved, returned, returned + SHORT_S))
+        self.assertLessEqual(first, MOST_AT_FIRST)
+        self.assertLessEqual(sum(counts[:2]), MOST_IN_FIRST_SECOND)
+        self.assertGreater(sum(counts), 0)
