--- a/bench/caller.py
+++ b/bench/caller.py
@@ -132,7 +132,7 @@
     async def _pause(self, wanted: Wanted, progress: Progress) -> None:
         """Wait for as long as the last answer asks, within the deadline."""
         pause = progress.attempts[-1].retry_after_ms / 1000
-        if progress.last in ("unknown", "lost"):
+        if wanted.write and progress.last in ("unknown", "lost"):
             pause = max(pause, UNKNOWN_PAUSE_S)
         if pause > 0:
             await sleep(self.reactor, max(min(pause, self._left(wanted)), 0.0))
--- a/bench/lookup_cache.py
+++ b/bench/lookup_cache.py
@@ -55,6 +55,11 @@
         """Use an instance last for a while; it gave no answer in time."""
         self.silent_until[name] = self.clock.monotonic() + SILENT_PAUSE_S
 
+    def _note_silent_address(self, address: str) -> None:
+        for instance in self.instances:
+            if instance.address == address:
+                self.note_silent(instance.name)
+
     def _ordered(self) -> tuple[ListedInstance, ...]:
         """Return the listed instances; those that are silent come last."""
         now = self.clock.monotonic()
@@ -70,6 +75,8 @@
         others = [x for x in self.seeds if x not in known]
         for address in (*known, *others):
             answer = await self._ask(address)
+            if answer is None:
+                self._note_silent_address(address)
             if answer is not None and answer.instances:
                 self.instances = answer.instances
                 lifetime_s = answer.lifetime_ms / 1000
