--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -125,11 +125,11 @@
             # At twice the capacity, requests that were cut off at their deadlines took
             # a quarter of the slots' time.
             return refused(ErrorKind.DEADLINE_NOT_RUN, "less time than answers take")
+        tried.add(server.name)
         if not self.admission.start(server.name):
             return refused(
                 ErrorKind.OVERLOADED, "no free slot in the domain", SHED_RETRY_AFTER_MS
             )
-        tried.add(server.name)
         return await self._run_on(server, request, within)
 
     async def _run_on(
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -21,15 +21,13 @@
 )
 from ebonybend.steering.table import InstanceView
 
+MS = 1000.0
 HOP_PREFIX = "/peer/hop/"
 OWNER_PREFIX = "/peer/owner/"
 # The receiver runs the request on a server that runs nothing else.
 ALONE_HEADER = "Ebonybend-Alone"
 # The sender's region, for the budget of the link back.
 REGION_HEADER = "Ebonybend-Region"
-# Nobody listens on a port that refused a connection. The table shows that only after
-# some seconds, and until then each hop there would cost a retry token.
-REFUSED_PAUSE_S = 1.0
 # An instance that gave no answer in time is paused or cut off. The table shows that
 # after the silence limit of its domain; until then each hop there would wait in vain.
 SILENT_PAUSE_S = 2.0
@@ -50,7 +48,7 @@
         self.http = http
         self.table_state = table_state
         self.random = random
-        # Until when an instance that refused a connection or was silent isn't picked.
+        # Until when an instance that gave no answer in time isn't picked.
         self.passed_over_until: dict[str, float] = {}
         # Moving average of the time that reads of a service take elsewhere, in seconds.
         self.latencies: dict[str, float] = {}
@@ -68,6 +66,11 @@
         ]
         return self.random.choice(usable) if usable else None
 
+    def in_time(self, request: SteeredRequest, instance: InstanceView) -> bool:
+        """Tell whether an answer of an instance can arrive within the deadline."""
+        left_ms = (request.deadline - self.clock.monotonic()) * MS
+        return left_ms > 2 * self._one_way_ms(instance) + 1
+
     async def run(self, request: SteeredRequest, instance: InstanceView) -> Attempt:
         """Have a request run in an instance's failure domain."""
         return await self._send(request, instance, HOP_PREFIX)
@@ -109,7 +112,7 @@
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
             if error.refused:
-                self._pass_over(instance, REFUSED_PAUSE_S)
+                self.table_state.note_refusal(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             self._observe(request, timeout_s)
