Don't take a silent instance's time-out for a latency

Cause: the time for which a read had waited in vain went into the service's usual latency, so the next reads waited for the same instance for all of their time: 3 of 253 reads not whole in a 3 s pause where 2 are the limit. Ruled out: a busy machine; the three reads began within 7 ms of the pause and their second entry sent them to the same paused sibling. Change: only answers count. A service whose reads usually take more than half of their deadline in another place is thus cut off there at half.

The test of caps runs at 50 ms with 45/s, because 30/s didn't fill the cap (16.3/s of 20/s, every cap held) and 50/s at 100 ms sometimes overflowed.

--- a/bench/tests/test_caps.py
+++ b/bench/tests/test_caps.py
@@ -10,6 +10,7 @@
 from bench.playing import check_run, play
 from bench.rules_tool import apply_rules
 from bench.windows import between, most_in_window, moved_at
+from standins.backend_server import ServerFaults
 from standins.platform import PlatformFaults
 from standins.proxy_rules import ProxyRule
 
@@ -22,11 +23,14 @@
 MEAN_PART = 0.85
 # A new rule's share is held back for 3.25 s and then ramps up for 10 s.
 FULL_AFTER_S = 13.5
-STEADY_S = 3.0
+STEADY_S = 4.0
 CUT_S = 3.0
-LOAD_S = 50.0
-# 16 slots at 100 ms answer 160 requests per second in Kingston.
-SHAPE = LoadShape(read_rate=30.0, callers_per_region=3, regions=(SOURCE,))
+LOAD_S = 52.0
+# 16 slots at 50 ms answer 320 requests per second in Kingston, so that nothing
+# overflows; at twice that time they answer 160, and the overload overflows.
+SERVICE_MS = 50.0
+SLOW_FACTOR = 2.0
+SHAPE = LoadShape(read_rate=45.0, callers_per_region=3, regions=(SOURCE,))
 OVERLOAD = LoadShape(
     read_rate=220.0, callers_per_region=3, regions=(SOURCE,), deadline_ms=1000
 )
@@ -55,7 +59,7 @@
     @classmethod
     def setUpClass(cls):
         super().setUpClass()
-        options = FleetOptions(daemon_flags=QUICK, cold_s=0.2, service_ms=100.0)
+        options = FleetOptions(daemon_flags=QUICK, cold_s=0.2, service_ms=SERVICE_MS)
         plan = reduced(blue_mahoe(), DOMAINS, (SERVICE,))
         cls.fleet = Fleet(plan, options)
         cls.fleet.__enter__()
@@ -68,6 +72,12 @@
         apply_rules(admin, path, "Ben (operations)", "test of caps")
         return monotonic()
 
+    def slow_down_source(self):
+        for server in self.fleet.plan.servers:
+            if server.failure_domain in DOMAINS[:2]:
+                faults = ServerFaults(slow_factor=SLOW_FACTOR)
+                self.fleet.set_server_faults(server.name, faults)
+
     def partition_senders(self):
         """Cut the borrower from its lenders, both ways."""
         network = self.fleet.addresses.domain_network
@@ -111,6 +121,7 @@
         ended = monotonic() + int(end_time) - time()
         sleep(max(ended + END_SLACK_S + 0.5 - monotonic(), 0.0))
         last = self.apply(CAP_RULE)
+        self.slow_down_source()
         more = play(self.fleet, OVERLOAD, OVERLOAD_S, seed=2)
         for played in (load, more):
             played.wait()
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -115,7 +115,8 @@
                 self.table_state.note_refusal(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
-            self._observe(request, timeout_s)
+            # Not taken for a latency: it would make later reads wait for a silent
+            # instance for all of their time.
             if not request.caller_gone:
                 self._pass_over(instance, SILENT_PAUSE_S)
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
@@ -132,7 +133,7 @@
         return min(left_s, max(READ_ATTEMPT_PART * left_s, usual_s))
 
     def _observe(self, request: SteeredRequest, latency_s: float) -> None:
-        """Take in how long a read took, or how long it was waited for."""
+        """Take in how long a read took."""
         if not request.idempotent:
             return
         known = self.latencies.setdefault(request.service, latency_s)
