--- a/bench/load.py
+++ b/bench/load.py
@@ -76,6 +76,9 @@
     retry_after_ms: int = 0
     # When the attempt's result was known.
     ended_at: float = 0.0
+    # A refusal by an entry that had read the request: no copy under the key ran or
+    # will run. A refused connection says this of one copy only.
+    covers_key: bool = False
 
 
 @frozen
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -89,7 +89,10 @@
         within = bounds(request, now, 2 * one_way_ms)
         if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "too late for another domain")
-        timeout_s = self._timeout_s(request, within.timeout_s, prefix)
+        # An owner answers by the deadline and goes on listening itself.
+        owned = prefix == OWNER_PREFIX
+        left_s = request.deadline - now if owned else within.timeout_s
+        timeout_s = self._timeout_s(request, left_s, prefix)
         headers = request_headers(request, within.deadline_ms)
         headers[REGION_HEADER] = self.table_state.region
         if request.alone:
