Judge silence by all answers of an instance, and waste only the last slot's time

A request was refused for having less time left than answers take although its server was idle, and one read with a short deadline made its whole instance count as silent for 2 s; when that was the only place, everything after it was refused. Ruled out: shorter memories, which only shift the fault. Change: the check of the time left applies to the last free slot of a busy server; an instance is silent when it answered nothing since the request was sent, for a round trip and 250 ms; refusals and silence share one memory.

--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -123,9 +123,7 @@
         within = bounds(request, self.clock.monotonic())
         if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
-        if self.chooser.needed_s(server.name) * MS > within.deadline_ms:
-            # At twice the capacity, requests that were cut off at their deadlines took
-            # a quarter of the slots' time.
+        if self._too_late(server.name, within):
             return refused(ErrorKind.DEADLINE_NOT_RUN, "less time than answers take")
         tried.add(server.name)
         if not self.admission.start(server.name):
@@ -134,6 +132,17 @@
             )
         return await self._run_on(server, request, within)
 
+    def _too_late(self, server: str, within: RequestBounds) -> bool:
+        """Return whether a request would waste the last free slot of a server.
+
+        At twice the capacity, requests that were cut off at their deadlines took a
+        quarter of the slots' time. With slots to spare a short request may try.
+        """
+        busy = self.admission.ledger.in_flight(server) > 0
+        if not busy or self.admission.free(server) > 1:
+            return False
+        return self.chooser.needed_s(server) * MS > within.deadline_ms
+
     async def _run_on(
         self, server: ServerView, request: SteeredRequest, within: RequestBounds
     ) -> Attempt:
--- a/ebonybend/entry/hops.py
+++ b/ebonybend/entry/hops.py
@@ -28,9 +28,10 @@
 ALONE_HEADER = "Ebonybend-Alone"
 # The sender's region, for the budget of the link back.
 REGION_HEADER = "Ebonybend-Region"
-# An instance that gave no answer in time is paused or cut off. The table shows that
-# after the silence limit of its domain; until then each hop there would wait in vain.
-SILENT_PAUSE_S = 2.0
+# An instance that answers nothing for this long and a round trip is paused or cut off.
+# A single slow request says nothing about it. The table shows a silent instance only
+# after seconds, and until then each hop there would wait in vain.
+SILENCE_S = 0.25
 # A read may run twice, so it waits for an instance for this part of the time that is
 # left, or for a multiple of the service's usual latency if that is longer.
 READ_ATTEMPT_PART = 0.5
@@ -48,21 +49,18 @@
         self.http = http
         self.table_state = table_state
         self.random = random
-        # Until when an instance that gave no answer in time isn't picked.
-        self.passed_over_until: dict[str, float] = {}
+        # When an instance last answered anything.
+        self.answered_at: dict[str, float] = {}
         # Moving average of the time that reads of a service take elsewhere, in seconds.
         self.latencies: dict[str, float] = {}
 
     def pick(self, domain: str, tried: set[str]) -> InstanceView | None:
         """Return a usable instance of a domain, or None."""
         own = self.table_state.own
-        now = self.clock.monotonic()
         usable = [
             view
             for view in self.table_state.usable_in(domain)
-            if view.name not in tried
-            and view.name != own
-            and self.passed_over_until.get(view.name, now) <= now
+            if view.name not in tried and view.name != own
         ]
         return self.random.choice(usable) if usable else None
 
@@ -109,19 +107,20 @@
                 Reuse.ANY if request.idempotent else Reuse.RECENT,
                 lambda: self.clock.monotonic() < request.deadline,
             )
+            self.answered_at[instance.name] = self.clock.monotonic()
             self._observe(request, self.clock.monotonic() - now)
             return Success(from_entry(answer))
         except SendTooLate as error:
             return refused(ErrorKind.DEADLINE_NOT_RUN, str(error))
         except NotSent as error:
             if error.refused:
-                self.table_state.note_refusal(instance.name)
+                self.table_state.pass_over(instance.name)
             return failed(ErrorKind.BACKEND_UNREACHABLE, f"{instance.name}: {error}")
         except AnswerTimeout as error:
             # Not taken for a latency: it would make later reads wait for a silent
             # instance for all of their time.
-            if not request.caller_gone:
-                self._pass_over(instance, SILENT_PAUSE_S)
+            if self._silent_since(instance, now):
+                self.table_state.pass_over(instance.name)
             return failed(ErrorKind.DEADLINE_EXCEEDED, f"{instance.name}: {error}")
         except RequestFailed as error:
             return failed(ErrorKind.ANSWER_LOST, f"{instance.name}: {error}")
@@ -142,9 +141,12 @@
         known = self.latencies.setdefault(request.service, latency_s)
         self.latencies[request.service] = known + LATENCY_GAIN * (latency_s - known)
 
-    def _pass_over(self, instance: InstanceView, pause_s: float) -> None:
-        """Don't pick an instance for a time in seconds."""
-        self.passed_over_until[instance.name] = self.clock.monotonic() + pause_s
+    def _silent_since(self, instance: InstanceView, sent_at: float) -> bool:
+        """Return whether an instance answered nothing since a request was sent."""
+        waited_s = self.clock.monotonic() - sent_at
+        if waited_s < SILENCE_S + 2 * self._one_way_ms(instance) / MS:
+            return False
+        return self.answered_at.get(instance.name, 0.0) < sent_at
 
     def _one_way_ms(self, instance: InstanceView) -> float:
         table = self.table_state.table
--- a/ebonybend/entry/replication.py
+++ b/ebonybend/entry/replication.py
@@ -148,7 +148,7 @@
             )
         except RequestFailed as error:
             if isinstance(error, NotSent) and error.refused:
-                self.table_state.note_refusal(view.name)
+                self.table_state.pass_over(view.name)
             get_logger().warning("outcomes_not_taken", peer=view.name, error=str(error))
             return False
         self.mark = batch.mark
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -13,9 +13,9 @@
 # A server that said in an answer that it is draining is not used for this time, within
 # which probes (every 500 ms) and the table show its state.
 DRAINING_MEMORY_S = 5.0
-# An entry that refused a connection is not used for this time, because the table shows
-# an entry of another domain as ready for seconds after its end.
-REFUSAL_MEMORY_S = 2.0
+# An entry that refused a connection or is silent is not used for this time, because the
+# table shows an entry of another domain as ready for seconds after its end.
+PASS_OVER_S = 2.0
 
 
 class TableState:
@@ -36,7 +36,7 @@
         self._news_at = clock.monotonic()
         self._table_at = self._news_at
         self._draining_until: dict[str, float] = {}
-        self._refused_until: dict[str, float] = {}
+        self._passed_over_until: dict[str, float] = {}
         self.weights: dict[str, Weights] = {}
         self._usable: dict[str, tuple[InstanceView, ...]] = {}
 
@@ -134,17 +134,19 @@
     def usable_in(self, domain: str) -> tuple[InstanceView, ...]:
         """Return a domain's instances that are ready and not leaving."""
         usable = self._usable.get(domain, ())
-        if not self._refused_until:
+        if not self._passed_over_until:
             return usable
         now = self.clock.monotonic()
-        refused = self._refused_until
-        return tuple(v for v in usable if refused.get(v.name, now) <= now)
+        until = self._passed_over_until
+        return tuple(v for v in usable if until.get(v.name, now) <= now)
 
-    def note_refusal(self, instance: str) -> None:
-        """Remember that an instance refused a connection."""
+    def pass_over(self, instance: str) -> None:
+        """Don't use an instance for a time: it refused a connection or is silent."""
         now = self.clock.monotonic()
-        recent = {n: until for n, until in self._refused_until.items() if until > now}
-        self._refused_until = {**recent, instance: now + REFUSAL_MEMORY_S}
+        recent = {
+            n: until for n, until in self._passed_over_until.items() if until > now
+        }
+        self._passed_over_until = {**recent, instance: now + PASS_OVER_S}
 
     def _find_usable(self) -> dict[str, tuple[InstanceView, ...]]:
         found: dict[str, tuple[InstanceView, ...]] = {}
