--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -53,11 +53,14 @@
 
 
 def bounds(
-    request: SteeredRequest, now: float, one_way_ms: float = 0.0
+    request: SteeredRequest, now: float, way_ms: float = 0.0
 ) -> RequestBounds | None:
-    """Return the bounds at the moment of dispatch, or None if it is too late."""
+    """Return the bounds at the moment of dispatch, or None if it is too late.
+
+    The way to another entry and back, in milliseconds, is taken off its deadline.
+    """
     remaining_s = request.deadline - now
-    deadline_ms = int(remaining_s * MS - one_way_ms)
+    deadline_ms = int(remaining_s * MS - way_ms)
     if deadline_ms < 1:
         return None
     grace_s = 0.0 if request.idempotent else WRITE_GRACE_S
@@ -120,6 +123,8 @@
         within = bounds(request, self.clock.monotonic())
         if within is None:
             return refused(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
+        if self._too_late(server.name, within):
+            return refused(ErrorKind.DEADLINE_NOT_RUN, "less time than answers take")
         tried.add(server.name)
         if not self.admission.start(server.name):
             return refused(
@@ -127,6 +132,17 @@
             )
         return await self._run_on(server, request, within)
 
+    def _too_late(self, server: str, within: RequestBounds) -> bool:
+        """Return whether a request would waste the last free slot of a server.
+
+        At twice the capacity, requests that were cut off at their deadlines took a
+        quarter of the slots' time. With slots to spare a short request may try.
+        """
+        busy = self.admission.ledger.in_flight(server) > 0
+        if not busy or self.admission.free(server) > 1:
+            return False
+        return self.chooser.needed_s(server) * MS > within.deadline_ms
+
     async def _run_on(
         self, server: ServerView, request: SteeredRequest, within: RequestBounds
     ) -> Attempt:
--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -25,6 +25,15 @@
 from ebonybend.steering.retries import RetryBudget
 from ebonybend.steering.suspects import SuspectRegistry, Verdict, fingerprint
 
+# The domain did not answer; another of its instances may.
+UNANSWERED = frozenset(
+    {
+        ErrorKind.BACKEND_UNREACHABLE,
+        ErrorKind.DEADLINE_EXCEEDED,
+        ErrorKind.ANSWER_LOST,
+    }
+)
+
 
 class Budgets(Protocol):
     """What bounds the traffic to other regions."""
@@ -136,7 +145,9 @@
         if self.clock.monotonic() >= request.deadline:
             return False
         if failure.may_have_run:
-            if not request.idempotent or not self._may_run_again(request):
+            if not request.idempotent:
+                return False
+            if not self._may_run_again(request, failure.error.kind):
                 return False
         elif failure.error.kind not in ELSEWHERE:
             return False
@@ -147,11 +158,14 @@
         self.metrics.retries.inc()
         return True
 
-    def _may_run_again(self, request: SteeredRequest) -> bool:
+    def _may_run_again(self, request: SteeredRequest, kind: ErrorKind) -> bool:
         """Mark a read that was lost to run alone, unless it is refused by now."""
         verdict = self.suspects.verdict(request.fingerprint)
         if verdict is Verdict.REFUSE:
             return False
+        if kind is ErrorKind.DEADLINE_EXCEEDED:
+            # A server that crashes ends its connection, so this is no suspicion.
+            return True
         # The crash may be known only in the domain that ran the request.
         request.verdict = Verdict.ALONE
         return True
@@ -229,6 +243,9 @@
             self.domains.admitted(domain, request.service)
             return
         kind = attempt.failure().error.kind
-        if kind in ELSEWHERE and kind is not ErrorKind.BACKEND_UNREACHABLE:
+        if kind in UNANSWERED:
+            # So that a domain that returns from a cut gets its traffic step by step.
+            self.domains.refused(domain, request.service)
+        elif kind in ELSEWHERE:
             self.domains.refused(domain, request.service)
             search.domains.add(domain)
--- a/ebonybend/peers/exchange.py
+++ b/ebonybend/peers/exchange.py
@@ -127,9 +127,21 @@
             for domain in sorted(domains):
                 members = [peer for peer in far if peer.failure_domain == domain]
                 chosen += self._choose(members, FAR_PEERS_PER_DOMAIN_FOR_SUSPECTS)
-        sent = [self.start(peer) for peer in chosen]
+        sent = [self.tasks.start(self._notify(peer)) for peer in chosen]
         return gatherResults(sent, consumeErrors=True)
 
+    async def _notify(self, peer: PeerAddress) -> None:
+        """Send suspects at once, also while an exchange with the peer is running.
+
+        An exchange sends them only with its second request, and a crash notice that
+        waits for a running one is later than the entry's resend of the suspect.
+        """
+        near = peer.failure_domain == self.failure_domain
+        notice = self.request(near, suspects=self.suspects.records())
+        reply = await self.transport.send(peer.address, notice)
+        if reply is not None:
+            self._take(reply.records, reply.suspects, reply.failure_domain)
+
     async def synchronise(self) -> int:
         """Ask the seeds and known peers for everything; return how many are ready."""
         near, far = self._split()
