--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/python -m bench.soak --seconds=$(SECONDS) --seed=$(SEED)
 
 bench: $(VENV)/.installed
-	$(BIN)/python -m bench.measure --only=$(ONLY)
+	mkdir -p run
+	$(BIN)/python -m bench.measure --only=$(ONLY) | tee -a run/figures.jsonl
 
 report: $(VENV)/.installed
 	$(BIN)/python -m bench.report
--- /dev/null
+++ b/bench/figures/target_size.py
@@ -0,0 +1,66 @@
+"""Sizes and times of the messages and tables at the target size, in one process."""
+
+from collections.abc import Callable, Iterator
+from time import process_time
+
+from bench.figures.figure import Figure
+from bench.figures.lookup import DOMAINS, INSTANCES, target_table
+from ebonybend.clock import ManualClock
+from ebonybend.codec import pack, unpack
+from ebonybend.peers.merge import Replica
+from ebonybend.peers.records import DomainSummary, Kind, LoadRecord, Record
+from ebonybend.steering.lookup import ClientMap, LookupRanker
+from ebonybend.steering.table import ServiceLoad, TableReply
+
+SERVICES = 3
+INSTANCES_PER_DOMAIN = -(-INSTANCES // DOMAINS)
+REPEATS = 200
+
+
+def services() -> tuple[ServiceLoad, ...]:
+    """Return the loads of three services."""
+    return tuple(ServiceLoad(f"service-{x}", 96, 48, 20.5) for x in range(SERVICES))
+
+
+def milliseconds(work: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the mean processor time of a piece of work."""
+    started = process_time()
+    for _ in range(repeats):
+        work()
+    return (process_time() - started) / repeats * 1000
+
+
+def target_size(_seed: int) -> Iterator[Figure]:
+    """Measure what one control or entry handles at 520 nodes in 25 domains."""
+    load = LoadRecord("instance-100", 12345, 600, services())
+    record = Record(Kind.LOAD, load.name, 1, pack(load), load.name)
+    size = len(pack(record))
+    yield Figure("load_record", size, "bytes")
+    summary = DomainSummary("domain-10", "region-1", services(), 12345, (), (), 77)
+    domain = Record(Kind.DOMAIN, summary.name, 1, pack(summary), "instance-100")
+    yield Figure("domain_record", len(pack(domain)), "bytes")
+    yield Figure("merge_load_record", _merge_ms(record), "ms")
+    table = target_table()
+    body = pack(TableReply(table))
+    yield Figure("table_520", len(body), "bytes")
+    yield Figure("table_520_pack", milliseconds(lambda: pack(TableReply(table))), "ms")
+    yield Figure(
+        "table_520_unpack", milliseconds(lambda: unpack(body, TableReply)), "ms"
+    )
+    empty = ClientMap.from_shards([])
+    yield Figure(
+        "ranker_520", milliseconds(lambda: LookupRanker(table, empty), 20), "ms"
+    )
+
+
+def _merge_ms(record: Record) -> float:
+    replica = Replica(ManualClock())
+    version = 0
+
+    def merge() -> None:
+        nonlocal version
+        version += 1
+        newer = Record(record.kind, record.name, version, record.body, record.writer)
+        replica.offer(newer)
+
+    return milliseconds(merge, 5000)
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -14,6 +14,7 @@
 from bench.figures.lookup import lookup
 from bench.figures.overload import overload
 from bench.figures.recovery import recovery
+from bench.figures.target_size import target_size
 from ebonybend.codec import to_json
 from standins.command import parse_flags
 
@@ -28,6 +29,7 @@
     "lookup": lookup,
     "overload": overload,
     "recovery": recovery,
+    "target_size": target_size,
 }
 
 
