--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SECONDS ?= 120
 SEED ?= 1
 
-.PHONY: test lint format unit integration demo soak bench report clean
+.PHONY: test lint format demo soak bench report clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -123,12 +123,7 @@
             f"--listen={self.addresses.platform.listen}",
             f"--faults={self.addresses.platform_faults}",
         )
-        self.wait_until(
-            lambda: (
-                call("GET", self.addresses.platform_faults, "/counts").status == 200
-            ),
-            "the platform is ready",
-        )
+        self.wait_until(self._platform_ready, "the platform is ready")
         self.write_object("deployment", "main", self.plan.deployment)
         self._write_client_map()
         for server in self.plan.servers:
