Mend names and an environment switch found in the read-through

Cause: read as a newcomer, some names spoke of news where the field says update, three packages had no description, an attribute was unused, and the test of caps left out its faults when a variable SHORT was set. Change: names, descriptions, and the switch is gone. Conclusion: behaviour is unchanged.

--- a/bench/tests/test_caps.py
+++ b/bench/tests/test_caps.py
@@ -108,10 +108,7 @@
         load = play(self.fleet, SHAPE, LOAD_S)
         first = self.apply(shift_rule(CAP))
         sleep(FULL_AFTER_S + STEADY_S)
-        import os
-
-        if "SHORT" not in os.environ:
-            self.disturb_senders()
+        self.disturb_senders()
         asked = monotonic()
         lowered = self.apply(shift_rule(LOWERED_CAP))
         sleep(STEADY_S)
--- a/ebonybend/control/__init__.py
+++ b/ebonybend/control/__init__.py
@@ -1,1 +1,1 @@
-"""Package control."""
+"""The control process: follows the platform, probes, exchanges, administers."""
--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -186,7 +186,7 @@
         return TableReply(table, self._age_ms())
 
     def _age_ms(self) -> float:
-        """Return the age of the newest news from probes, peers or the platform."""
+        """Return the age of the newest update from probes, peers or the platform."""
         contacts = self.exchange.contacts.values()
         ages = [
             self.prober.newest_age_s(),
--- a/ebonybend/control/table_builder.py
+++ b/ebonybend/control/table_builder.py
@@ -22,7 +22,7 @@
 
 # What must be known at once asks for a new table; the rest is renewed each second.
 TABLE_PERIOD_S = 1.0
-# A domain without news for this time serves no look-ups.
+# A domain without updates for this time serves no look-ups.
 DOMAIN_SILENCE_S = 10.0
 KEY_EPOCH_S = 60.0
 
--- a/ebonybend/entry/domains.py
+++ b/ebonybend/entry/domains.py
@@ -33,7 +33,6 @@
         self.link_utilisation = link_utilisation
         self._built: dict[str, tuple[float, DomainQuery]] = {}
         self._domains_of: dict[str, frozenset[str]] = {}
-        self._no_hits: dict[str, frozenset[str]] = {}
         table_state.listeners.append(self._table_changed)
 
     def _table_changed(self, table: Table) -> None:
--- a/ebonybend/entry/table_state.py
+++ b/ebonybend/entry/table_state.py
@@ -33,8 +33,8 @@
         self.services: frozenset[str] = frozenset()
         self.region = ""
         self.listeners: list[Callable[[Table], None]] = []
-        self._news_at = clock.monotonic()
-        self._table_at = self._news_at
+        self._updated_at = clock.monotonic()
+        self._table_at = self._updated_at
         self._draining_until: dict[str, float] = {}
         self._passed_over_until: dict[str, float] = {}
         self.weights: dict[str, Weights] = {}
@@ -45,7 +45,7 @@
         table = reply.table
         if table is not None and self._is_older(table):
             return
-        self._news_at = self.clock.monotonic() - reply.age_ms / MS
+        self._updated_at = self.clock.monotonic() - reply.age_ms / MS
         if table is None:
             return
         self.table = table
@@ -118,8 +118,8 @@
 
     @property
     def age_ms(self) -> float:
-        """Return the age of the newest news behind the table."""
-        return (self.clock.monotonic() - self._news_at) * MS
+        """Return the age of the newest update behind the table."""
+        return (self.clock.monotonic() - self._updated_at) * MS
 
     @property
     def views_age_ms(self) -> float:
--- a/ebonybend/peers/__init__.py
+++ b/ebonybend/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Package peers."""
+"""Records that control processes exchange and merge."""
--- a/ebonybend/platform/__init__.py
+++ b/ebonybend/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Package platform."""
+"""The platform's object API: client, watches, rules and audit."""
--- a/ebonybend/steering/slots.py
+++ b/ebonybend/steering/slots.py
@@ -154,7 +154,7 @@
             self._check_ready()
         # After a pause the receive buffers may hold messages from before the pause.
         may_release = now - self.resumed_at >= self.hold_s
-        current = self._take_news(heartbeat, may_release)
+        current = self._update_peer(heartbeat, may_release)
         peer = self.peers.get(heartbeat.name)
         acknowledges = current and heartbeat.name in self.roster and self._fits()
         if acknowledges:
@@ -177,7 +177,7 @@
         # A late answer may come from before the peer released this process.
         late = self.clock.monotonic() - sent_at >= self.hold_s
         valid = sent_at >= self.synchronise_from and not late
-        if self._take_news(answer, may_release=valid):
+        if self._update_peer(answer, may_release=valid):
             peer = self.peers[answer.name]
             if answer.reclaiming:
                 peer.acknowledged = False
@@ -252,7 +252,7 @@
         elif peer.unlisted_since is None:
             peer.unlisted_since = now
 
-    def _take_news(self, message: Heartbeat, may_release: bool) -> bool:
+    def _update_peer(self, message: Heartbeat, may_release: bool) -> bool:
         """Update a peer from its message; return whether the message is current."""
         peer = self.peers.get(message.name)
         if peer is None:
--- a/ebonybend/steering/suspects.py
+++ b/ebonybend/steering/suspects.py
@@ -14,7 +14,7 @@
 CRASHES_TO_REFUSE = 2
 # Bounds the memory when many different requests are in flight on crashing servers.
 MOST_SUSPECTS = 10_000
-# Several entries use one server, so news of a crash may arrive before the own
+# Several entries use one server, so a notice of a crash may arrive before the own
 # connection to the same server is seen to end.
 SAME_CRASH_S = 1.0
 
@@ -65,7 +65,7 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.suspects: dict[str, Suspect] = {}
-        # When a fingerprint was last cleared; older news about it no longer counts.
+        # When a fingerprint was last cleared; older notices no longer count.
         self.cleared_at: dict[str, float] = {}
         self.pardoned_at: dict[str, float] = {}
 
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -143,7 +143,7 @@
 
     # None when the entry already has the newest table.
     table: Table | None = None
-    # Age of the newest news behind the table, in milliseconds.
+    # Age of the newest update behind the table, in milliseconds.
     age_ms: float = 0.0
     audit: tuple[str, ...] = field(default=())
 
