--- a/bench/tests/test_configuration.py
+++ b/bench/tests/test_configuration.py
@@ -13,7 +13,7 @@
 from bench.soak_operators import tool
 from ebonybend.codec import from_json
 from ebonybend.control.admin_messages import ApplyAnswer
-from ebonybend.platform.rules_store import RulesObject
+from ebonybend.store.rules_store import RulesObject
 from standins.object_store import StoredObject
 from standins.platform import PlatformFaults
 from standins.proxy_rules import ProxyRule
--- a/ebonybend/control/admin_messages.py
+++ b/ebonybend/control/admin_messages.py
@@ -16,8 +16,8 @@
 
 from attrs import frozen
 
-from ebonybend.platform.audit_entry import AuditEntry
 from ebonybend.rules.model import RuleError
+from ebonybend.store.audit_entry import AuditEntry
 
 
 @frozen
--- a/ebonybend/control/audit.py
+++ b/ebonybend/control/audit.py
@@ -7,8 +7,8 @@
 from returns.result import Success
 
 from ebonybend.logs import get_logger
-from ebonybend.platform.audit_entry import AuditEntry
-from ebonybend.platform.audit_log import AuditLog
+from ebonybend.store.audit_entry import AuditEntry
+from ebonybend.store.audit_log import AuditLog
 
 # Bounds the platform's writes to one for each control in this time.
 FLUSH_PERIOD_S = 2.0
--- a/ebonybend/control/client_map.py
+++ b/ebonybend/control/client_map.py
@@ -13,9 +13,9 @@
 from ebonybend.peers.exchange import PeerTransport
 from ebonybend.peers.merge import Replica
 from ebonybend.peers.records import ClientMapRecord, Kind, ShardVersion
-from ebonybend.platform.client import ObjectStore, StoredObject
-from ebonybend.platform.watcher import Backoff
 from ebonybend.steering.table import ClientMapRequest, ClientMapShard
+from ebonybend.store.client import ObjectStore, StoredObject
+from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import Tasks, Timers
 
 KIND = "clientmap"
--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -21,12 +21,12 @@
 from ebonybend.peers.merge import Replica
 from ebonybend.peers.records import InstanceRevision, Kind, ServerListing, SuspectRecord
 from ebonybend.peers.suspects import SuspectSet
-from ebonybend.platform.audit_log import AuditLog
-from ebonybend.platform.client import ObjectStore
-from ebonybend.platform.rules_store import RulesObject, RulesStore
-from ebonybend.platform.watcher import Backoff
 from ebonybend.settings import Settings
 from ebonybend.steering.table import EntryReport, SuspectView, TableReply
+from ebonybend.store.audit_log import AuditLog
+from ebonybend.store.client import ObjectStore
+from ebonybend.store.rules_store import RulesObject, RulesStore
+from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks, Timers
 from ebonybend.world import ServerState
 
--- a/ebonybend/control/platform_feed.py
+++ b/ebonybend/control/platform_feed.py
@@ -19,9 +19,9 @@
     ServerListing,
     ShardVersion,
 )
-from ebonybend.platform.client import ObjectStore, StoredObject
-from ebonybend.platform.rules_store import RulesObject
-from ebonybend.platform.watcher import Watcher
+from ebonybend.store.client import ObjectStore, StoredObject
+from ebonybend.store.rules_store import RulesObject
+from ebonybend.store.watcher import Watcher
 from ebonybend.tasks import Timers
 from ebonybend.world import BackendServer, Deployment, Instance
 
--- a/ebonybend/control/rules_admin.py
+++ b/ebonybend/control/rules_admin.py
@@ -18,8 +18,11 @@
 from ebonybend.http_server import IncomingRequest, OutgoingAnswer, json_answer
 from ebonybend.peers.merge import Replica
 from ebonybend.peers.records import MAIN, Kind
-from ebonybend.platform.audit_entry import AuditEntry
-from ebonybend.platform.rules_store import (
+from ebonybend.rules.check import check_rules
+from ebonybend.rules.model import RuleError
+from ebonybend.rules.parse import parse_rules
+from ebonybend.store.audit_entry import AuditEntry
+from ebonybend.store.rules_store import (
     ApplyFailure,
     ApplyFailureKind,
     ProposedChange,
@@ -27,9 +30,6 @@
     RulesStore,
     bounded_difference,
 )
-from ebonybend.rules.check import check_rules
-from ebonybend.rules.model import RuleError
-from ebonybend.rules.parse import parse_rules
 
 DEFAULT_HISTORY = 50
 MAX_HISTORY = 1000
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -21,9 +21,9 @@
     ExchangeServer,
     HttpPeers,
 )
-from ebonybend.platform.client import PlatformClient
 from ebonybend.settings import Settings
 from ebonybend.steering.table import ClientMapRequest, ClientMapShard
+from ebonybend.store.client import PlatformClient
 from ebonybend.world import LifeState
 
 EXIT_FAILED = 2
--- a/ebonybend/control/tests/cluster.py
+++ b/ebonybend/control/tests/cluster.py
@@ -9,9 +9,9 @@
 from ebonybend.control.core import ControlCore
 from ebonybend.control.health_client import Health, ProbeFailed
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest
-from ebonybend.platform.tests.memory_store import MemoryStore, StoreClient
 from ebonybend.settings import parse_settings
 from ebonybend.steering.table import EntryReport, SuspectView
+from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
 from ebonybend.tasks import Tasks
 from ebonybend.world import (
     BackendServer,
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -5,9 +5,10 @@
 from typing import Any, Protocol
 
 from attrs import field, frozen
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.protocol import Protocol as ConnectionProtocol
 from twisted.web.http import HTTPChannel
+from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
@@ -28,6 +29,8 @@
     # Time from a request's first byte to its last.
     receive_timeout_s: float = 5.0
     idle_timeout_s: float = 30.0
+    # Whether the receive time-out ends with the headers.
+    times_headers_only: bool = False
 
 
 @frozen
@@ -68,6 +71,8 @@
     body: bytes = b""
     headers: Mapping[str, str] = field(factory=dict)
     pacer: Pacer | None = None
+    # Headers that may repeat, in bytes.
+    raw_headers: Headers | None = None
 
 
 Handler = Callable[[IncomingRequest], Awaitable[OutgoingAnswer]]
@@ -159,7 +164,7 @@
         self.gone = False
         self.notifyFinish().addErrback(self._caller_gone)
         # The channel is forgotten when the answer is written.
-        site = self.channel.site
+        site = self.channel_site = self.channel.site
         site.running += 1
         self.running = Deferred.fromCoroutine(self._answer(site))
         self.running.addBoth(partial(self._ended, site))
@@ -172,6 +177,8 @@
         self.gone = True
         if self.on_gone is not None:
             self.on_gone()
+        elif self.channel_site.cancels_abandoned and self.running is not None:
+            self.running.cancel()
 
     async def _answer(self, site: "HttpSite") -> None:
         try:
@@ -190,6 +197,9 @@
             answer = error_answer(
                 SteeringError(ErrorKind.BAD_REQUEST, "method or path is not ASCII")
             )
+        except CancelledError:
+            # The caller has gone.
+            return
         except Exception as error:
             get_logger().exception("request_failed", error=repr(error))
             answer = error_answer(SteeringError(ErrorKind.INTERNAL, "internal error"))
@@ -224,6 +234,9 @@
         self.setResponseCode(answer.status)
         for name, value in answer.headers.items():
             self.responseHeaders.setRawHeaders(name, [value])
+        if answer.raw_headers is not None:
+            for name, values in answer.raw_headers.getAllRawHeaders():
+                self.responseHeaders.setRawHeaders(name, values)
         self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
         if self.channel.site.closing:
             self.responseHeaders.setRawHeaders("Connection", ["close"])
@@ -256,6 +269,13 @@
             )
         super().dataReceived(data)
 
+    def allHeadersReceived(self) -> None:
+        timer = self.receive_timer
+        timed = timer is not None and timer.active()
+        if timed and self.site.limits.times_headers_only:
+            timer.cancel()
+        super().allHeadersReceived()
+
     def lineReceived(self, line: bytes) -> None:
         self.header_bytes += len(line)
         if self.header_bytes > self.site.limits.max_header_bytes:
@@ -276,6 +296,15 @@
         limit = self.site.limits.receive_timeout_s
         self.refuse(ErrorKind.SLOW_CALLER, f"request not received whole in {limit} s")
 
+    def timeoutConnection(self) -> None:
+        # The limit may have grown since the connection became idle.
+        longer = self.site.limits.idle_timeout_s - self.timeOut
+        if longer > 0:
+            self.timeOut = self.site.limits.idle_timeout_s
+            self.setTimeout(longer)
+            return
+        super().timeoutConnection()
+
     def _stop_timer(self) -> None:
         if self.receive_timer is not None and self.receive_timer.active():
             self.receive_timer.cancel()
@@ -324,6 +353,8 @@
         self.channels: set[_Channel] = set()
         # Set while stopping: answers ask the caller to close its connection.
         self.closing = False
+        # Whether a handler is cancelled when its caller leaves.
+        self.cancels_abandoned = False
 
     def buildProtocol(self, addr: Any) -> Any:
         """Accept a connection, or refuse it when too many are open."""
@@ -334,9 +365,17 @@
         channel.site = self
         channel.factory = self
         channel.callLater = self.reactor.callLater
-        channel.timeOut = self.timeOut
+        channel.timeOut = self.limits.idle_timeout_s
+        channel.totalHeadersSize = self.limits.max_header_bytes
+        channel.MAX_LENGTH = max(channel.MAX_LENGTH, self.limits.max_header_bytes)
         return channel
 
+    def close_idle(self) -> None:
+        """Close each connection that carries no request."""
+        for channel in list(self.channels):
+            if not channel.requests and channel.receive_timer is None:
+                channel.loseConnection()
+
     def close_connections(self) -> None:
         """Close each connection when what was written to it is sent."""
         for channel in list(self.channels):
--- /dev/null
+++ b/ebonybend/node/__init__.py
@@ -0,0 +1,1 @@
+"""One process on each machine: callers' port, directory, membership and forwarding."""
--- /dev/null
+++ b/ebonybend/node/backend_pool.py
@@ -0,0 +1,141 @@
+"""Connections to backend servers, kept open between requests."""
+
+from collections.abc import Callable
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    ConnectionRefusedError,
+)
+from twisted.internet.protocol import Factory
+
+from ebonybend.node.backend_connection import BackendConnection
+from ebonybend.world import BackendServer
+
+# A kept connection is not used after this time; servers that state no idle time-out
+# commonly close after 5 s.
+MOST_IDLE_S = 4.0
+# Part of a stated idle time-out after which a connection is not used; the rest covers
+# the way to the server.
+IDLE_PART = 0.6
+# The same for a request that must not be sent twice.
+MOST_IDLE_SINGLE_S = 2.0
+# Time for a connection to come about, several round trips between regions.
+CONNECT_TIMEOUT_S = 0.6
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Unacknowledged bytes end a connection after this time.
+UNACKNOWLEDGED_TIMEOUT_MS = 2000
+
+
+class Unreachable(Exception):
+    """No connection came about, so nothing was sent."""
+
+    def __init__(self, message: str, refused: bool):
+        super().__init__(message)
+        # The address refused the connection, so no server listens on it.
+        self.refused = refused
+
+
+def detect_silence(transport: Any) -> None:
+    """Let the kernel end a connection whose other side no longer answers."""
+    handle = transport.getHandle()
+    handle.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    handle.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    handle.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    handle.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+    handle.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+
+class BackendPool:
+    """Idle connections by server; the one used last is taken first."""
+
+    def __init__(self, reactor: Any, request_id_header: bytes):
+        self.reactor = reactor
+        self.request_id_header = request_id_header
+        self.idle: dict[str, list[BackendConnection]] = {}
+        self.opened = 0
+
+    def take(self, server: BackendServer, single: bool) -> BackendConnection | None:
+        """Return a kept connection, or None."""
+        kept = self.idle.get(server.name)
+        now = self.reactor.seconds()
+        while kept:
+            connection = kept.pop()
+            if not connection.usable:
+                continue
+            if now - connection.idle_since <= _most_idle_s(connection, single):
+                return connection
+            connection.close()
+        return None
+
+    async def connect(self, server: BackendServer) -> BackendConnection:
+        """Return a new connection; raise Unreachable if none comes about."""
+        host, _, port = server.address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), CONNECT_TIMEOUT_S)
+        factory = Factory.forProtocol(BackendConnection)
+        factory.protocol = lambda: BackendConnection(
+            self.request_id_header, self._returner(server.name)
+        )
+        connecting: Deferred[BackendConnection] = endpoint.connect(factory)
+        try:
+            connection = await connecting
+        except ConnectionRefusedError as error:
+            raise Unreachable(str(error), True) from error
+        except ConnectingCancelledError as error:
+            # The endpoint reports a cancelled attempt by an error of its own.
+            raise CancelledError from error
+        except (ConnectError, OSError) as error:
+            raise Unreachable(str(error), False) from error
+        self.opened += 1
+        connection.transport.setTcpNoDelay(True)
+        detect_silence(connection.transport)
+        return connection
+
+    def _returner(self, name: str) -> Callable[[BackendConnection], None]:
+        def keep(connection: BackendConnection) -> None:
+            connection.idle_since = self.reactor.seconds()
+            self.idle.setdefault(name, []).append(connection)
+
+        return keep
+
+    def retain(self, names: set[str]) -> None:
+        """Close the idle connections to servers that are no longer used."""
+        for name in list(self.idle):
+            if name not in names:
+                for connection in self.idle.pop(name):
+                    connection.close()
+
+    def sweep(self) -> None:
+        """Close the connections that are too old to be used."""
+        now = self.reactor.seconds()
+        for name, kept in self.idle.items():
+            fresh = []
+            for connection in kept:
+                if not connection.usable:
+                    continue
+                if now - connection.idle_since <= _most_idle_s(connection, False):
+                    fresh.append(connection)
+                else:
+                    connection.close()
+            self.idle[name] = fresh
+
+
+def _most_idle_s(connection: BackendConnection, single: bool) -> float:
+    most = MOST_IDLE_SINGLE_S if single else MOST_IDLE_S
+    if connection.keep_s is None:
+        return most
+    return min(most, connection.keep_s * IDLE_PART)
--- /dev/null
+++ b/ebonybend/node/caller_requests.py
@@ -0,0 +1,29 @@
+"""Requests of callers on their way through a node."""
+
+from attrs import define
+from twisted.web.http_headers import Headers
+
+from ebonybend.world.route import Route
+
+
+@define
+class CallerRequest:
+    """One attempt of a client."""
+
+    request_id: bytes
+    method: bytes
+    # Path and query as the client sent them.
+    uri: bytes
+    headers: Headers
+    body: bytes
+    route: Route
+    service: str
+    object_key: bytes
+    arrived_at: float
+    # Time after which the caller gets no use of an answer.
+    deadline: float
+    sends: int = 0
+    # Server to which it was sent last.
+    server: str = ""
+    # Whether a server may have run the request.
+    may_have_run: bool = False
--- /dev/null
+++ b/ebonybend/node/callers.py
@@ -0,0 +1,117 @@
+"""The callers' port: find the route of a request and forward it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import CancelledError
+from twisted.web.http_headers import Headers
+
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer
+from ebonybend.node.backend_connection import BackendAnswer
+from ebonybend.node.caller_requests import CallerRequest
+from ebonybend.node.decisions import DecisionLog
+from ebonybend.node.forwarder import CONNECTION_HEADERS, Forwarder
+from ebonybend.node.metrics import NodeMetrics
+from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.wire import CallerHeaders, Wire
+
+# Deadline of a request that states none and whose route has no time-out.
+DEFAULT_DEADLINE_S = 10.0
+# Headers of an answer that the node's own server writes.
+OWN_HEADERS = CONNECTION_HEADERS | {b"date", b"server"}
+
+
+class CallerPort:
+    """Answer the requests of callers."""
+
+    def __init__(
+        self,
+        routing: RoutingState,
+        forwarder: Forwarder,
+        wire: Wire,
+        clock: Callable[[], float],
+        metrics: NodeMetrics,
+        decisions: DecisionLog,
+    ):
+        self.routing = routing
+        self.forwarder = forwarder
+        self.wire = wire
+        self.clock = clock
+        self.metrics = metrics
+        self.decisions = decisions
+
+    async def handle(self, incoming: IncomingRequest) -> OutgoingAnswer:
+        """Answer one request."""
+        arrived_at = self.clock()
+        told = self.wire.read_caller_headers(incoming.raw.requestHeaders)
+        request: CallerRequest | None = None
+        try:
+            if told is None:
+                raise SteeringError(
+                    ErrorKind.BAD_REQUEST, "no request id, or the deadline is no number"
+                )
+            request = self._request(incoming, told, arrived_at)
+            answer = await self.forwarder.forward(request)
+        except SteeringError as error:
+            self._note(told, request, error.answer.status, arrived_at, error)
+            return self._refusal(error)
+        except CancelledError:
+            self._note(told, request, 0, arrived_at, None)
+            raise
+        self._note(told, request, answer.status, arrived_at, None)
+        return self._forwarded(answer)
+
+    def _request(
+        self, incoming: IncomingRequest, told: CallerHeaders, arrived_at: float
+    ) -> CallerRequest:
+        routing = self.routing
+        if routing.version is None:
+            raise SteeringError(ErrorKind.NOT_READY, "no configuration yet", 300)
+        raw: Any = incoming.raw
+        host = (raw.requestHeaders.getRawHeaders(b"Host") or [b""])[0]
+        name = host.decode("latin-1").partition(":")[0]
+        route = routing.find(name, incoming.path)
+        if route is None:
+            raise SteeringError(ErrorKind.UNKNOWN_PATH, "no route for host and path")
+        limits = [s for s in (told.deadline_s, route.timeout_s) if s]
+        return CallerRequest(
+            request_id=told.request_id,
+            method=raw.method,
+            uri=raw.uri,
+            headers=raw.requestHeaders,
+            body=incoming.body,
+            route=route,
+            service=routing.parts.choose(route).service,
+            object_key=told.object_key,
+            arrived_at=arrived_at,
+            deadline=arrived_at + min(limits, default=DEFAULT_DEADLINE_S),
+        )
+
+    def _refusal(self, error: SteeringError) -> OutgoingAnswer:
+        headers = {"Content-Type": "text/plain"}
+        if error.retry_after_ms is not None:
+            name, value = self.wire.retry_after_header(error.retry_after_ms / 1000)
+            headers[name] = value
+        text = f"{error.kind.value}: {error.message}\n"
+        return OutgoingAnswer(error.answer.status, text.encode(), headers)
+
+    def _forwarded(self, answer: BackendAnswer) -> OutgoingAnswer:
+        headers = Headers()
+        for name, values in answer.headers.getAllRawHeaders():
+            if name.lower() not in OWN_HEADERS:
+                headers.setRawHeaders(name, values)
+        return OutgoingAnswer(answer.status, answer.body, raw_headers=headers)
+
+    def _note(
+        self,
+        told: CallerHeaders | None,
+        request: CallerRequest | None,
+        status: int,
+        arrived_at: float,
+        error: SteeringError | None,
+    ) -> None:
+        seconds = self.clock() - arrived_at
+        route = request.route.name if request else ""
+        self.metrics.answered(route, status, error, seconds)
+        self.decisions.answered(told, request, status, seconds, error)
--- /dev/null
+++ b/ebonybend/node/decisions.py
@@ -0,0 +1,87 @@
+"""One log line for each decision on a request, bounded in lines a second."""
+
+from collections.abc import Callable
+
+from ebonybend.errors import SteeringError
+from ebonybend.logs import get_logger
+from ebonybend.node.caller_requests import CallerRequest
+from ebonybend.node.wire import CallerHeaders
+
+# Lines a second of ordinary answers, and of refusals and failures. A line costs about
+# 20 us, so both together stay below 1% of a core.
+MOST_ANSWERS_PER_S = 50
+MOST_FAILURES_PER_S = 200
+FAILED_STATUS = 500
+
+
+class LineBudget:
+    """Allow a number of lines in each second and count the rest."""
+
+    def __init__(self, per_s: int):
+        self.per_s = per_s
+        self.second = -1
+        self.written = 0
+        self.dropped = 0
+
+    def allow(self, now: float) -> bool:
+        """Return whether a line may be written."""
+        if int(now) != self.second:
+            self.second = int(now)
+            self.written = 0
+        self.written += 1
+        if self.written > self.per_s:
+            self.dropped += 1
+            return False
+        return True
+
+    def take_dropped(self) -> int:
+        """Return the number of lines dropped since the last call."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
+
+
+class DecisionLog:
+    """Log how each request ended, failures before ordinary answers."""
+
+    def __init__(self, clock: Callable[[], float]):
+        self.clock = clock
+        self.answers = LineBudget(MOST_ANSWERS_PER_S)
+        self.failures = LineBudget(MOST_FAILURES_PER_S)
+
+    def answered(
+        self,
+        told: CallerHeaders | None,
+        request: CallerRequest | None,
+        status: int,
+        seconds: float,
+        error: SteeringError | None,
+    ) -> None:
+        """Log the end of a request; status 0 says that the caller left."""
+        failed = error is not None or status >= FAILED_STATUS or status == 0
+        budget = self.failures if failed else self.answers
+        if not budget.allow(self.clock()):
+            return
+        fields = {}
+        if request is not None:
+            fields = {
+                "route": request.route.name,
+                "service": request.service,
+                "server": request.server,
+                "sends": request.sends,
+                "may_have_run": request.may_have_run,
+            }
+        if error is not None:
+            fields |= {"error": error.kind.value, "reason": error.message}
+        get_logger().info(
+            "request_ended",
+            request_id=told.request_id.decode("latin-1") if told else None,
+            status=status,
+            seconds=round(seconds, 4),
+            **fields,
+        )
+
+    def report_dropped(self) -> None:
+        """Log how many lines were left out since the last report."""
+        answers, failures = self.answers.take_dropped(), self.failures.take_dropped()
+        if answers or failures:
+            get_logger().info("lines_dropped", answers=answers, failures=failures)
--- /dev/null
+++ b/ebonybend/node/forwarder.py
@@ -0,0 +1,212 @@
+"""Send a request to a backend server, again where that is safe, and answer it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.node.backend_connection import AnswerNotReceived, BackendAnswer
+from ebonybend.node.backend_pool import BackendPool, Unreachable
+from ebonybend.node.caller_requests import CallerRequest
+from ebonybend.node.wire import Wire
+from ebonybend.steering.placement import Placement, PlacementQuery, service_of
+from ebonybend.steering.server_state import ServerState
+from ebonybend.steering.shared_rates import RetryWindow
+from ebonybend.world.route import RoutedService
+
+# Headers that concern one connection only, or that the node sets itself.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Connections that may fail for one request before it is refused.
+MOST_UNREACHABLE = 3
+# Least time in which another send can still be answered.
+LEAST_LEFT_S = 0.02
+# Time after which a refused caller may come back when no better figure is known.
+RETRY_AFTER_S = 0.3
+
+
+class Forwarder:
+    """Forward requests within the shared bounds."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        pool: BackendPool,
+        placement: Placement,
+        wire: Wire,
+        new_window: Callable[[], RetryWindow],
+        nodes: Callable[[], int],
+    ):
+        self.reactor = reactor
+        self.pool = pool
+        self.placement = placement
+        self.wire = wire
+        self.new_window = new_window
+        self.nodes = nodes
+        self.windows: dict[str, RetryWindow] = {}
+        self.services: dict[str, RoutedService] = {}
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self.windows.get(service)
+        if window is None:
+            window = self.windows[service] = self.new_window()
+        return window
+
+    async def forward(self, request: CallerRequest) -> BackendAnswer:
+        """Return the server's answer; raise a SteeringError that says what is known."""
+        excluded: set[str] = set()
+        unreachable = 0
+        error = SteeringError(ErrorKind.OVERLOADED, "no server has room", 0)
+        while True:
+            now = self.reactor.seconds()
+            if request.deadline - now < LEAST_LEFT_S:
+                raise self._given_up(request, error)
+            state = self._choose(request, excluded, now)
+            if state is None:
+                raise self._given_up(request, error)
+            if request.sends and not self._window(request.service).take(
+                now, self.nodes()
+            ):
+                raise self._given_up(request, error)
+            excluded.add(state.server.name)
+            try:
+                answer = await self._send(request, state)
+            except Unreachable as failure:
+                unreachable += 1
+                state.unreachable(self.reactor.seconds(), failure.refused)
+                error = SteeringError(ErrorKind.BACKEND_UNREACHABLE, str(failure))
+                if unreachable >= MOST_UNREACHABLE:
+                    raise self._given_up(request, error) from failure
+                continue
+            except AnswerNotReceived as failure:
+                state.failed(self.reactor.seconds())
+                error = SteeringError(
+                    ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
+                )
+                if not self._may_send_again(request):
+                    raise self._given_up(request, error) from failure
+                continue
+            if not self.wire.states_not_run(answer.status, answer.headers):
+                return answer
+            error = SteeringError(
+                ErrorKind.OVERLOADED, f"the server answered {answer.status}"
+            )
+            if request.sends >= request.route.max_sends:
+                raise self._given_up(request, error)
+
+    def _choose(
+        self, request: CallerRequest, excluded: set[str], now: float
+    ) -> ServerState | None:
+        query = PlacementQuery(
+            service=service_of(self.services, request.service),
+            object_key=request.object_key,
+            home_regions=request.route.home_regions,
+            excluded=excluded,
+            nodes=self.nodes(),
+        )
+        return self.placement.choose(query, now)
+
+    def _may_send_again(self, request: CallerRequest) -> bool:
+        return (
+            request.route.idempotent and request.sends < request.route.max_sends
+        ) or not request.may_have_run
+
+    def _given_up(self, request: CallerRequest, error: SteeringError) -> SteeringError:
+        """Return the error to answer with; "not run" only if nothing may have run."""
+        if request.may_have_run:
+            if error.answer.status in (502, 504):
+                return error
+            return SteeringError(ErrorKind.ANSWER_LOST, error.message)
+        return SteeringError(
+            ErrorKind.OVERLOADED, error.message, int(RETRY_AFTER_S * 1000)
+        )
+
+    async def _send(self, request: CallerRequest, state: ServerState) -> BackendAnswer:
+        """Send a request to a server and wait for its answer until the deadline."""
+        server = state.server
+        if state.is_cold(self.reactor.seconds()):
+            service = service_of(self.services, request.service)
+            state.pacer.sent(self.reactor.seconds(), service.cold_rate, self.nodes())
+        state.in_flight += 1
+        try:
+            connection = self.pool.take(server, not request.route.idempotent)
+            if connection is None:
+                connection = await self.pool.connect(server)
+            started = self.reactor.seconds()
+            if request.sends == 0:
+                self._window(request.service).first(started)
+            request.sends += 1
+            request.server = server.name
+            ran_before = request.may_have_run
+            request.may_have_run = True
+            data = self._encode(request, server.name, started)
+            answer = await self._await_answer(
+                connection.send(request.method, request.request_id, data), request
+            )
+        finally:
+            state.in_flight -= 1
+        if self.wire.states_not_run(answer.status, answer.headers):
+            request.may_have_run = ran_before
+        self._learn(state, answer, started)
+        return answer
+
+    def _learn(self, state: ServerState, answer: BackendAnswer, started: float) -> None:
+        now = self.reactor.seconds()
+        load = self.wire.read_load(answer.headers)
+        if load is not None:
+            state.report(load.running, load.waiting, now)
+        if self.wire.states_not_run(answer.status, answer.headers):
+            return
+        if answer.status >= 500:
+            state.failed(now)
+        else:
+            state.succeeded(now - started)
+
+    async def _await_answer(
+        self, waiting: Deferred[BackendAnswer], request: CallerRequest
+    ) -> BackendAnswer:
+        left = max(request.deadline - self.reactor.seconds(), 0.0)
+        expired = []
+
+        def expire() -> None:
+            expired.append(True)
+            waiting.cancel()
+
+        timer = self.reactor.callLater(left, expire)
+        try:
+            return await waiting
+        except AnswerNotReceived as error:
+            if expired:
+                raise SteeringError(
+                    ErrorKind.DEADLINE_EXCEEDED, "no answer in time"
+                ) from error
+            raise
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _encode(self, request: CallerRequest, server: str, now: float) -> bytes:
+        own = self.wire.server_headers(server, request.deadline - now)
+        replaced = {name.lower() for name, _ in own}
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.uri)]
+        for name, values in request.headers.getAllRawHeaders():
+            lowered = name.lower()
+            if lowered in CONNECTION_HEADERS or lowered in replaced:
+                continue
+            lines += [b"%s: %s" % (name, value) for value in values]
+        lines += [b"%s: %s" % pair for pair in own]
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
--- /dev/null
+++ b/ebonybend/node/membership.py
@@ -0,0 +1,45 @@
+"""Keep this node's own entry in the store."""
+
+from random import Random
+
+from returns.result import Success
+
+from ebonybend.logs import get_logger
+from ebonybend.node.members import Member
+from ebonybend.node.wire import Documents
+from ebonybend.store.client import ObjectStore, StoreFailureKind
+from ebonybend.store.watcher import Backoff
+from ebonybend.tasks import Tasks
+
+
+class OwnEntry:
+    """Write the own entry until the store has taken it."""
+
+    def __init__(
+        self, store: ObjectStore, documents: Documents, own: Member, random: Random
+    ):
+        self.store = store
+        self.documents = documents
+        self.own = own
+        self.backoff = Backoff(random)
+        # Revision of the entry that the store holds; 0 if none is known.
+        self.version = 0
+
+    async def write(self, tasks: Tasks) -> None:
+        """Write the entry; try again until the store takes it."""
+        value = self.documents.encode_member(self.own)
+        kind = self.documents.members_kind
+        while not tasks.stopped:
+            written = await self.store.put(kind, self.own.name, value, self.version)
+            if isinstance(written, Success):
+                get_logger().info("own_entry_written", version=written.unwrap())
+                return
+            failure = written.failure()
+            if failure.kind is StoreFailureKind.CONFLICT and failure.current:
+                # An earlier process of this node, or this write whose answer was lost.
+                self.version = failure.current.version
+                continue
+            if failure.kind is StoreFailureKind.NOT_FOUND:
+                self.version = 0
+            get_logger().warning("own_entry_failed", error=failure.message)
+            await tasks.sleep(self.backoff.next())
--- /dev/null
+++ b/ebonybend/node/metrics.py
@@ -0,0 +1,57 @@
+"""Prometheus metrics of a node."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from ebonybend.errors import SteeringError
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10)
+
+
+class NodeMetrics:
+    """Counters and latency histograms of one node."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        options = {"registry": self.registry}
+        self.latency = Histogram(
+            "ebonybend_request_seconds",
+            "Time from receipt to answer.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            **options,
+        )
+        self.answers = Counter(
+            "ebonybend_answers",
+            "Answers by status; 0 stands for a caller that left.",
+            ("route", "status"),
+            **options,
+        )
+        self.refusals = Counter(
+            "ebonybend_refusals", "Own failures by kind.", ("kind",), **options
+        )
+        self.store_calls = Gauge(
+            "ebonybend_store_calls", "Calls to the store since the start.", **options
+        )
+        self.opened = Gauge(
+            "ebonybend_backend_connections_opened",
+            "Connections opened to backend servers since the start.",
+            **options,
+        )
+        self.config_version = Gauge(
+            "ebonybend_config_version", "Configuration in force.", **options
+        )
+        self.nodes = Gauge("ebonybend_nodes_alive", "Nodes heard lately.", **options)
+
+    def answered(
+        self, route: str, status: int, error: SteeringError | None, seconds: float
+    ) -> None:
+        """Count the end of a request."""
+        self.latency.labels(route).observe(seconds)
+        self.answers.labels(route, str(status)).inc()
+        if error is not None:
+            self.refusals.labels(error.kind.value).inc()
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the metrics as text and its content type."""
+        return generate_latest(self.registry), CONTENT_TYPE_LATEST
--- /dev/null
+++ b/ebonybend/node/ports.py
@@ -0,0 +1,70 @@
+"""The directory, the readiness port and the metrics port."""
+
+from collections.abc import Callable
+
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
+from ebonybend.node.members import Members, nearest
+from ebonybend.node.metrics import NodeMetrics
+from ebonybend.node.wire import Wire
+
+# Callers keep a directory answer for this time. Some keep it three times as long, and
+# a stopping node must be forgotten within its grace time.
+LOOKUP_LIFETIME_S = 2.0
+# Addresses in an answer; callers take at most 64.
+MOST_ADDRESSES = 64
+JSON = {"Content-Type": "application/json"}
+
+
+class Directory:
+    """Tell callers which nodes to use."""
+
+    def __init__(
+        self,
+        members: Members,
+        wire: Wire,
+        own_ready: Callable[[], bool],
+        clock: Callable[[], float],
+        most_lifetime_s: float,
+    ):
+        self.members = members
+        self.wire = wire
+        self.own_ready = own_ready
+        self.clock = clock
+        self.lifetime_s = min(LOOKUP_LIFETIME_S, most_lifetime_s)
+        self.router = Router()
+        self.router.add("GET", wire.lookup_path, self.lookup)
+
+    async def lookup(self, incoming: IncomingRequest) -> OutgoingAnswer:
+        """Answer with the nodes that are near to the caller."""
+        domain, region = self.wire.read_lookup(incoming.query)
+        usable = self.members.usable(self.clock(), self.own_ready())
+        chosen = nearest(usable, domain, region)[:MOST_ADDRESSES]
+        if not chosen:
+            return OutgoingAnswer(503, b"no node is ready\n")
+        addresses = [member.callers_address for member in chosen]
+        body = self.wire.encode_lookup(addresses, self.lifetime_s)
+        return OutgoingAnswer(200, body, JSON)
+
+
+def readiness_router(wire: Wire, own_ready: Callable[[], bool]) -> Router:
+    """Return the port that tells whether this node takes callers."""
+
+    async def ready(_incoming: IncomingRequest) -> OutgoingAnswer:
+        return OutgoingAnswer(200 if own_ready() else 503)
+
+    router = Router()
+    router.add("GET", wire.ready_path, ready)
+    return router
+
+
+def metrics_router(metrics: NodeMetrics, refresh: Callable[[], None]) -> Router:
+    """Return the port that serves the metrics."""
+
+    async def serve(_incoming: IncomingRequest) -> OutgoingAnswer:
+        refresh()
+        body, content_type = metrics.render()
+        return OutgoingAnswer(200, body, {"Content-Type": content_type})
+
+    router = Router()
+    router.add("GET", "/metrics", serve)
+    return router
--- /dev/null
+++ b/ebonybend/node/service.py
@@ -0,0 +1,295 @@
+"""Run one node: ports, watches, beats and forwarding in one process."""
+
+from asyncio import get_event_loop
+from collections.abc import Callable, Mapping
+from random import Random
+from signal import SIGHUP, SIGINT, SIGTERM
+from time import time
+from typing import Any
+
+from ebonybend.entry.service import listen
+from ebonybend.http_server import HttpLimits, HttpSite
+from ebonybend.logs import get_logger
+from ebonybend.node.backend_pool import BackendPool
+from ebonybend.node.beats import BEAT_PERIOD_S, BeatPort
+from ebonybend.node.callers import CallerPort
+from ebonybend.node.decisions import DecisionLog
+from ebonybend.node.forwarder import Forwarder
+from ebonybend.node.members import Beat, Member, Members
+from ebonybend.node.membership import OwnEntry
+from ebonybend.node.metrics import NodeMetrics
+from ebonybend.node.ports import Directory, metrics_router, readiness_router
+from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.settings import NodeSettings
+from ebonybend.node.stop import NodeStop
+from ebonybend.node.wire import Documents, Wire
+from ebonybend.settings import split_address
+from ebonybend.steering.placement import Placement
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.steering.shared_rates import RetryWindow
+from ebonybend.store.client import ObjectStore, StoredObject
+from ebonybend.store.watcher import Watcher
+from ebonybend.tasks import Tasks
+
+MS_PER_S = 1000
+SWEEP_PERIOD_S = 1.0
+# Descriptors kept for the store, other nodes, files and backend servers.
+RESERVED_DESCRIPTORS = 600
+# Connections of callers that a node takes however few descriptors it has.
+LEAST_CONNECTIONS = 100
+# Changes that follow one another within this time are read in one call.
+GATHER_S = 0.1
+
+
+class NodeService:
+    """One node of the system."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: NodeSettings,
+        store: ObjectStore,
+        wire: Wire,
+        documents: Documents,
+        metrics_port: int,
+        reload: Callable[[], NodeSettings],
+    ):
+        self.reactor = reactor
+        self.settings = settings
+        self.store = store
+        self.wire = wire
+        self.documents = documents
+        self.metrics_port = metrics_port
+        self.reload = reload
+        self.random = Random()
+        self.tasks = Tasks(reactor)
+        self.metrics = NodeMetrics()
+        self.routing = RoutingState()
+        self.servers = ServerTable()
+        self.pool = BackendPool(reactor, wire.request_id_header)
+        self.decisions = DecisionLog(reactor.seconds)
+        self.own = Member(
+            settings.name,
+            settings.failure_domain,
+            settings.region,
+            settings.callers_address,
+            f"{settings.ip}:{settings.peer_port}",
+            int(time() * MS_PER_S),
+        )
+        self.members = Members(self.own)
+        self.beat_count = 0
+        self.servers_known = False
+        self.forwarder = self._build_forwarder()
+        self.watchers = [
+            Watcher(store, kind, reactor, self.random, on_change, GATHER_S)
+            for kind, on_change in (
+                (documents.config_kind, self.on_config),
+                (documents.servers_kind, self.on_servers),
+                (documents.evacuations_kind, self.on_evacuations),
+                (documents.members_kind, self.on_members),
+            )
+        ]
+        self._build_sites()
+        self.beats = BeatPort(
+            self.members, self.own_beat, reactor.seconds, lambda _: None
+        )
+        self.stop = NodeStop(
+            reactor,
+            settings.bounds.grace_s,
+            self.announce_stop,
+            self.close_ports,
+            lambda: self.caller_site.running,
+            self.end,
+        )
+
+    def _build_forwarder(self) -> Forwarder:
+        bounds = self.settings.bounds
+        return Forwarder(
+            self.reactor,
+            self.pool,
+            Placement(self.servers, self.settings.region),
+            self.wire,
+            lambda: RetryWindow(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+            ),
+            self.members.count,
+        )
+
+    def _build_sites(self) -> None:
+        settings = self.settings
+        callers = CallerPort(
+            self.routing,
+            self.forwarder,
+            self.wire,
+            self.reactor.seconds,
+            self.metrics,
+            self.decisions,
+        )
+        directory = Directory(
+            self.members,
+            self.wire,
+            self.is_ready,
+            self.reactor.seconds,
+            settings.bounds.max_lookup_s,
+        )
+        self.caller_site = HttpSite(self.reactor, callers.handle, self._limits())
+        self.caller_site.cancels_abandoned = True
+        self.sites = {
+            settings.callers_address: self.caller_site,
+            settings.ready_address: self._site(
+                readiness_router(self.wire, self.is_ready)
+            ),
+            settings.directory_address: self._site(directory.router),
+            f"{settings.ip}:{self.metrics_port}": self._site(
+                metrics_router(self.metrics, self.refresh_metrics)
+            ),
+        }
+        self.ports: dict[str, Any] = {}
+
+    def _site(self, handler: Any) -> HttpSite:
+        return HttpSite(self.reactor, handler, HttpLimits(max_connections=500))
+
+    def _limits(self) -> HttpLimits:
+        limits = self.routing.limits
+        return HttpLimits(
+            max_body_bytes=limits.max_body_bytes,
+            max_header_bytes=limits.max_header_bytes,
+            max_connections=max(
+                self.settings.max_descriptors - RESERVED_DESCRIPTORS, 100
+            ),
+            receive_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            times_headers_only=True,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should use this node."""
+        known = self.routing.version is not None and self.servers_known
+        return known and not self.stop.stopping
+
+    def own_beat(self) -> Beat:
+        """Return what this node tells the others now."""
+        self.beat_count += 1
+        return Beat(
+            name=self.own.name,
+            incarnation=self.own.incarnation,
+            count=self.beat_count,
+            ready=self.is_ready(),
+            config_version=self.routing.version or 0,
+            member=self.own,
+        )
+
+    def on_config(
+        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the configuration."""
+        stored = objects.get(self.documents.config_name)
+        if stored is None:
+            return
+        config = self.documents.decode_config(stored)
+        if config is None:
+            get_logger().error("config_not_readable", version=stored.version)
+            return
+        if self.routing.take(config):
+            self.forwarder.services = self.routing.services
+            self.caller_site.limits = self._limits()
+
+    def on_servers(
+        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the list of backend servers."""
+        regions = self.settings.regions
+        decoded = (self.documents.decode_server(o, regions) for o in objects.values())
+        servers = {server.name: server for server in decoded if server is not None}
+        before = self.servers.states
+        self.servers.update(servers, self.reactor.seconds())
+        self.servers_known = True
+        self.pool.retain(set(servers))
+        for name, server in servers.items():
+            known = before.get(name)
+            if known is None or known.server.state is not server.state:
+                get_logger().info(
+                    "server_listed",
+                    server=name,
+                    state=server.state.value,
+                    service=server.service,
+                    domain=server.failure_domain,
+                    cold_s=server.cold_for_s,
+                    revision=version,
+                )
+        for name in before.keys() - servers.keys():
+            get_logger().info("server_gone", server=name, revision=version)
+
+    def on_evacuations(
+        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in which failure domains are evacuated."""
+        cold_s = {name: s.cold_s for name, s in self.routing.services.items()}
+        if frozenset(objects) != self.servers.evacuated:
+            get_logger().info("evacuations", domains=sorted(objects), revision=version)
+        self.servers.set_evacuated(objects, cold_s, self.reactor.seconds())
+
+    def on_members(
+        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the list of nodes."""
+        decoded = (self.documents.decode_member(o) for o in objects.values())
+        found = {member.name: member for member in decoded if member is not None}
+        self.members.update_list(found, self.reactor.seconds())
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges that are read when the metrics are served."""
+        self.metrics.store_calls.set(getattr(self.store, "platform_calls", 0))
+        self.metrics.opened.set(self.pool.opened)
+        self.metrics.config_version.set(self.routing.version or 0)
+        self.metrics.nodes.set(self.members.alive_count(self.reactor.seconds()))
+
+    def start(self) -> None:
+        """Listen, follow the store and tell the others."""
+        for address, site in self.sites.items():
+            self.ports[address] = listen(self.reactor, "listen", address, site)
+        host, port = split_address(self.own.peer_address)
+        self.ports[self.own.peer_address] = self.reactor.listenUDP(
+            port, self.beats, interface=host
+        )
+        loop = get_event_loop()
+        for number in (SIGTERM, SIGINT):
+            loop.add_signal_handler(number, self.stop.request)
+        loop.add_signal_handler(SIGHUP, self.on_reload)
+        for watcher in self.watchers:
+            watcher.start()
+        entry = OwnEntry(self.store, self.documents, self.own, self.random)
+        self.tasks.start(entry.write(self.tasks))
+        self.tasks.repeat(BEAT_PERIOD_S, self._beat)
+        self.tasks.repeat(SWEEP_PERIOD_S, self._sweep)
+        get_logger().info("node_started", incarnation=self.own.incarnation)
+
+    async def _beat(self) -> None:
+        self.beats.send()
+
+    async def _sweep(self) -> None:
+        self.pool.sweep()
+        self.decisions.report_dropped()
+
+    def on_reload(self) -> None:
+        """Take in changed bounds and regions; addresses stay until a restart."""
+        self.settings = self.reload()
+        get_logger().info("settings_reloaded")
+
+    def announce_stop(self) -> None:
+        """Tell callers and the other nodes that this node stops."""
+        self.caller_site.closing = True
+        self.beats.send()
+
+    def close_ports(self) -> None:
+        """Accept no more connections, and close those that carry no request."""
+        for address in (self.settings.callers_address, self.settings.directory_address):
+            self.ports[address].stopListening()
+        self.caller_site.close_idle()
+
+    def end(self) -> None:
+        """End the process."""
+        self.tasks.stop()
+        for watcher in self.watchers:
+            watcher.stop()
+        self.reactor.callLater(0, self.reactor.stop)
--- /dev/null
+++ b/ebonybend/node/stop.py
@@ -0,0 +1,64 @@
+"""Stop a node within its grace time without cutting off a request."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from ebonybend.logs import get_logger
+
+POLL_INTERVAL_S = 0.05
+# Part of the grace time in which new requests are still served, so that callers with
+# an old directory answer meet no refused connection.
+SERVING_PART = 0.6
+# Time before the end of the grace at which what is left is closed.
+END_MARGIN_S = 0.3
+
+
+class NodeStop:
+    """Serve on while callers leave, then close and end."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        grace_s: float,
+        announce: Callable[[], None],
+        close_ports: Callable[[], None],
+        running: Callable[[], int],
+        end: Callable[[], None],
+    ):
+        self.reactor = reactor
+        self.grace_s = grace_s
+        self.announce = announce
+        self.close_ports = close_ports
+        self.running = running
+        self.end = end
+        self.stopping = False
+
+    def request(self) -> None:
+        """Begin to stop; a second request ends the process at once."""
+        if self.stopping:
+            get_logger().warning("immediate_stop", running=self.running())
+            self.end()
+            return
+        self.stopping = True
+        get_logger().info("stop_begins", running=self.running(), grace_s=self.grace_s)
+        self.announce()
+        Deferred.fromCoroutine(self._run()).addErrback(self._failed)
+
+    def _failed(self, failure: Any) -> None:
+        get_logger().error("stop_failed", error=repr(failure.value))
+        self.end()
+
+    async def _run(self) -> None:
+        started = self.reactor.seconds()
+        await deferLater(self.reactor, self.grace_s * SERVING_PART)
+        self.close_ports()
+        until = started + self.grace_s - END_MARGIN_S
+        while self.running() and self.reactor.seconds() < until:
+            await deferLater(self.reactor, POLL_INTERVAL_S)
+        # Lets the last answers leave the sockets.
+        await deferLater(self.reactor, POLL_INTERVAL_S)
+        get_logger().info("stopped", seconds=round(self.reactor.seconds() - started, 3))
+        self.end()
--- /dev/null
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -0,0 +1,149 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from ebonybend.node.backend_connection import (
+    AnswerNotReceived,
+    BackendConnection,
+    Loss,
+)
+
+ID = b"Attempt-Id: a1\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + ID + b"Content-Length: 5\r\n\r\nwhole"
+OTHER = OK + b"Attempt-Id: b2\r\nContent-Length: 5\r\n\r\nother"
+DONE = Failure(ConnectionDone())
+RESET = Failure(ConnectionLost())
+
+
+class Exchange:
+    """A connection with one request under way."""
+
+    def __init__(self):
+        self.freed = []
+        self.connection = BackendConnection(b"Attempt-Id", self.freed.append)
+        self.transport = StringTransport()
+        self.transport.abortConnection = self.transport.loseConnection
+        self.connection.makeConnection(self.transport)
+        self.results = []
+        self.send(b"a1")
+
+    def send(self, request_id):
+        waiting = self.connection.send(b"GET", request_id, b"request")
+        waiting.addBoth(self.results.append)
+        return waiting
+
+
+class BackendConnectionTest(TestWithScenarios, TestCase):
+    """Guards against a part, or another request's answer, taken for the answer."""
+
+    scenarios = [
+        ("whole", {"parts": [WHOLE], "body": b"whole", "kept": True}),
+        ("byte by byte", {"parts": list(WHOLE), "body": b"whole", "kept": True}),
+        (
+            "chunked",
+            {
+                "parts": [
+                    OK + ID + b"Transfer-Encoding: chunked\r\n\r\n",
+                    b"2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+                ],
+                "body": b"whole",
+                "kept": True,
+            },
+        ),
+        (
+            "empty",
+            {
+                "parts": [OK + ID + b"Content-Length: 0\r\n\r\n"],
+                "body": b"",
+                "kept": True,
+            },
+        ),
+        (
+            "connection closes",
+            {
+                "parts": [OK + ID + b"Connection: close\r\nContent-Length: 1\r\n\r\nx"],
+                "body": b"x",
+                "kept": False,
+            },
+        ),
+        (
+            "a second answer follows",
+            {"parts": [WHOLE + OTHER], "body": b"whole", "kept": False},
+        ),
+        (
+            "a late answer goes before",
+            {"parts": [OTHER + WHOLE], "body": b"whole", "kept": False},
+        ),
+        (
+            "a late answer goes before in pieces",
+            {
+                "parts": [OTHER[:30], OTHER[30:] + WHOLE[:9], WHOLE[9:]],
+                "body": b"whole",
+                "kept": False,
+            },
+        ),
+        (
+            "unframed and ended",
+            {"parts": [OK + ID + b"\r\nwhole", DONE], "body": b"whole", "kept": False},
+        ),
+        (
+            "unframed and reset",
+            {"parts": [OK + ID + b"\r\nwhole", RESET], "loss": Loss.CLOSED},
+        ),
+        ("cut off", {"parts": [WHOLE[:-1], DONE], "loss": Loss.CLOSED}),
+        ("no answer", {"parts": [RESET], "loss": Loss.CLOSED}),
+        ("no HTTP", {"parts": [b"\0\1\2 garbage\r\n\r\n"], "loss": Loss.GARBLED}),
+        (
+            "only others' answers",
+            {"parts": [OTHER + OTHER + OTHER], "loss": Loss.GARBLED},
+        ),
+    ]
+    parts = ()
+    body = None
+    kept = False
+    loss = None
+
+    def test_answer(self):
+        exchange = Exchange()
+        for part in self.parts:
+            if isinstance(part, Failure):
+                exchange.connection.connectionLost(part)
+            else:
+                data = bytes([part]) if isinstance(part, int) else part
+                exchange.connection.dataReceived(data)
+        self.assertEqual(1, len(exchange.results))
+        result = exchange.results[0]
+        if self.loss is not None:
+            self.assertIsInstance(result.value, AnswerNotReceived)
+            self.assertEqual(self.loss, result.value.loss)
+        else:
+            self.assertEqual(self.body, result.body)
+        self.assertEqual(self.kept, bool(exchange.freed))
+        self.assertEqual(self.kept, exchange.connection.usable)
+
+
+class ReuseTest(TestCase):
+    """Guards against bytes of an earlier request in a later one's answer."""
+
+    def test_second_request_gets_its_own_answer(self):
+        exchange = Exchange()
+        exchange.connection.dataReceived(WHOLE)
+        exchange.send(b"b2")
+        exchange.connection.dataReceived(OTHER)
+        self.assertEqual([b"whole", b"other"], [r.body for r in exchange.results])
+
+    def test_bytes_while_idle_end_the_connection(self):
+        exchange = Exchange()
+        exchange.connection.dataReceived(WHOLE)
+        exchange.connection.dataReceived(b"H")
+        self.assertFalse(exchange.connection.usable)
+
+    def test_cancelled_request_ends_the_connection(self):
+        exchange = Exchange()
+        waiting = exchange.connection.waiting
+        waiting.cancel()
+        self.assertTrue(exchange.transport.disconnecting)
+        self.assertEqual(Loss.ABORTED, exchange.results[0].value.loss)
--- a/ebonybend/platform/__init__.py
+++ b/ebonybend/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's object API: client, watches, rules and audit."""
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/ebonybend/platform/__main__.py
@@ -0,0 +1,49 @@
+"""Start a node on the platform: python3 -m ebonybend.platform."""
+
+import sys
+
+from ebonybend.errors import SteeringError
+from ebonybend.logs import configure_logs
+from ebonybend.loop import install_reactor
+from ebonybend.platform.settings import read_settings, settings_path
+
+# Port of the metrics; deploy/system.toml names the same.
+METRICS_PORT = 9464
+EXIT_BAD_SETTING = 2
+
+
+def main() -> int:
+    """Run the node and return the exit status."""
+    try:
+        path = settings_path()
+        settings = read_settings(path)
+        configure_logs("info", instance=settings.name)
+        install_reactor()
+        # These modules import the installed reactor.
+        from twisted.internet import reactor
+
+        from ebonybend.http_client import HttpClient
+        from ebonybend.node.service import NodeService
+        from ebonybend.platform.calls import PlatformWire
+        from ebonybend.platform.documents import PlatformDocuments
+        from ebonybend.platform.store import PlatformStore
+
+        service = NodeService(
+            reactor,
+            settings,
+            PlatformStore(HttpClient(reactor), settings.store_address),
+            PlatformWire(),
+            PlatformDocuments(),
+            METRICS_PORT,
+            lambda: read_settings(path),
+        )
+        service.start()
+    except SteeringError as error:
+        print(f"ebonybend: {error.message}", file=sys.stderr)
+        return EXIT_BAD_SETTING
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ebonybend/platform/documents.py
@@ -0,0 +1,207 @@
+"""Decode and encode the objects in the platform's store."""
+
+from attrs import field, frozen
+
+from ebonybend.codec import from_json, to_json
+from ebonybend.errors import SteeringError
+from ebonybend.node.members import Member
+from ebonybend.store.client import StoredObject
+from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.route import (
+    CallerLimits,
+    Route,
+    RoutedService,
+    RoutePart,
+    RoutingConfig,
+)
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+SERVERS_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
+# A kind of this project: one object for each node.
+MEMBERS_KIND = "ebonybend-nodes"
+
+MS_PER_S = 1000.0
+SAFE = "safe"
+STATES = {"ready": LifeState.LIVE, "draining": LifeState.LEAVING}
+
+
+@frozen
+class _Backend:
+    Service: str
+    Weight: float
+
+
+@frozen
+class _Path:
+    Name: str
+    PathPrefix: str
+    Kind: str
+    TimeoutMs: float = 0.0
+    GoalMs: float = 0.0
+    MaxAttempts: int = 1
+    Priority: int = 0
+    Sticky: bool = False
+    Service: str = ""
+    # A list of services with weights, in place of Service.
+    Backends: list[_Backend] = field(factory=list)
+    HomeRegions: list[str] = field(factory=list)
+
+
+@frozen
+class _VirtualHost:
+    Host: str
+    Paths: list[_Path] = field(factory=list)
+
+
+@frozen
+class _Service:
+    Name: str
+    MaxConns: int = 0
+    WarmupS: float = 0.0
+    WarmupPerS: float = 0.0
+
+
+@frozen
+class _Limits:
+    MaxHeaderBytes: int = 16384
+    MaxBodyBytes: int = 64 << 20
+    HeaderTimeoutMs: float = 3000.0
+    IdleTimeoutMs: float = 15000.0
+
+
+@frozen
+class _Config:
+    Version: int
+    Services: list[_Service] = field(factory=list)
+    Limits: _Limits = _Limits()
+    VirtualHosts: list[_VirtualHost] = field(factory=list)
+
+
+@frozen
+class _ConfigObject:
+    Spec: _Config
+
+
+@frozen
+class _ServerInfo:
+    Service: str
+    Zone: str
+    # Requests that the server runs at the same time.
+    MaxConcurrency: int
+
+
+@frozen
+class _ServerStatus:
+    State: str
+    # Time for which the server stays cold, counted from the report.
+    WarmupLeftMs: float = 0.0
+
+
+@frozen
+class _ServerSpec:
+    Addr: str
+    Info: _ServerInfo
+    # What the server reports; the object's own Status stays empty.
+    Status: _ServerStatus
+    # Start of the process in Unix milliseconds.
+    born: int = 0
+
+
+@frozen
+class _ServerObject:
+    Spec: _ServerSpec
+
+
+@frozen
+class _MemberObject:
+    Spec: Member
+
+
+def _route(host: str, path: _Path) -> Route:
+    parts = tuple(RoutePart(part.Service, part.Weight) for part in path.Backends)
+    return Route(
+        name=path.Name,
+        host=host.lower(),
+        prefix=path.PathPrefix,
+        idempotent=path.Kind == SAFE,
+        parts=parts or (RoutePart(path.Service, 1.0),),
+        max_sends=max(path.MaxAttempts, 1),
+        timeout_s=path.TimeoutMs / MS_PER_S,
+        objective_s=path.GoalMs / MS_PER_S,
+        priority=path.Priority,
+        sticky=path.Sticky,
+        home_regions=tuple(path.HomeRegions),
+    )
+
+
+class PlatformDocuments:
+    """The kinds of objects in the store, and their formats."""
+
+    config_kind = CONFIG_KIND
+    config_name = CONFIG_NAME
+    servers_kind = SERVERS_KIND
+    evacuations_kind = EVACUATIONS_KIND
+    members_kind = MEMBERS_KIND
+
+    def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
+        """Return the routing that an object holds, or None if it can't be read."""
+        try:
+            config = from_json(bytes(stored.value), _ConfigObject).Spec
+        except SteeringError:
+            return None
+        return RoutingConfig(
+            config.Version,
+            tuple(
+                _route(host.Host, path)
+                for host in config.VirtualHosts
+                for path in host.Paths
+            ),
+            tuple(
+                RoutedService(item.Name, item.MaxConns, item.WarmupS, item.WarmupPerS)
+                for item in config.Services
+            ),
+            CallerLimits(
+                config.Limits.MaxHeaderBytes,
+                config.Limits.MaxBodyBytes,
+                config.Limits.HeaderTimeoutMs / MS_PER_S,
+                config.Limits.IdleTimeoutMs / MS_PER_S,
+            ),
+        )
+
+    def decode_server(
+        self, stored: StoredObject, regions: dict[str, str]
+    ) -> BackendServer | None:
+        """Return a server, or None if the entry names none that can be used."""
+        try:
+            spec = from_json(bytes(stored.value), _ServerObject).Spec
+        except SteeringError:
+            return None
+        info, status = spec.Info, spec.Status
+        state = STATES.get(status.State)
+        host, _, port = spec.Addr.rpartition(":")
+        if state is None or not host or not port.isdigit() or info.MaxConcurrency < 1:
+            return None
+        return BackendServer(
+            name=stored.name,
+            service=info.Service,
+            failure_domain=info.Zone,
+            address=spec.Addr,
+            slots=info.MaxConcurrency,
+            state=state,
+            region=regions.get(info.Zone, ""),
+            started_ms=spec.born,
+            cold_for_s=status.WarmupLeftMs / MS_PER_S,
+        )
+
+    def decode_member(self, stored: StoredObject) -> Member | None:
+        """Return a node's own entry, or None if it can't be read."""
+        try:
+            return from_json(bytes(stored.value), _MemberObject).Spec
+        except SteeringError:
+            return None
+
+    def encode_member(self, member: Member) -> bytes:
+        """Return the value of a node's own entry."""
+        return to_json(member)
--- /dev/null
+++ b/ebonybend/platform/store.py
@@ -0,0 +1,205 @@
+"""Calls to the platform's store of objects."""
+
+from typing import Any
+from urllib.parse import quote
+
+from attrs import field, frozen
+from msgspec import Raw
+from returns.result import Failure, Result, Success
+
+from ebonybend.codec import from_json, to_json
+from ebonybend.errors import SteeringError
+from ebonybend.http_client import HttpAnswer, HttpClient, NotSent, RequestFailed
+from ebonybend.store.client import (
+    CALL_TIMEOUT_S,
+    MAX_ANSWER_BYTES,
+    WATCH_MARGIN_S,
+    ObjectList,
+    StoredObject,
+    StoreFailure,
+    StoreFailureKind,
+)
+
+# A list longer than this is read in pages; the store pages at about 500 objects.
+MOST_PAGES = 10_000
+# Answers that state that the call was not carried out.
+REFUSALS = frozenset({429, 503})
+
+
+@frozen
+class _Metadata:
+    """The part of an object that the store itself writes."""
+
+    Name: str
+    # Revision of the object's last change.
+    Rev: int = 0
+
+
+@frozen
+class _Event:
+    """One change that a watch reports."""
+
+    Object: Raw
+    Deleted: bool = False
+
+
+@frozen
+class _Page:
+    """The answer to a list."""
+
+    StoreRevision: int
+    items: list[Raw] = field(factory=list)
+    HasMore: bool = False
+
+
+@frozen
+class _Changes:
+    """The answer to a watch."""
+
+    StoreRevision: int
+    events: list[_Event] = field(factory=list)
+
+
+@frozen
+class _Head:
+    """The part of an object that this client reads."""
+
+    Metadata: _Metadata
+
+
+class PlatformStore:
+    """The object store behind the platform's HTTP API; values are whole objects."""
+
+    def __init__(self, http: HttpClient, address: str):
+        self.http = http
+        self.address = address
+        # Calls since the start, for metrics.
+        self.platform_calls = 0
+
+    async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
+        """Return all objects of a kind."""
+        items: list[StoredObject] = []
+        revision: int | None = None
+        path = f"/objects/{quote(kind, safe='')}"
+        after = ""
+        for _ in range(MOST_PAGES):
+            answer = await self._call("GET", path + after)
+            page = answer.bind(lambda body: _decode(body, _Page))
+            if not isinstance(page, Success):
+                return Failure(page.failure())
+            found = page.unwrap()
+            # Changes between two pages are read again by the watch that follows.
+            if revision is None:
+                revision = found.StoreRevision
+            items += [stored for raw in found.items if (stored := _stored(raw))]
+            if not found.HasMore or not items:
+                return Success(ObjectList(revision, tuple(items)))
+            after = f"?after={quote(items[-1].name, safe='')}"
+        message = f"list of {kind!r} has more than {MOST_PAGES} pages"
+        return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
+        """Return one object."""
+        answer = await self._call("GET", _path(kind, name))
+        return answer.bind(_decode_stored)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[int, StoreFailure]:
+        """Write a spec if the object has a version (0: doesn't exist)."""
+        if version == 0:
+            method, path = "POST", f"/objects/{quote(kind, safe='')}"
+            head = b'{"Metadata":{"Name":%s},"Spec":' % to_json(name)
+        else:
+            method, path = "PUT", _path(kind, name)
+            head = b'{"Metadata":{"Name":%s,"Rev":%d},"Spec":' % (
+                to_json(name),
+                version,
+            )
+        answer = await self._call(method, path, head + value + b"}")
+        return answer.bind(_decode_stored).map(lambda stored: stored.version)
+
+    async def delete(
+        self, kind: str, name: str, version: int
+    ) -> Result[bytes, StoreFailure]:
+        """Remove an object if it has a version."""
+        return await self._call("DELETE", f"{_path(kind, name)}?Rev={version}")
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int
+    ) -> Result[ObjectList, StoreFailure]:
+        """Return the objects changed since a revision, or none after the time-out."""
+        path = f"/objects/{quote(kind, safe='')}?Watch={since}&WaitMs={timeout_ms}"
+        timeout = timeout_ms / 1000 + WATCH_MARGIN_S
+        answer = await self._call("GET", path, timeout=timeout)
+        return answer.bind(_decode_changes)
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", timeout: float = CALL_TIMEOUT_S
+    ) -> Result[bytes, StoreFailure]:
+        self.platform_calls += 1
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            answer = await self.http.request(
+                method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
+            )
+        except NotSent as error:
+            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
+        except RequestFailed as error:
+            return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
+        if 200 <= answer.status < 300:
+            return Success(answer.body)
+        return Failure(_failure(answer))
+
+
+def _failure(answer: HttpAnswer) -> StoreFailure:
+    message = f"the store answered {answer.status}"
+    if answer.status == 404:
+        return StoreFailure(StoreFailureKind.NOT_FOUND, message)
+    if answer.status == 409:
+        current = _decode_stored(answer.body).value_or(None)
+        return StoreFailure(StoreFailureKind.CONFLICT, message, current)
+    if answer.status in REFUSALS:
+        return StoreFailure(StoreFailureKind.UNAVAILABLE, message)
+    if answer.status >= 500:
+        return StoreFailure(StoreFailureKind.ANSWER_LOST, message)
+    # Includes 410: the history since the given revision is gone.
+    return StoreFailure(StoreFailureKind.REJECTED, message)
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _stored(raw: Raw, deleted: bool = False) -> StoredObject | None:
+    """Return an object, or None if its name and revision can't be read."""
+    try:
+        metadata = from_json(bytes(raw), _Head).Metadata
+    except SteeringError:
+        return None
+    return StoredObject(metadata.Name, metadata.Rev, raw, deleted)
+
+
+def _decode(body: bytes, kind: type) -> Result[Any, StoreFailure]:
+    try:
+        return Success(from_json(body, kind))
+    except SteeringError as error:
+        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
+
+
+def _decode_stored(body: bytes) -> Result[StoredObject, StoreFailure]:
+    stored = _stored(Raw(body))
+    if stored is None:
+        message = "the store's answer is no object"
+        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
+    return Success(stored)
+
+
+def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
+    decoded = _decode(body, _Changes)
+    if not isinstance(decoded, Success):
+        return decoded
+    changes = decoded.unwrap()
+    found = (_stored(event.Object, event.Deleted) for event in changes.events)
+    items = tuple(stored for stored in found if stored is not None)
+    return Success(ObjectList(changes.StoreRevision, items))
--- /dev/null
+++ b/ebonybend/steering/routes.py
@@ -0,0 +1,69 @@
+"""Find the route of a request, and the service that takes it."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from ebonybend.world.route import Route, RoutePart
+
+
+class RouteTable:
+    """The routes of one configuration by host and longest prefix."""
+
+    def __init__(self, routes: Iterable[Route]):
+        self.hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self.hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        prefixes = self.hosts.get(host.lower())
+        if prefixes is None:
+            return None
+        # Prefixes end with a slash, so only the path's slashes can end one.
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+@define
+class _Turn:
+    """A route's parts and how far each is behind its share."""
+
+    parts: tuple[RoutePart, ...]
+    credits: list[float] = field(factory=list)
+
+
+class PartChooser:
+    """Divide each route's requests between its parts by weight.
+
+    Each request adds every part's share to its credit and goes to the part with the
+    largest credit, so the counts never differ from the shares by more than one.
+    """
+
+    def __init__(self) -> None:
+        self.turns: dict[str, _Turn] = {}
+
+    def choose(self, route: Route) -> RoutePart:
+        """Return the part that takes the next request."""
+        if len(route.parts) == 1:
+            return route.parts[0]
+        turn = self.turns.get(route.name)
+        if turn is None or turn.parts != route.parts:
+            turn = _Turn(route.parts, [0.0] * len(route.parts))
+            self.turns[route.name] = turn
+        total = sum(part.weight for part in route.parts)
+        if total <= 0:
+            return route.parts[0]
+        for index, part in enumerate(route.parts):
+            turn.credits[index] += part.weight / total
+        best = max(range(len(turn.credits)), key=turn.credits.__getitem__)
+        turn.credits[best] -= 1.0
+        return route.parts[best]
+
+    def forget_except(self, names: set[str]) -> None:
+        """Drop the state of routes that no longer exist."""
+        self.turns = {name: turn for name, turn in self.turns.items() if name in names}
--- /dev/null
+++ b/ebonybend/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API: client, watches, rules and audit."""
--- a/ebonybend/platform/audit_log.py
+++ b/ebonybend/store/audit_log.py
@@ -7,8 +7,8 @@
 
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
-from ebonybend.platform.audit_entry import AuditEntry
-from ebonybend.platform.client import (
+from ebonybend.store.audit_entry import AuditEntry
+from ebonybend.store.client import (
     ObjectStore,
     StoredObject,
     StoreFailure,
--- a/ebonybend/platform/rules_store.py
+++ b/ebonybend/store/rules_store.py
@@ -10,16 +10,16 @@
 
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
-from ebonybend.platform.audit_entry import AuditEntry
-from ebonybend.platform.audit_log import AuditLog
-from ebonybend.platform.client import (
+from ebonybend.rules.diff import diff_rules
+from ebonybend.store.audit_entry import AuditEntry
+from ebonybend.store.audit_log import AuditLog
+from ebonybend.store.client import (
     ObjectStore,
     StoredObject,
     StoreFailure,
     StoreFailureKind,
 )
-from ebonybend.platform.watcher import Backoff
-from ebonybend.rules.diff import diff_rules
+from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import Tasks, Timers
 
 KIND = "rules"
--- a/ebonybend/platform/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock, deferLater
 
-from ebonybend.platform.client import (
+from ebonybend.store.client import (
     ObjectList,
     StoredObject,
     StoreFailure,
--- a/ebonybend/platform/tests/test_rules_store.py
+++ b/ebonybend/store/tests/test_rules_store.py
@@ -7,15 +7,15 @@
 from twisted.internet.task import Clock
 
 from ebonybend.codec import from_json, to_json
-from ebonybend.platform.audit_log import MAX_CHUNK_ENTRIES, AuditEntry, AuditLog
-from ebonybend.platform.rules_store import (
+from ebonybend.store.audit_log import MAX_CHUNK_ENTRIES, AuditEntry, AuditLog
+from ebonybend.store.rules_store import (
     RECENT_CHANGES,
     ApplyFailureKind,
     ProposedChange,
     RulesObject,
     RulesStore,
 )
-from ebonybend.platform.tests.memory_store import MemoryStore, StoreClient, result_of
+from ebonybend.store.tests.memory_store import MemoryStore, StoreClient, result_of
 
 TEXT = "# Ana (audit): busy\nweights service={} latency=0.8 headroom=0.2\n"
 
--- a/ebonybend/platform/tests/test_watcher.py
+++ b/ebonybend/store/tests/test_watcher.py
@@ -3,8 +3,8 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from ebonybend.platform.tests.memory_store import MemoryStore, StoreClient
-from ebonybend.platform.watcher import LONGEST_BACKOFF_S, Backoff, Watcher
+from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
+from ebonybend.store.watcher import LONGEST_BACKOFF_S, Backoff, Watcher
 
 
 class WatcherTest(TestCase):
--- a/ebonybend/platform/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -6,7 +6,7 @@
 from returns.result import Result, Success
 
 from ebonybend.logs import get_logger
-from ebonybend.platform.client import (
+from ebonybend.store.client import (
     ObjectList,
     ObjectStore,
     StoredObject,
@@ -53,11 +53,14 @@
         timers: Timers,
         random: Random,
         on_change: OnChange,
+        gather_s: float = 0.0,
     ):
         self.store = store
         self.kind = kind
         self.timers = timers
         self.on_change = on_change
+        # Pause after a change, in which further changes gather.
+        self.gather_s = gather_s
         self.backoff = Backoff(random)
         self.objects: dict[str, StoredObject] = {}
         # None until the first list; the watch resumes from here.
@@ -89,6 +92,8 @@
                 return
             if reached:
                 self.backoff.reset()
+                if self.gather_s:
+                    await tasks.sleep(self.gather_s)
             else:
                 await tasks.sleep(self.backoff.next())
 
--- a/ebonybend/world/backend_server.py
+++ b/ebonybend/world/backend_server.py
@@ -29,3 +29,8 @@
     # Connections that it accepts.
     connections: int = 300
     state: LifeState = LifeState.LIVE
+    region: str = ""
+    # Start of the process in Unix milliseconds; 0 if the list doesn't tell it.
+    started_ms: int = 0
+    # Time after this report for which the server bears only a bounded rate.
+    cold_for_s: float = 0.0
