Keep objects warm: regions by demand, two places, bounds by expected time

Change: an object has two places in one region; regions take shares of objects by the demand that nodes tell in beats; a request goes to a server only if the expected answer is on time, and less urgent ones leave room for urgent ones.

Ruled out: processor time (0.17 of a core at most) and connections.

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -25,6 +25,8 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from ebonybend.sockets import detect_silence
+
 # Shorter than the idle time-out of the servers, so that a connection is not reused
 # while the other side closes it.
 IDLE_CONNECTION_S = 15.0
@@ -212,8 +214,10 @@
         reactor: Any,
         source_address: str | None = None,
         connections_per_host: int = 64,
+        detects_silence: bool = False,
     ):
         self.reactor = reactor
+        self.detects_silence = detects_silence
         self.bind = (source_address, 0) if source_address else None
         self.pools = {
             Reuse.ANY: _AgedPool(reactor, IDLE_CONNECTION_S, connections_per_host),
@@ -259,7 +263,10 @@
         else:
             timer = self.reactor.callLater(timeout, connecting.cancel)
         try:
-            return await connecting
+            connection = await connecting
+            if timer is not None and self.detects_silence:
+                detect_silence(connection.transport)
+            return connection
         except (CancelledError, ConnectingCancelledError) as error:
             raise NotSent(f"no connection to {address} in {timeout:.3f} s") from error
         except ConnectionRefusedError as error:
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -101,7 +101,9 @@
         self.method = b""
         self.request_id = b""
         self.skipped = 0
-        # Whether the answer that is being parsed ends with the connection.
+        # Whether the connection has ended.
+        self.lost = False
+        # An answer without a length, received until the connection ended.
         self.unframed: BackendAnswer | None = None
 
     def send(
@@ -132,7 +134,7 @@
 
     def _parsed(self, rest: bytes) -> None:
         self.rest = rest
-        if self.parser.bodyDecoder is not None:
+        if self.parser.bodyDecoder is not None and not self.lost:
             # Tells the body's protocol that the body is whole.
             self.parser.response._bodyDataFinished()
 
@@ -201,6 +203,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Fail the waiting request unless its answer was to end this way."""
         self.usable = False
+        self.lost = True
         if self.waiting is None:
             return
         self.parser.connectionLost(reason)
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -1,15 +1,6 @@
 """Connections to backend servers, kept open between requests."""
 
 from collections.abc import Callable
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_USER_TIMEOUT,
-)
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -22,6 +13,7 @@
 from twisted.internet.protocol import Factory
 
 from ebonybend.node.backend_connection import BackendConnection
+from ebonybend.sockets import detect_silence
 from ebonybend.world import BackendServer
 
 # A kept connection is not used after this time; servers that state no idle time-out
@@ -34,11 +26,6 @@
 MOST_IDLE_SINGLE_S = 2.0
 # Time for a connection to come about, several round trips between regions.
 CONNECT_TIMEOUT_S = 0.6
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# Unacknowledged bytes end a connection after this time.
-UNACKNOWLEDGED_TIMEOUT_MS = 2000
 
 
 class Unreachable(Exception):
@@ -50,16 +37,6 @@
         self.refused = refused
 
 
-def detect_silence(transport: Any) -> None:
-    """Let the kernel end a connection whose other side no longer answers."""
-    handle = transport.getHandle()
-    handle.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    handle.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    handle.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    handle.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
-
-
 class BackendPool:
     """Idle connections by server; the one used last is taken first."""
 
--- a/ebonybend/node/caller_requests.py
+++ b/ebonybend/node/caller_requests.py
@@ -22,8 +22,12 @@
     arrived_at: float
     # Time after which the caller gets no use of an answer.
     deadline: float
+    # Whether no other route of the service is more urgent.
+    urgent: bool
     sends: int = 0
     # Server to which it was sent last.
     server: str = ""
+    # Estimated requests on that server, before this one.
+    load: float = 0.0
     # Whether a server may have run the request.
     may_have_run: bool = False
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -74,6 +74,7 @@
         route = routing.find(name, incoming.path)
         if route is None:
             raise SteeringError(ErrorKind.UNKNOWN_PATH, "no route for host and path")
+        service = routing.parts.choose(route).service
         limits = [s for s in (told.deadline_s, route.timeout_s) if s]
         return CallerRequest(
             request_id=told.request_id,
@@ -82,10 +83,11 @@
             headers=raw.requestHeaders,
             body=incoming.body,
             route=route,
-            service=routing.parts.choose(route).service,
+            service=service,
             object_key=told.object_key,
             arrived_at=arrived_at,
             deadline=arrived_at + min(limits, default=DEFAULT_DEADLINE_S),
+            urgent=routing.is_urgent(route, service),
         )
 
     def _refusal(self, error: SteeringError) -> OutgoingAnswer:
--- a/ebonybend/node/decisions.py
+++ b/ebonybend/node/decisions.py
@@ -66,8 +66,10 @@
             fields = {
                 "route": request.route.name,
                 "service": request.service,
+                "object": request.object_key.decode("latin-1"),
                 "server": request.server,
                 "sends": request.sends,
+                "load": request.load,
                 "may_have_run": request.may_have_run,
             }
         if error is not None:
--- /dev/null
+++ b/ebonybend/node/demand.py
@@ -0,0 +1,78 @@
+"""The demand for each service here and at other nodes, and where objects go."""
+
+from collections.abc import Callable, Mapping
+
+from ebonybend.node.members import Beat, Members
+from ebonybend.steering.placement import capacity_by_region
+from ebonybend.steering.regions import DemandMeter, RegionShares, target_shares
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.world.route import Route
+
+
+class RegionSteering:
+    """Meter the demand and keep the shares of the regions for each service."""
+
+    def __init__(
+        self,
+        region: str,
+        shift_most: float,
+        table: ServerTable,
+        times: ServiceTimes,
+        members: Members,
+        clock: Callable[[], float],
+    ):
+        self.region = region
+        self.shift_most = shift_most
+        self.table = table
+        self.times = times
+        self.members = members
+        self.clock = clock
+        self.meters: dict[str, DemandMeter] = {}
+        self.shares: dict[str, RegionShares] = {}
+
+    def arrived(self, route: Route, service: str) -> None:
+        """Count a request of a caller."""
+        seconds = self.times.warm_time(route.name)
+        meter = self.meters.get(service)
+        if meter is None:
+            meter = self.meters[service] = DemandMeter()
+        meter.add(seconds, self.clock())
+
+    def own_demand(self) -> dict[str, float]:
+        """Return the demand at this node in slots by service."""
+        now = self.clock()
+        return {name: round(m.read(now), 2) for name, m in self.meters.items()}
+
+    def region_of(self, service: str, object_key: bytes) -> str:
+        """Return the region that takes an object."""
+        shares = self.shares.get(service)
+        return self.region if shares is None else shares.region_of(object_key)
+
+    def update(self) -> None:
+        """Let the shares follow the demands that are known now."""
+        now = self.clock()
+        demands = self._demands(now)
+        for service in self.table.by_service:
+            capacity = capacity_by_region(self.table, service, now)
+            target = target_shares(self.region, demands.get(service, {}), capacity)
+            shares = self.shares.setdefault(service, RegionShares(self.region))
+            shares.follow(target, capacity, self.shift_most, now)
+
+    def _demands(self, now: float) -> Mapping[str, dict[str, float]]:
+        """Return the demand by service and region."""
+        found: dict[str, dict[str, float]] = {}
+        told = [(self.region, self.own_demand())]
+        told += [(b.member.region, b.demand) for b in self._fresh_beats(now)]
+        for region, demand in told:
+            for service, slots in demand.items():
+                regions = found.setdefault(service, {})
+                regions[region] = regions.get(region, 0.0) + slots
+        return found
+
+    def _fresh_beats(self, now: float) -> list[Beat]:
+        return [
+            beat
+            for name, beat in self.members.beats.items()
+            if name != self.members.own.name and self.members.is_alive(name, now)
+        ]
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -9,6 +9,7 @@
 from ebonybend.node.backend_connection import AnswerNotReceived, BackendAnswer
 from ebonybend.node.backend_pool import BackendPool, Unreachable
 from ebonybend.node.caller_requests import CallerRequest
+from ebonybend.node.demand import RegionSteering
 from ebonybend.node.wire import Wire
 from ebonybend.steering.placement import Placement, PlacementQuery, service_of
 from ebonybend.steering.server_state import ServerState
@@ -45,6 +46,7 @@
         reactor: Any,
         pool: BackendPool,
         placement: Placement,
+        regions: RegionSteering,
         wire: Wire,
         new_window: Callable[[], RetryWindow],
         nodes: Callable[[], int],
@@ -52,6 +54,8 @@
         self.reactor = reactor
         self.pool = pool
         self.placement = placement
+        self.regions = regions
+        self.times = placement.times
         self.wire = wire
         self.new_window = new_window
         self.nodes = nodes
@@ -66,6 +70,7 @@
 
     async def forward(self, request: CallerRequest) -> BackendAnswer:
         """Return the server's answer; raise a SteeringError that says what is known."""
+        self.regions.arrived(request.route, request.service)
         excluded: set[str] = set()
         unreachable = 0
         error = SteeringError(ErrorKind.OVERLOADED, "no server has room", 0)
@@ -111,10 +116,11 @@
     ) -> ServerState | None:
         query = PlacementQuery(
             service=service_of(self.services, request.service),
+            route=request.route,
             object_key=request.object_key,
-            home_regions=request.route.home_regions,
+            region=self.regions.region_of(request.service, request.object_key),
+            urgent=request.urgent,
             excluded=excluded,
-            nodes=self.nodes(),
         )
         return self.placement.choose(query, now)
 
@@ -143,12 +149,15 @@
         try:
             connection = self.pool.take(server, not request.route.idempotent)
             if connection is None:
+                opening = self.reactor.seconds()
                 connection = await self.pool.connect(server)
+                state.connected(self.reactor.seconds() - opening)
             started = self.reactor.seconds()
             if request.sends == 0:
                 self._window(request.service).first(started)
             request.sends += 1
             request.server = server.name
+            request.load = round(state.load(started) - 1, 1)
             ran_before = request.may_have_run
             request.may_have_run = True
             data = self._encode(request, server.name, started)
@@ -159,10 +168,16 @@
             state.in_flight -= 1
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = ran_before
-        self._learn(state, answer, started)
+        self._learn(request, state, answer, started)
         return answer
 
-    def _learn(self, state: ServerState, answer: BackendAnswer, started: float) -> None:
+    def _learn(
+        self,
+        request: CallerRequest,
+        state: ServerState,
+        answer: BackendAnswer,
+        started: float,
+    ) -> None:
         now = self.reactor.seconds()
         load = self.wire.read_load(answer.headers)
         if load is not None:
@@ -172,7 +187,12 @@
         if answer.status >= 500:
             state.failed(now)
         else:
-            state.succeeded(now - started)
+            seconds = max(now - started - (state.round_trip_s or 0.0), 0.001)
+            state.succeeded(seconds)
+            waited = request.load >= state.server.slots
+            self.times.answered(
+                request.route.name, state, request.object_key, seconds, waited
+            )
 
     async def _await_answer(
         self, waiting: Deferred[BackendAnswer], request: CallerRequest
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -33,7 +33,10 @@
     count: int
     # Whether callers may use the node.
     ready: bool
-    config_version: int
+    # Newest version of an object of each kind that the node follows in the store.
+    newest: dict[str, int]
+    # Demand at the node in slots by service.
+    demand: dict[str, float]
     member: Member
 
 
--- a/ebonybend/node/routing_state.py
+++ b/ebonybend/node/routing_state.py
@@ -10,9 +10,12 @@
 
     def __init__(self) -> None:
         self.version: int | None = None
+        self.routes: tuple[Route, ...] = ()
         self.table = RouteTable(())
         self.services: dict[str, RoutedService] = {}
         self.limits = CallerLimits()
+        # Priority of the most urgent route of each service.
+        self.most_urgent: dict[str, int] = {}
         self.parts = PartChooser()
 
     def take(self, config: RoutingConfig) -> bool:
@@ -20,9 +23,11 @@
         if self.version is not None and config.version <= self.version:
             return False
         before, self.version = self.version, config.version
+        self.routes = config.routes
         self.table = RouteTable(config.routes)
         self.services = {service.name: service for service in config.services}
         self.limits = config.limits
+        self.most_urgent = _most_urgent(config)
         self.parts.forget_except({route.name for route in config.routes})
         get_logger().info(
             "config_in_force",
@@ -35,3 +40,16 @@
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request."""
         return self.table.find(host, path)
+
+    def is_urgent(self, route: Route, service: str) -> bool:
+        """Tell whether no other route of the service is more urgent."""
+        return route.priority <= self.most_urgent.get(service, route.priority)
+
+
+def _most_urgent(config: RoutingConfig) -> dict[str, int]:
+    found: dict[str, int] = {}
+    for route in config.routes:
+        for part in route.parts:
+            known = found.get(part.service, route.priority)
+            found[part.service] = min(known, route.priority)
+    return found
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -14,7 +14,9 @@
 from ebonybend.node.beats import BEAT_PERIOD_S, BeatPort
 from ebonybend.node.callers import CallerPort
 from ebonybend.node.decisions import DecisionLog
+from ebonybend.node.demand import RegionSteering
 from ebonybend.node.forwarder import Forwarder
+from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Beat, Member, Members
 from ebonybend.node.membership import OwnEntry
 from ebonybend.node.metrics import NodeMetrics
@@ -26,6 +28,7 @@
 from ebonybend.settings import split_address
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
+from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.store.client import ObjectStore, StoredObject
 from ebonybend.store.watcher import Watcher
@@ -39,6 +42,9 @@
 LEAST_CONNECTIONS = 100
 # Changes that follow one another within this time are read in one call.
 GATHER_S = 0.1
+# A store that is back is noticed after this time; changes are to be in force 2.5 s
+# after they are made.
+LONGEST_BACKOFF_S = 0.8
 
 
 class NodeService:
@@ -81,7 +87,15 @@
         self.servers_known = False
         self.forwarder = self._build_forwarder()
         self.watchers = [
-            Watcher(store, kind, reactor, self.random, on_change, GATHER_S)
+            Watcher(
+                store,
+                kind,
+                reactor,
+                self.random,
+                on_change,
+                GATHER_S,
+                LONGEST_BACKOFF_S,
+            )
             for kind, on_change in (
                 (documents.config_kind, self.on_config),
                 (documents.servers_kind, self.on_servers),
@@ -90,8 +104,9 @@
             )
         ]
         self._build_sites()
+        self.lag = LagDetector()
         self.beats = BeatPort(
-            self.members, self.own_beat, reactor.seconds, lambda _: None
+            self.members, self.own_beat, reactor.seconds, self.on_beat
         )
         self.stop = NodeStop(
             reactor,
@@ -104,10 +119,20 @@
 
     def _build_forwarder(self) -> Forwarder:
         bounds = self.settings.bounds
+        self.times = ServiceTimes()
+        self.regions = RegionSteering(
+            self.settings.region,
+            bounds.shift_most,
+            self.servers,
+            self.times,
+            self.members,
+            self.reactor.seconds,
+        )
         return Forwarder(
             self.reactor,
             self.pool,
-            Placement(self.servers, self.settings.region),
+            Placement(self.servers, self.times),
+            self.regions,
             self.wire,
             lambda: RetryWindow(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -175,10 +200,26 @@
             incarnation=self.own.incarnation,
             count=self.beat_count,
             ready=self.is_ready(),
-            config_version=self.routing.version or 0,
+            demand=self.regions.own_demand(),
+            newest={watcher.kind: watcher.newest for watcher in self.watchers},
             member=self.own,
         )
 
+    def on_beat(self, beat: Beat) -> None:
+        """List what another node knows a newer version of, if that lasts."""
+        now = self.reactor.seconds()
+        for watcher in self.watchers:
+            told = beat.newest.get(watcher.kind, 0)
+            if self.lag.is_behind(watcher.kind, watcher.newest, told, now):
+                get_logger().warning(
+                    "watch_behind",
+                    kind=watcher.kind,
+                    newest=watcher.newest,
+                    told=told,
+                    peer=beat.name,
+                )
+                watcher.hurry()
+
     def on_config(
         self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
     ) -> None:
@@ -205,6 +246,8 @@
         self.servers.update(servers, self.reactor.seconds())
         self.servers_known = True
         self.pool.retain(set(servers))
+        routes = {route.name for route in self.routing.routes}
+        self.times.retain(set(servers), routes)
         for name, server in servers.items():
             known = before.get(name)
             if known is None or known.server.state is not server.state:
@@ -265,6 +308,7 @@
         get_logger().info("node_started", incarnation=self.own.incarnation)
 
     async def _beat(self) -> None:
+        self.regions.update()
         self.beats.send()
 
     async def _sweep(self) -> None:
--- a/ebonybend/platform/__main__.py
+++ b/ebonybend/platform/__main__.py
@@ -28,10 +28,11 @@
         from ebonybend.platform.documents import PlatformDocuments
         from ebonybend.platform.store import PlatformStore
 
+        http = HttpClient(reactor, detects_silence=True)
         service = NodeService(
             reactor,
             settings,
-            PlatformStore(HttpClient(reactor), settings.store_address),
+            PlatformStore(http, settings.store_address),
             PlatformWire(),
             PlatformDocuments(),
             METRICS_PORT,
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -1,6 +1,6 @@
 """Choose the backend server of a request: warm objects first, within bounds."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
@@ -10,11 +10,20 @@
     ServerState,
     ServerTable,
 )
-from ebonybend.world.route import RoutedService
-
-# Requests that may be on a server, running and waiting, before another place is
-# looked for, as a multiple of its slots.
-FULL_AT = 1.5
+from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.world.route import Route, RoutedService
+
+# Places of an object in its region; more would keep it cold in each of them.
+PLACES = 2
+# Part of the objective within which an answer is expected; the rest covers the way to
+# the caller and what the estimate misses.
+ON_TIME_PART = 0.85
+# Requests on a server, running and waiting, as a multiple of its slots: of the most
+# urgent routes, and of the others, so that a burst leaves the urgent ones a short wait.
+URGENT_FULL_AT = 3.0
+FULL_AT = 1.4
+# A server outside an object's places takes it only below this part of its slots.
+IDLE_PART = 0.5
 
 
 @frozen(kw_only=True)
@@ -22,12 +31,14 @@
     """What the choice depends on."""
 
     service: RoutedService
+    route: Route
     # Requests of one object have one key; empty if none is stated.
     object_key: bytes
-    home_regions: Collection[str] = ()
+    # Region that takes the object.
+    region: str
+    # Whether no other route of the service is more urgent.
+    urgent: bool = True
     excluded: Collection[str] = ()
-    # Number of nodes that share the bounds.
-    nodes: int = 1
 
 
 def rank(object_key: bytes, name: str) -> int:
@@ -36,46 +47,64 @@
 
 
 class Placement:
-    """Choose servers for the requests that arrive in one region."""
+    """Choose servers within the bounds of each."""
 
-    def __init__(self, table: ServerTable, region: str):
+    def __init__(self, table: ServerTable, times: ServiceTimes):
         self.table = table
-        self.region = region
+        self.times = times
 
     def choose(self, query: PlacementQuery, now: float) -> ServerState | None:
         """Return the server that takes the request, or None if none has room."""
         candidates = self._candidates(query, now)
-        own = [s for s in candidates if s.server.region == self.region]
-        for group in (own, [s for s in candidates if s.server.region != self.region]):
-            found = self._first_with_room(group, query, now)
-            if found is not None:
-                return found
-        return None
+        near = [s for s in candidates if s.server.region == query.region]
+        ordered = self._ordered(near or candidates, query, now)
+        places = ordered[:PLACES]
+        for state in places:
+            if self._has_room(state, query, now):
+                return state
+        return self._idle(ordered[PLACES:], now)
 
     def _candidates(self, query: PlacementQuery, now: float) -> list[ServerState]:
+        homes = query.route.home_regions
         usable = [
             state
             for state in self.table.usable(query.service.name)
             if state.server.name not in query.excluded
-            and (not query.home_regions or state.server.region in query.home_regions)
+            and (not homes or state.server.region in homes)
+            and not (state.is_cold(now) and not state.pacer.ready(now))
         ]
-        return _without_ejected(usable, now)
-
-    def _first_with_room(
-        self, group: Iterable[ServerState], query: PlacementQuery, now: float
-    ) -> ServerState | None:
-        """Return the object's first place that has room."""
-        key = query.object_key
-        ordered = sorted(group, key=lambda s: rank(key, s.server.name), reverse=True)
-        for state in ordered:
-            if state.is_cold(now) and not state.pacer.ready(now):
-                continue
-            if state.load(now) < state.server.slots * FULL_AT:
-                return state
-        return None
-
-
-def _without_ejected(states: list[ServerState], now: float) -> list[ServerState]:
+        return without_ejected(usable, now)
+
+    def _ordered(
+        self, states: list[ServerState], query: PlacementQuery, now: float
+    ) -> list[ServerState]:
+        """Return the servers in the order of preference."""
+        if query.route.sticky and query.object_key:
+            key = query.object_key
+            return sorted(states, key=lambda s: rank(key, s.server.name), reverse=True)
+        return sorted(states, key=lambda s: s.load(now) / s.server.slots)
+
+    def _has_room(self, state: ServerState, query: PlacementQuery, now: float) -> bool:
+        load, slots = state.load(now), state.server.slots
+        expected = self.times.expected(query.route.name, state, query.object_key)
+        way = state.round_trip_s or 0.0
+        on_time = query.route.objective_s * ON_TIME_PART
+        if load < slots:
+            # It starts at once; a slow server is used only while it is on time.
+            return state.slowness < 2.0 or way + expected <= on_time
+        if load >= slots * (URGENT_FULL_AT if query.urgent else FULL_AT):
+            return False
+        mean = state.service_s if state.service_s is not None else expected
+        wait = (load + 1 - slots) * mean / slots
+        return way + wait + expected <= on_time
+
+    def _idle(self, states: list[ServerState], now: float) -> ServerState | None:
+        """Return the least loaded server if it is nearly idle."""
+        idle = [s for s in states if s.load(now) < s.server.slots * IDLE_PART]
+        return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
+
+
+def without_ejected(states: list[ServerState], now: float) -> list[ServerState]:
     """Leave ejected servers out, unless too many of a region's would be."""
     by_region: dict[str, list[ServerState]] = {}
     for state in states:
@@ -93,6 +122,18 @@
     return kept
 
 
+def capacity_by_region(
+    table: ServerTable, service: str, now: float
+) -> dict[str, float]:
+    """Return the slots of a service that can be used now, by region."""
+    capacity: dict[str, float] = {}
+    for state in without_ejected(table.usable(service), now):
+        slots = state.server.slots / max(state.slowness, 1.0)
+        region = state.server.region
+        capacity[region] = capacity.get(region, 0.0) + slots
+    return capacity
+
+
 def service_of(services: Mapping[str, RoutedService], name: str) -> RoutedService:
     """Return a service's bounds; a service without any has no cold rate."""
     return services.get(name) or RoutedService(name, 0, 0.0, 0.0)
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -30,8 +30,12 @@
     # Requests of other senders at the last report, and the time of the report.
     others: float = 0.0
     reported_at: float = float("-inf")
-    # Mean time of answers on this server; None before the first.
+    # Mean time of answers on this server without the way; None before the first.
     service_s: float | None = None
+    # Time on this server against other servers of its service.
+    slowness: float = 1.0
+    # Time to the server and back; None before the first connection.
+    round_trip_s: float | None = None
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
@@ -72,6 +76,15 @@
         if self.failures >= FAILURES_TO_EJECT:
             self._eject(now, FIRST_EJECTION_S)
 
+    def connected(self, seconds: float) -> None:
+        """Take in the time that a new connection took."""
+        if self.round_trip_s is None:
+            self.round_trip_s = seconds
+        else:
+            # A connection that waited for a slot or a lost packet takes longer.
+            gain = GAIN if seconds > self.round_trip_s else 0.5
+            self.round_trip_s += gain * (seconds - self.round_trip_s)
+
     def unreachable(self, now: float, refused: bool) -> None:
         """Take in that no connection came about."""
         self._eject(now, REFUSED_PAUSE_S if refused else FIRST_EJECTION_S)
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from returns.result import Result, Success
+from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.logs import get_logger
 from ebonybend.store.client import (
@@ -28,8 +29,9 @@
 class Backoff:
     """Delays that double up to a limit, each with jitter."""
 
-    def __init__(self, random: Random):
+    def __init__(self, random: Random, longest_s: float = LONGEST_BACKOFF_S):
         self.random = random
+        self.longest_s = longest_s
         self.delay_s = FIRST_BACKOFF_S
 
     def reset(self) -> None:
@@ -39,7 +41,7 @@
     def next(self) -> float:
         """Return the next delay in seconds: half of it is random."""
         delay = self.delay_s * (0.5 + self.random.random() / 2)
-        self.delay_s = min(self.delay_s * 2, LONGEST_BACKOFF_S)
+        self.delay_s = min(self.delay_s * 2, self.longest_s)
         return delay
 
 
@@ -54,6 +56,7 @@
         random: Random,
         on_change: OnChange,
         gather_s: float = 0.0,
+        longest_backoff_s: float = LONGEST_BACKOFF_S,
     ):
         self.store = store
         self.kind = kind
@@ -61,12 +64,15 @@
         self.on_change = on_change
         # Pause after a change, in which further changes gather.
         self.gather_s = gather_s
-        self.backoff = Backoff(random)
+        self.backoff = Backoff(random, longest_backoff_s)
         self.objects: dict[str, StoredObject] = {}
         # None until the first list; the watch resumes from here.
         self.version: int | None = None
+        # Newest version of an object of this kind, deleted ones included.
+        self.newest = 0
         self.last_contact: float | None = None
         self.failing = False
+        self.waiting: Deferred[bool] | None = None
         self.tasks: Tasks | None = None
 
     def start(self) -> None:
@@ -81,13 +87,24 @@
             self.tasks.stop()
             self.tasks = None
 
+    def hurry(self) -> None:
+        """List the objects anew instead of waiting for a watch that may be dead."""
+        self.version = None
+        if self.waiting is not None:
+            self.waiting.cancel()
+
     async def read(self) -> bool:
         """List the objects once; return whether the platform answered."""
         return self._take(await self.store.list(self.kind), whole=True)
 
     async def _run(self, tasks: Tasks) -> None:
         while not tasks.stopped:
-            reached = await self._step()
+            self.waiting = Deferred.fromCoroutine(self._step())
+            try:
+                reached = await self.waiting
+            except CancelledError:
+                reached = False
+            self.waiting = None
             if tasks.stopped:
                 return
             if reached:
@@ -122,6 +139,7 @@
             self.objects = {item.name: item for item in found.items}
         changed = whole or bool(found.items)
         for item in found.items:
+            self.newest = max(self.newest, item.version)
             if item.deleted:
                 self.objects.pop(item.name, None)
             else:
