Let callers that come back go before newcomers, and use idle far servers

Change: a deadline shorter than its route's longest marks a caller that waited, who is taken up to a larger load; an idle server of another region takes what a full region refuses; a server's own 5xx of an idempotent request is tried once more elsewhere within the shared budget; nothing is sent again once the client left; Retry-After is the time in which a place has room.

--- a/ebonybend/node/caller_requests.py
+++ b/ebonybend/node/caller_requests.py
@@ -24,6 +24,8 @@
     deadline: float
     # Whether no other route of the service is more urgent.
     urgent: bool
+    # Whether the caller comes back after a refusal.
+    returned: bool = False
     sends: int = 0
     # Server to which it was sent last.
     server: str = ""
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -88,6 +88,8 @@
             arrived_at=arrived_at,
             deadline=arrived_at + min(limits, default=DEFAULT_DEADLINE_S),
             urgent=routing.is_urgent(route, service),
+            returned=told.deadline_s is not None
+            and routing.returns.has_returned(route.name, told.deadline_s),
         )
 
     def _refusal(self, error: SteeringError) -> OutgoingAnswer:
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,12 +1,18 @@
 """Send a request to a backend server, again where that is safe, and answer it."""
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from attrs import define, field
+from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.node.backend_connection import AnswerNotReceived, BackendAnswer
+from ebonybend.node.backend_connection import (
+    AnswerNotReceived,
+    BackendAnswer,
+    Loss,
+)
 from ebonybend.node.backend_pool import BackendPool, Unreachable
 from ebonybend.node.caller_requests import CallerRequest
 from ebonybend.node.demand import RegionSteering
@@ -34,8 +40,21 @@
 MOST_UNREACHABLE = 3
 # Least time in which another send can still be answered.
 LEAST_LEFT_S = 0.02
-# Time after which a refused caller may come back when no better figure is known.
-RETRY_AFTER_S = 0.3
+# Answers from this status on are the server's own failures.
+FAILURE_STATUS = 500
+
+
+@define
+class _Search:
+    """What was tried for one request."""
+
+    excluded: set[str] = field(factory=set)
+    unreachable: int = 0
+    # The server's own failure, which is passed on if no other server answers.
+    answer: BackendAnswer | None = None
+    error: SteeringError = field(
+        factory=lambda: SteeringError(ErrorKind.OVERLOADED, "no server has room")
+    )
 
 
 class Forwarder:
@@ -50,6 +69,7 @@
         wire: Wire,
         new_window: Callable[[], RetryWindow],
         nodes: Callable[[], int],
+        random: Random,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -59,6 +79,7 @@
         self.wire = wire
         self.new_window = new_window
         self.nodes = nodes
+        self.random = random
         self.windows: dict[str, RetryWindow] = {}
         self.services: dict[str, RoutedService] = {}
 
@@ -71,73 +92,87 @@
     async def forward(self, request: CallerRequest) -> BackendAnswer:
         """Return the server's answer; raise a SteeringError that says what is known."""
         self.regions.arrived(request.route, request.service)
-        excluded: set[str] = set()
-        unreachable = 0
-        error = SteeringError(ErrorKind.OVERLOADED, "no server has room", 0)
+        search = _Search()
         while True:
-            now = self.reactor.seconds()
-            if request.deadline - now < LEAST_LEFT_S:
-                raise self._given_up(request, error)
-            state = self._choose(request, excluded, now)
+            state = self._next_server(request, search)
             if state is None:
-                raise self._given_up(request, error)
-            if request.sends and not self._window(request.service).take(
-                now, self.nodes()
-            ):
-                raise self._given_up(request, error)
-            excluded.add(state.server.name)
+                return self._conclude(request, search)
+            search.excluded.add(state.server.name)
             try:
                 answer = await self._send(request, state)
             except Unreachable as failure:
-                unreachable += 1
+                search.unreachable += 1
                 state.unreachable(self.reactor.seconds(), failure.refused)
-                error = SteeringError(ErrorKind.BACKEND_UNREACHABLE, str(failure))
-                if unreachable >= MOST_UNREACHABLE:
-                    raise self._given_up(request, error) from failure
+                search.error = SteeringError(
+                    ErrorKind.BACKEND_UNREACHABLE, str(failure)
+                )
                 continue
             except AnswerNotReceived as failure:
                 state.failed(self.reactor.seconds())
-                error = SteeringError(
+                search.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
-                if not self._may_send_again(request):
-                    raise self._given_up(request, error) from failure
                 continue
-            if not self.wire.states_not_run(answer.status, answer.headers):
+            if self.wire.states_not_run(answer.status, answer.headers):
+                search.error = SteeringError(
+                    ErrorKind.OVERLOADED, f"the server answered {answer.status}"
+                )
+                continue
+            search.answer = answer
+            if answer.status < FAILURE_STATUS or not request.route.idempotent:
                 return answer
-            error = SteeringError(
-                ErrorKind.OVERLOADED, f"the server answered {answer.status}"
+
+    def _next_server(
+        self, request: CallerRequest, search: "_Search"
+    ) -> ServerState | None:
+        """Return the server to send to next, or None if there is none or no time."""
+        now = self.reactor.seconds()
+        if request.deadline - now < LEAST_LEFT_S:
+            return None
+        if search.unreachable >= MOST_UNREACHABLE:
+            return None
+        if request.may_have_run and not request.route.idempotent:
+            return None
+        if request.sends >= request.route.max_sends:
+            return None
+        state = self._choose(request, search.excluded, now)
+        if state is None or not request.sends:
+            return state
+        repeats = self._window(request.service)
+        return state if repeats.take(now, self.nodes()) else None
+
+    def _conclude(self, request: CallerRequest, search: "_Search") -> BackendAnswer:
+        """Return the failure that a server answered, or raise what is known."""
+        if search.answer is not None:
+            return search.answer
+        if not request.may_have_run:
+            pause = self.placement.pause_s(self._query(request, set()), self._now())
+            # Spreads the callers that were refused at the same moment.
+            pause *= 1.0 + self.random.random() / 2
+            raise SteeringError(
+                ErrorKind.OVERLOADED, search.error.message, int(pause * 1000)
             )
-            if request.sends >= request.route.max_sends:
-                raise self._given_up(request, error)
+        raise SteeringError(ErrorKind.ANSWER_LOST, search.error.message)
+
+    def _now(self) -> float:
+        return self.reactor.seconds()
 
     def _choose(
         self, request: CallerRequest, excluded: set[str], now: float
     ) -> ServerState | None:
-        query = PlacementQuery(
+        return self.placement.choose(self._query(request, excluded), now)
+
+    def _query(self, request: CallerRequest, excluded: set[str]) -> PlacementQuery:
+        left = request.deadline - self.reactor.seconds()
+        return PlacementQuery(
             service=service_of(self.services, request.service),
             route=request.route,
             object_key=request.object_key,
             region=self.regions.region_of(request.service, request.object_key),
             urgent=request.urgent,
+            returned_left_s=left if request.returned else None,
             excluded=excluded,
         )
-        return self.placement.choose(query, now)
-
-    def _may_send_again(self, request: CallerRequest) -> bool:
-        return (
-            request.route.idempotent and request.sends < request.route.max_sends
-        ) or not request.may_have_run
-
-    def _given_up(self, request: CallerRequest, error: SteeringError) -> SteeringError:
-        """Return the error to answer with; "not run" only if nothing may have run."""
-        if request.may_have_run:
-            if error.answer.status in (502, 504):
-                return error
-            return SteeringError(ErrorKind.ANSWER_LOST, error.message)
-        return SteeringError(
-            ErrorKind.OVERLOADED, error.message, int(RETRY_AFTER_S * 1000)
-        )
 
     async def _send(self, request: CallerRequest, state: ServerState) -> BackendAnswer:
         """Send a request to a server and wait for its answer until the deadline."""
@@ -164,6 +199,10 @@
             answer = await self._await_answer(
                 connection.send(request.method, request.request_id, data), request
             )
+        except SteeringError:
+            # No answer in time.
+            state.failed(self.reactor.seconds())
+            raise
         finally:
             state.in_flight -= 1
         if self.wire.states_not_run(answer.status, answer.headers):
@@ -184,7 +223,7 @@
             state.report(load.running, load.waiting, now)
         if self.wire.states_not_run(answer.status, answer.headers):
             return
-        if answer.status >= 500:
+        if answer.status >= FAILURE_STATUS:
             state.failed(now)
         else:
             seconds = max(now - started - (state.round_trip_s or 0.0), 0.001)
@@ -208,6 +247,9 @@
         try:
             return await waiting
         except AnswerNotReceived as error:
+            if error.loss is Loss.ABORTED and not expired:
+                # The caller has gone, so nothing is sent again.
+                raise CancelledError from error
             if expired:
                 raise SteeringError(
                     ErrorKind.DEADLINE_EXCEEDED, "no answer in time"
--- a/ebonybend/node/routing_state.py
+++ b/ebonybend/node/routing_state.py
@@ -1,6 +1,7 @@
 """The newest routing configuration; a version is never taken back."""
 
 from ebonybend.logs import get_logger
+from ebonybend.steering.returns import ReturnDetector
 from ebonybend.steering.routes import PartChooser, RouteTable
 from ebonybend.world.route import CallerLimits, Route, RoutedService, RoutingConfig
 
@@ -17,6 +18,7 @@
         # Priority of the most urgent route of each service.
         self.most_urgent: dict[str, int] = {}
         self.parts = PartChooser()
+        self.returns = ReturnDetector()
 
     def take(self, config: RoutingConfig) -> bool:
         """Use a configuration if it is newer; return whether it is."""
@@ -28,7 +30,9 @@
         self.services = {service.name: service for service in config.services}
         self.limits = config.limits
         self.most_urgent = _most_urgent(config)
-        self.parts.forget_except({route.name for route in config.routes})
+        names = {route.name for route in config.routes}
+        self.parts.forget_except(names)
+        self.returns.retain(names)
         get_logger().info(
             "config_in_force",
             version=config.version,
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -138,6 +138,7 @@
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
             ),
             self.members.count,
+            self.random,
         )
 
     def _build_sites(self) -> None:
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -19,9 +19,16 @@
 # the caller and what the estimate misses.
 ON_TIME_PART = 0.85
 # Requests on a server, running and waiting, as a multiple of its slots: of the most
-# urgent routes, and of the others, so that a burst leaves the urgent ones a short wait.
+# urgent routes, of callers that come back, and of the others, so that a burst leaves
+# the urgent ones a short wait.
 URGENT_FULL_AT = 3.0
+RETURNED_FULL_AT = 1.7
 FULL_AT = 1.4
+# Servers of other regions that are considered when the object's region is full.
+FAR_PLACES = 2
+# Bounds of the time after which a refused caller is asked to come back.
+LEAST_PAUSE_S = 0.06
+MOST_PAUSE_S = 1.0
 # A server outside an object's places takes it only below this part of its slots.
 IDLE_PART = 0.5
 
@@ -38,6 +45,9 @@
     region: str
     # Whether no other route of the service is more urgent.
     urgent: bool = True
+    # Time that is left to the caller, if it comes back after a refusal; None if it
+    # asks for the first time.
+    returned_left_s: float | None = None
     excluded: Collection[str] = ()
 
 
@@ -62,7 +72,23 @@
         for state in places:
             if self._has_room(state, query, now):
                 return state
-        return self._idle(ordered[PLACES:], now)
+        idle = self._idle(ordered[PLACES:], now)
+        if idle is not None or not near:
+            return idle
+        far = [s for s in candidates if s.server.region != query.region]
+        return self._idle(self._ordered(far, query, now)[:FAR_PLACES], now)
+
+    def pause_s(self, query: PlacementQuery, now: float) -> float:
+        """Return the time after which a place of the object has room again."""
+        candidates = self._candidates(query, now)
+        near = [s for s in candidates if s.server.region == query.region]
+        pauses = []
+        for state in self._ordered(near or candidates, query, now)[:PLACES]:
+            mean = state.service_s or 0.0
+            slots = state.server.slots
+            over = state.load(now) + 1 - slots * FULL_AT
+            pauses.append(max(over, 1.0) * mean / slots)
+        return min(max(min(pauses, default=0.0), LEAST_PAUSE_S), MOST_PAUSE_S)
 
     def _candidates(self, query: PlacementQuery, now: float) -> list[ServerState]:
         homes = query.route.home_regions
@@ -88,11 +114,12 @@
         load, slots = state.load(now), state.server.slots
         expected = self.times.expected(query.route.name, state, query.object_key)
         way = state.round_trip_s or 0.0
-        on_time = query.route.objective_s * ON_TIME_PART
+        within = query.returned_left_s or query.route.objective_s
+        on_time = within * ON_TIME_PART
         if load < slots:
             # It starts at once; a slow server is used only while it is on time.
             return state.slowness < 2.0 or way + expected <= on_time
-        if load >= slots * (URGENT_FULL_AT if query.urgent else FULL_AT):
+        if load >= slots * _full_at(query):
             return False
         mean = state.service_s if state.service_s is not None else expected
         wait = (load + 1 - slots) * mean / slots
@@ -104,6 +131,12 @@
         return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
 
 
+def _full_at(query: PlacementQuery) -> float:
+    if query.urgent:
+        return URGENT_FULL_AT
+    return FULL_AT if query.returned_left_s is None else RETURNED_FULL_AT
+
+
 def without_ejected(states: list[ServerState], now: float) -> list[ServerState]:
     """Leave ejected servers out, unless too many of a region's would be."""
     by_region: dict[str, list[ServerState]] = {}
--- /dev/null
+++ b/ebonybend/steering/tests/test_placement.py
@@ -0,0 +1,175 @@
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.steering.placement import (
+    FULL_AT,
+    URGENT_FULL_AT,
+    Placement,
+    PlacementQuery,
+    rank,
+)
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.route import Route, RoutedService, RoutePart
+
+SLOTS = 10
+SERVICE = RoutedService("history", 100, 3.0, 16.0)
+ROUTE = Route(
+    name="ride-history",
+    host="h",
+    prefix="/",
+    idempotent=True,
+    parts=(RoutePart("history", 1.0),),
+    max_sends=2,
+    timeout_s=0.8,
+    objective_s=0.3,
+    priority=2,
+    sticky=True,
+)
+QUERY = PlacementQuery(
+    service=SERVICE, route=ROUTE, object_key=b"17", region="kingston"
+)
+
+
+def server(name, region="kingston", **changes):
+    base = BackendServer(name, "history", f"{region}-a", "10.0.0.1:80", SLOTS)
+    return evolve(base, region=region, **changes)
+
+
+def placement(*servers):
+    table = ServerTable()
+    table.update({s.name: s for s in servers}, 0.0)
+    return Placement(table, ServiceTimes())
+
+
+def places(found, names):
+    """Return the states of servers in the order of an object's places."""
+    ordered = sorted(names, key=lambda name: rank(b"17", name), reverse=True)
+    return [found.table.states[name] for name in ordered]
+
+
+class PlacesTest(TestCase):
+    """Guards against objects that run everywhere and are warm nowhere.
+
+    Load pattern: a burst on some dozens of objects that all servers know cold.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.placement = placement(*(server(f"s{i}") for i in range(4)))
+        self.order = places(self.placement, self.placement.table.states)
+
+    def choose(self, query=QUERY):
+        state = self.placement.choose(query, 0.0)
+        return state and state.server.name
+
+    def test_first_place_then_second(self):
+        self.assertEqual(self.order[0].server.name, self.choose())
+        self.order[0].in_flight = int(SLOTS * URGENT_FULL_AT)
+        self.assertEqual(self.order[1].server.name, self.choose())
+
+    def test_refused_rather_than_sent_to_a_third_busy_server(self):
+        for state in self.order[:2]:
+            state.in_flight = int(SLOTS * URGENT_FULL_AT)
+        for state in self.order[2:]:
+            state.in_flight = SLOTS - 1
+        self.assertIsNone(self.choose())
+
+    def test_an_idle_server_takes_what_the_places_have_no_room_for(self):
+        for state in self.order[:2]:
+            state.in_flight = int(SLOTS * URGENT_FULL_AT)
+        self.order[2].in_flight = 3
+        self.assertEqual(self.order[3].server.name, self.choose())
+
+    def test_all_nodes_agree_without_messages(self):
+        other = placement(*(server(f"s{i}") for i in reversed(range(4))))
+        self.assertEqual(self.choose(), other.choose(QUERY, 0.0).server.name)
+
+
+class RoomTest(TestWithScenarios, TestCase):
+    """Guards against answers that are late because they waited behind others.
+
+    Load pattern: urgent short requests beside less urgent long ones on one service.
+    """
+
+    scenarios = [
+        ("free slot", {"load": SLOTS - 1, "taken": True}),
+        ("short wait", {"load": SLOTS + 2, "taken": True}),
+        ("late", {"load": SLOTS + 8, "mean_s": 0.3, "taken": False}),
+        ("less urgent", {"load": int(SLOTS * FULL_AT), "urgent": False}),
+        ("urgent", {"load": int(SLOTS * FULL_AT), "urgent": True, "taken": True}),
+        (
+            "came back with time left",
+            {
+                "load": int(SLOTS * FULL_AT),
+                "urgent": False,
+                "returned_left_s": 0.5,
+                "taken": True,
+            },
+        ),
+        ("slow server", {"load": 0, "slowness": 10.0, "taken": False}),
+        ("far and slow", {"load": 0, "slowness": 2.5, "way_s": 0.1, "taken": False}),
+    ]
+    urgent = True
+    taken = False
+    mean_s = 0.05
+    slowness = 1.0
+    way_s = 0.0
+    returned_left_s = None
+
+    def test_room(self):
+        found = placement(server("s0"))
+        state = found.table.states["s0"]
+        found.times.answered("ride-history", state, b"17", 0.07, False)
+        state.service_s = self.mean_s
+        state.in_flight = self.load
+        state.slowness = self.slowness
+        state.round_trip_s = self.way_s
+        query = evolve(QUERY, urgent=self.urgent, returned_left_s=self.returned_left_s)
+        self.assertEqual(self.taken, found.choose(query, 0.0) is not None)
+
+
+class LimitsTest(TestWithScenarios, TestCase):
+    """Guards against requests to servers that must not get any."""
+
+    scenarios = [
+        ("leaving", {"changes": {"state": LifeState.LEAVING}}),
+        ("another service", {"changes": {"service": "signoff"}}),
+        ("evacuated", {"evacuated": ["kingston-a"]}),
+        ("not in a home region", {"homes": ("montego",)}),
+        ("cold and sent to just now", {"cold": True}),
+        ("tried before", {"excluded": ["s0"]}),
+    ]
+    changes = {}
+    evacuated = ()
+    homes = ()
+    excluded = ()
+    cold = False
+
+    def test_not_used(self):
+        found = placement(server("s0", **self.changes))
+        found.table.set_evacuated(self.evacuated, {}, 0.0)
+        if self.cold:
+            state = found.table.states["s0"]
+            state.cold_until = 3.0
+            state.pacer.sent(0.0, 16.0, 7)
+        route = evolve(ROUTE, home_regions=self.homes)
+        query = evolve(QUERY, route=route, excluded=self.excluded)
+        self.assertIsNone(found.choose(query, 0.0))
+
+
+class RegionTest(TestCase):
+    """Guards against a region without servers that refuses everything."""
+
+    def test_another_region_takes_over(self):
+        found = placement(server("far", region="montego"))
+        self.assertEqual("far", found.choose(QUERY, 0.0).server.name)
+
+    def test_an_idle_far_server_helps_a_full_region(self):
+        found = placement(server("near"), server("far", region="montego"))
+        found.table.states["near"].in_flight = SLOTS * 3
+        self.assertEqual("far", found.choose(QUERY, 0.0).server.name)
+        found.table.states["far"].in_flight = SLOTS - 1
+        self.assertIsNone(found.choose(QUERY, 0.0))
--- /dev/null
+++ b/ebonybend/steering/tests/test_regions.py
@@ -0,0 +1,100 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.steering.regions import (
+    SHIFT_WINDOW_S,
+    DemandMeter,
+    RegionShares,
+    target_shares,
+)
+
+KEYS = [b"object-%d" % number for number in range(2000)]
+
+
+class TargetSharesTest(TestWithScenarios, TestCase):
+    """Guards against objects that move without need, or into a full region.
+
+    Load pattern: a third of the callers beside a sixth of the slots, and a crowd that
+    moves between regions.
+    """
+
+    scenarios = [
+        (
+            "room at home",
+            {"demand": {"k": 6}, "capacity": {"k": 10, "m": 20}, "home": 1.0},
+        ),
+        (
+            "no demand known",
+            {"demand": {}, "capacity": {"k": 10, "m": 20}, "home": 1.0},
+        ),
+        (
+            "excess moves",
+            {"demand": {"k": 14}, "capacity": {"k": 10, "m": 20}, "home": 0.5},
+        ),
+        (
+            "all regions are full",
+            {"demand": {"k": 20, "m": 30}, "capacity": {"k": 10, "m": 15}, "home": 1.0},
+        ),
+        (
+            "more demand than slots",
+            {"demand": {"k": 30, "m": 0}, "capacity": {"k": 10, "m": 10}, "home": 0.5},
+        ),
+        (
+            "no server at home",
+            {"demand": {"k": 5}, "capacity": {"m": 10, "n": 30}, "home": 0.0},
+        ),
+    ]
+
+    def test_target(self):
+        shares = target_shares("k", self.demand, self.capacity)
+        self.assertAlmostEqual(self.home, shares.get("k", 0.0), 6)
+        self.assertAlmostEqual(1.0, sum(shares.values()), 6)
+
+
+class RegionSharesTest(TestCase):
+    """Guards against a shift of requests above its bound, and against churn."""
+
+    def moved(self, shares, steps, period_s):
+        """Return the largest part of the objects that moved in one window."""
+        target = {"k": 0.0, "m": 1.0}
+        capacity = {"k": 10.0, "m": 10.0}
+        before = {}
+        most = 0.0
+        per_window = int(SHIFT_WINDOW_S / period_s)
+        for step in range(steps):
+            shares.follow(target, capacity, 0.15, step * period_s)
+            places = {key: shares.region_of(key) for key in KEYS}
+            if step % per_window == 0:
+                changed = sum(before.get(k, p) != p for k, p in places.items())
+                most = max(most, changed / len(KEYS))
+                before = places
+        return most
+
+    def test_change_in_a_window_is_bounded(self):
+        self.assertLess(self.moved(RegionShares("k"), 60, 0.5), 0.15)
+
+    def test_small_change_moves_few_objects(self):
+        shares = RegionShares("k", {"k": 0.6, "m": 0.2, "n": 0.2})
+        before = {key: shares.region_of(key) for key in KEYS}
+        shares.shares = {"k": 0.58, "m": 0.22, "n": 0.2}
+        changed = sum(shares.region_of(key) != before[key] for key in KEYS)
+        self.assertLess(changed / len(KEYS), 0.05)
+
+    def test_moves_at_once_when_nothing_in_use_has_room(self):
+        shares = RegionShares("k", {"k": 1.0}, 0.0)
+        shares.follow({"m": 1.0}, {"m": 10.0}, 0.15, 0.1)
+        self.assertEqual({"m": 1.0}, shares.shares)
+
+
+class DemandMeterTest(TestCase):
+    """Guards against a demand that is off by the rate or stays after the load."""
+
+    def test_steady_rate(self):
+        meter = DemandMeter()
+        for step in range(1000):
+            meter.add(0.05, step * 0.01)
+        self.assertAlmostEqual(5.0, meter.read(10.0), delta=0.5)
+
+    def test_falls_without_requests(self):
+        meter = DemandMeter(slots=10.0, updated_at=0.0)
+        self.assertEqual(0.0, meter.read(5.0))
--- /dev/null
+++ b/ebonybend/steering/tests/test_shared_rates.py
@@ -0,0 +1,101 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.steering.returns import ReturnDetector
+from ebonybend.steering.routes import PartChooser, RouteTable
+from ebonybend.steering.shared_rates import ColdPacer, RetryWindow
+from ebonybend.world.route import Route, RoutePart
+
+NODES = 7
+
+
+class RetryWindowTest(TestWithScenarios, TestCase):
+    """Guards against more repeated sends than all nodes together may make."""
+
+    scenarios = [
+        ("no load", {"firsts_per_s": 0}),
+        ("usual load", {"firsts_per_s": 15}),
+        ("heavy load", {"firsts_per_s": 60}),
+    ]
+
+    def test_every_window_is_within_the_bound(self):
+        ratio, slack, window_s = 0.2, 56, 10.0
+        windows = [RetryWindow(ratio, slack, window_s) for _ in range(NODES)]
+        taken = []
+        for step in range(600):
+            now = step * 0.05
+            for window in windows:
+                if (
+                    step * self.firsts_per_s // 20
+                    > (step - 1) * self.firsts_per_s // 20
+                ):
+                    window.first(now)
+                while window.take(now, NODES):
+                    taken.append(now)
+        most = max(
+            sum(start <= at < start + window_s for at in taken) for start in taken
+        )
+        firsts = self.firsts_per_s * window_s * NODES
+        self.assertLessEqual(most, ratio * firsts + slack)
+        self.assertGreater(most, 0)
+
+
+class ColdPacerTest(TestCase):
+    """Guards against a cold server that is sent more than it bears."""
+
+    def test_rate_of_all_nodes(self):
+        rate, factor, slack = 16.0, 1.5, 5.0
+        pacers = [ColdPacer() for _ in range(NODES)]
+        sent = []
+        for step in range(3000):
+            now = step * 0.001
+            for pacer in pacers:
+                if pacer.ready(now):
+                    pacer.sent(now, rate, NODES)
+                    sent.append(now)
+        most = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
+        self.assertLessEqual(most, rate * factor + slack)
+
+
+def route(name, prefix, **parts):
+    weights = tuple(RoutePart(service, weight) for service, weight in parts.items())
+    return Route(name, "h.example", prefix, True, weights, 2, 1.0, 0.3, 1)
+
+
+class RouteTableTest(TestWithScenarios, TestCase):
+    """Guards against a request that takes another route than its own."""
+
+    scenarios = [
+        ("exact", {"path": "/a/", "found": "a"}),
+        ("below", {"path": "/a/x", "found": "a"}),
+        ("longest", {"path": "/a/b/x", "found": "ab"}),
+        ("prefix ends inside a name", {"path": "/ab/x", "found": None}),
+        ("no slash at the end", {"path": "/a", "found": None}),
+        ("another host", {"path": "/a/", "host": "x.example", "found": None}),
+        ("host in capitals", {"path": "/a/", "host": "H.Example", "found": "a"}),
+    ]
+    host = "h.example"
+
+    def test_find(self):
+        table = RouteTable([route("a", "/a/", s=1), route("ab", "/a/b/", s=1)])
+        found = table.find(self.host, self.path)
+        self.assertEqual(self.found, found and found.name)
+
+
+class PartChooserTest(TestCase):
+    """Guards against parts that get another share than their weight."""
+
+    def test_shares(self):
+        chooser = PartChooser()
+        split = route("r", "/", first=90.0, second=10.0)
+        chosen = [chooser.choose(split).service for _ in range(100)]
+        self.assertEqual(90, chosen.count("first"))
+
+
+class ReturnDetectorTest(TestCase):
+    """Guards against callers that waited and are refused before newcomers."""
+
+    def test_returned(self):
+        detector = ReturnDetector()
+        told = [detector.has_returned("r", s) for s in (1.2, 1.19, 0.8, 1.2)]
+        self.assertEqual([False, False, True, False], told)
