Refuse requests that crash servers, keep lapsed servers, protect urgent requests

Change: three crashes, shown by refused connections after a loss, refuse a request at all nodes; entries that lapsed stay in use for 2.2 s after the store's return; log lines are dropped and counted when nobody reads; settings are read again every 2 s; a less urgent request is taken only while an urgent one behind it is on time; watches wait 25 s, because probes and beats find dead ones.

--- a/ebonybend/node/caller_requests.py
+++ b/ebonybend/node/caller_requests.py
@@ -22,8 +22,8 @@
     arrived_at: float
     # Time after which the caller gets no use of an answer.
     deadline: float
-    # Whether no other route of the service is more urgent.
-    urgent: bool
+    # The most urgent route of the service, if it goes before this one.
+    urgent_route: Route | None
     # Whether the caller comes back after a refusal.
     returned: bool = False
     sends: int = 0
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -18,6 +18,8 @@
 
 # Deadline of a request that states none and whose route has no time-out.
 DEFAULT_DEADLINE_S = 10.0
+# A suspect's content may be that of an innocent request, so its caller may come back.
+SUSPECT_STATUS = 503
 # Headers of an answer that the node's own server writes.
 OWN_HEADERS = CONNECTION_HEADERS | {b"date", b"server"}
 
@@ -54,7 +56,7 @@
             request = self._request(incoming, told, arrived_at)
             answer = await self.forwarder.forward(request)
         except SteeringError as error:
-            self._note(told, request, error.answer.status, arrived_at, error)
+            self._note(told, request, _status(error), arrived_at, error)
             return self._refusal(error)
         except CancelledError:
             self._note(told, request, 0, arrived_at, None)
@@ -87,7 +89,7 @@
             object_key=told.object_key,
             arrived_at=arrived_at,
             deadline=arrived_at + min(limits, default=DEFAULT_DEADLINE_S),
-            urgent=routing.is_urgent(route, service),
+            urgent_route=routing.urgent_route(route, service),
             returned=told.deadline_s is not None
             and routing.returns.has_returned(route.name, told.deadline_s),
         )
@@ -98,7 +100,7 @@
             name, value = self.wire.retry_after_header(error.retry_after_ms / 1000)
             headers[name] = value
         text = f"{error.kind.value}: {error.message}\n"
-        return OutgoingAnswer(error.answer.status, text.encode(), headers)
+        return OutgoingAnswer(_status(error), text.encode(), headers)
 
     def _forwarded(self, answer: BackendAnswer) -> OutgoingAnswer:
         headers = Headers()
@@ -119,3 +121,9 @@
         route = request.route.name if request else ""
         self.metrics.answered(route, status, error, seconds)
         self.decisions.answered(told, request, status, seconds, error)
+
+
+def _status(error: SteeringError) -> int:
+    if error.kind is ErrorKind.SUSPECT_REFUSED:
+        return SUSPECT_STATUS
+    return error.answer.status
--- a/ebonybend/node/decisions.py
+++ b/ebonybend/node/decisions.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ebonybend.errors import SteeringError
-from ebonybend.logs import get_logger
+from ebonybend.logs import LossyFile, get_logger
 from ebonybend.node.caller_requests import CallerRequest
 from ebonybend.node.wire import CallerHeaders
 
@@ -43,8 +43,9 @@
 class DecisionLog:
     """Log how each request ended, failures before ordinary answers."""
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(self, clock: Callable[[], float], file: LossyFile):
         self.clock = clock
+        self.file = file
         self.answers = LineBudget(MOST_ANSWERS_PER_S)
         self.failures = LineBudget(MOST_FAILURES_PER_S)
 
@@ -85,5 +86,8 @@
     def report_dropped(self) -> None:
         """Log how many lines were left out since the last report."""
         answers, failures = self.answers.take_dropped(), self.failures.take_dropped()
-        if answers or failures:
-            get_logger().info("lines_dropped", answers=answers, failures=failures)
+        unread, self.file.dropped = self.file.dropped, 0
+        if answers or failures or unread:
+            get_logger().info(
+                "lines_dropped", answers=answers, failures=failures, unread=unread
+            )
--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -16,7 +16,7 @@
     def __init__(
         self,
         region: str,
-        shift_most: float,
+        shift_most: Callable[[], float],
         table: ServerTable,
         times: ServiceTimes,
         members: Members,
@@ -57,7 +57,7 @@
             capacity = capacity_by_region(self.table, service, now)
             target = target_shares(self.region, demands.get(service, {}), capacity)
             shares = self.shares.setdefault(service, RegionShares(self.region))
-            shares.follow(target, capacity, self.shift_most, now)
+            shares.follow(target, capacity, self.shift_most(), now)
 
     def _demands(self, now: float) -> Mapping[str, dict[str, float]]:
         """Return the demand by service and region."""
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -17,9 +17,11 @@
 from ebonybend.node.caller_requests import CallerRequest
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.wire import Wire
+from ebonybend.steering.crashes import CrashWatch
 from ebonybend.steering.placement import Placement, PlacementQuery, service_of
 from ebonybend.steering.server_state import ServerState
 from ebonybend.steering.shared_rates import RetryWindow
+from ebonybend.steering.suspects import fingerprint
 from ebonybend.world.route import RoutedService
 
 # Headers that concern one connection only, or that the node sets itself.
@@ -70,6 +72,7 @@
         new_window: Callable[[], RetryWindow],
         nodes: Callable[[], int],
         random: Random,
+        crashes: CrashWatch,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -80,6 +83,7 @@
         self.new_window = new_window
         self.nodes = nodes
         self.random = random
+        self.crashes = crashes
         self.windows: dict[str, RetryWindow] = {}
         self.services: dict[str, RoutedService] = {}
 
@@ -92,6 +96,7 @@
     async def forward(self, request: CallerRequest) -> BackendAnswer:
         """Return the server's answer; raise a SteeringError that says what is known."""
         self.regions.arrived(request.route, request.service)
+        self._refuse_suspect(request)
         search = _Search()
         while True:
             state = self._next_server(request, search)
@@ -103,12 +108,16 @@
             except Unreachable as failure:
                 search.unreachable += 1
                 state.unreachable(self.reactor.seconds(), failure.refused)
+                if failure.refused:
+                    self.crashes.connection_refused(state.server.name)
                 search.error = SteeringError(
                     ErrorKind.BACKEND_UNREACHABLE, str(failure)
                 )
                 continue
             except AnswerNotReceived as failure:
                 state.failed(self.reactor.seconds())
+                if failure.loss is Loss.CLOSED:
+                    self.crashes.request_lost(state.server.name, _fingerprint(request))
                 search.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -122,6 +131,14 @@
             if answer.status < FAILURE_STATUS or not request.route.idempotent:
                 return answer
 
+    def _refuse_suspect(self, request: CallerRequest) -> None:
+        """Refuse a request that crashed several servers."""
+        if not self.crashes.has_suspects():
+            return
+        name = _fingerprint(request)
+        if self.crashes.is_refused(name):
+            raise SteeringError(ErrorKind.SUSPECT_REFUSED, f"suspect {name}")
+
     def _next_server(
         self, request: CallerRequest, search: "_Search"
     ) -> ServerState | None:
@@ -169,7 +186,7 @@
             route=request.route,
             object_key=request.object_key,
             region=self.regions.region_of(request.service, request.object_key),
-            urgent=request.urgent,
+            urgent_route=request.urgent_route,
             returned_left_s=left if request.returned else None,
             excluded=excluded,
         )
@@ -228,6 +245,8 @@
         else:
             seconds = max(now - started - (state.round_trip_s or 0.0), 0.001)
             state.succeeded(seconds)
+            if self.crashes.has_suspects():
+                self.crashes.registry.succeeded(_fingerprint(request))
             waited = request.load >= state.server.slots
             self.times.answered(
                 request.route.name, state, request.object_key, seconds, waited
@@ -272,3 +291,8 @@
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             lines.append(b"Content-Length: %d" % len(request.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def _fingerprint(request: CallerRequest) -> str:
+    method, uri = request.method.decode("latin-1"), request.uri.decode("latin-1")
+    return fingerprint(request.service, method, uri, request.body)
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from ebonybend.steering.table import SuspectView
+
 # A node that was not heard for this time is not named to callers.
 SILENT_AFTER_S = 2.5
 # A node that was never heard is given this time after its entry was seen.
@@ -37,6 +39,8 @@
     newest: dict[str, int]
     # Demand at the node in slots by service.
     demand: dict[str, float]
+    # Requests that crashed servers.
+    suspects: tuple[SuspectView, ...]
     member: Member
 
 
--- a/ebonybend/node/routing_state.py
+++ b/ebonybend/node/routing_state.py
@@ -15,8 +15,8 @@
         self.table = RouteTable(())
         self.services: dict[str, RoutedService] = {}
         self.limits = CallerLimits()
-        # Priority of the most urgent route of each service.
-        self.most_urgent: dict[str, int] = {}
+        # The most urgent route of each service.
+        self.most_urgent: dict[str, Route] = {}
         self.parts = PartChooser()
         self.returns = ReturnDetector()
 
@@ -45,15 +45,20 @@
         """Return the route of a request."""
         return self.table.find(host, path)
 
-    def is_urgent(self, route: Route, service: str) -> bool:
-        """Tell whether no other route of the service is more urgent."""
-        return route.priority <= self.most_urgent.get(service, route.priority)
+    def urgent_route(self, route: Route, service: str) -> Route | None:
+        """Return the most urgent route of a service if it goes before another."""
+        found = self.most_urgent.get(service)
+        return found if found and found.priority < route.priority else None
 
 
-def _most_urgent(config: RoutingConfig) -> dict[str, int]:
-    found: dict[str, int] = {}
+def _most_urgent(config: RoutingConfig) -> dict[str, Route]:
+    found: dict[str, Route] = {}
     for route in config.routes:
         for part in route.parts:
-            known = found.get(part.service, route.priority)
-            found[part.service] = min(known, route.priority)
+            known = found.get(part.service, route)
+            found[part.service] = min(known, route, key=_urgency)
     return found
+
+
+def _urgency(route: Route) -> tuple[int, float]:
+    return route.priority, route.objective_s
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from ebonybend.entry.service import listen
+from ebonybend.errors import SteeringError
 from ebonybend.http_server import HttpLimits, HttpSite
-from ebonybend.logs import get_logger
+from ebonybend.logs import LossyFile, get_logger
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import BEAT_PERIOD_S, BeatPort
 from ebonybend.node.callers import CallerPort
@@ -26,27 +27,44 @@
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, Wire
 from ebonybend.settings import split_address
+from ebonybend.steering.crashes import CrashWatch
+from ebonybend.steering.lapsed import LapsedServers
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.store.client import ObjectStore, StoredObject
 from ebonybend.store.watcher import Watcher
-from ebonybend.tasks import Tasks
+from ebonybend.tasks import ReactorClock, Tasks
 
 MS_PER_S = 1000
 SWEEP_PERIOD_S = 1.0
+# Added to the time after which lapsed servers are looked at again.
+MARGIN_S = 0.05
+# Position of the watch on servers.
+SERVERS = 1
+# The settings file may change without a signal.
+RELOAD_PERIOD_S = 2.0
 # Descriptors kept for the store, other nodes, files and backend servers.
 RESERVED_DESCRIPTORS = 600
 # Connections of callers that a node takes however few descriptors it has.
 LEAST_CONNECTIONS = 100
 # Changes that follow one another within this time are read in one call.
 GATHER_S = 0.1
+# The same for the list of nodes, which beats tell sooner.
+GATHER_NODES_S = 1.0
+# Long, because each answer without a change is a call; a dead watch is found by
+# keep-alive probes and by other nodes' beats.
+WATCH_TIMEOUT_MS = 25_000
 # A store that is back is noticed after this time; changes are to be in force 2.5 s
 # after they are made.
 LONGEST_BACKOFF_S = 0.8
 
 
+def _ignore() -> None:
+    """Do nothing on the return of the store."""
+
+
 class NodeService:
     """One node of the system."""
 
@@ -59,6 +77,7 @@
         documents: Documents,
         metrics_port: int,
         reload: Callable[[], NodeSettings],
+        log_file: LossyFile,
     ):
         self.reactor = reactor
         self.settings = settings
@@ -73,7 +92,7 @@
         self.routing = RoutingState()
         self.servers = ServerTable()
         self.pool = BackendPool(reactor, wire.request_id_header)
-        self.decisions = DecisionLog(reactor.seconds)
+        self.decisions = DecisionLog(reactor.seconds, log_file)
         self.own = Member(
             settings.name,
             settings.failure_domain,
@@ -85,6 +104,8 @@
         self.members = Members(self.own)
         self.beat_count = 0
         self.servers_known = False
+        self.lapsed = LapsedServers()
+        self.crashes = CrashWatch(ReactorClock(reactor))
         self.forwarder = self._build_forwarder()
         self.watchers = [
             Watcher(
@@ -93,14 +114,16 @@
                 reactor,
                 self.random,
                 on_change,
-                GATHER_S,
+                gather_s,
                 LONGEST_BACKOFF_S,
+                WATCH_TIMEOUT_MS,
+                on_return,
             )
-            for kind, on_change in (
-                (documents.config_kind, self.on_config),
-                (documents.servers_kind, self.on_servers),
-                (documents.evacuations_kind, self.on_evacuations),
-                (documents.members_kind, self.on_members),
+            for kind, on_change, gather_s, on_return in (
+                (documents.config_kind, self.on_config, GATHER_S, _ignore),
+                (documents.servers_kind, self.on_servers, GATHER_S, self.on_return),
+                (documents.evacuations_kind, self.on_evacuations, GATHER_S, _ignore),
+                (documents.members_kind, self.on_members, GATHER_NODES_S, _ignore),
             )
         ]
         self._build_sites()
@@ -118,11 +141,10 @@
         )
 
     def _build_forwarder(self) -> Forwarder:
-        bounds = self.settings.bounds
         self.times = ServiceTimes()
         self.regions = RegionSteering(
             self.settings.region,
-            bounds.shift_most,
+            lambda: self.settings.bounds.shift_most,
             self.servers,
             self.times,
             self.members,
@@ -134,11 +156,17 @@
             Placement(self.servers, self.times),
             self.regions,
             self.wire,
-            lambda: RetryWindow(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
-            ),
+            self.new_window,
             self.members.count,
             self.random,
+            self.crashes,
+        )
+
+    def new_window(self) -> RetryWindow:
+        """Return the bound on repeated sends to one service."""
+        bounds = self.settings.bounds
+        return RetryWindow(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
 
     def _build_sites(self) -> None:
@@ -202,12 +230,15 @@
             count=self.beat_count,
             ready=self.is_ready(),
             demand=self.regions.own_demand(),
+            suspects=self.crashes.told(),
             newest={watcher.kind: watcher.newest for watcher in self.watchers},
             member=self.own,
         )
 
     def on_beat(self, beat: Beat) -> None:
-        """List what another node knows a newer version of, if that lasts."""
+        """Take in suspects, and list what another node knows a newer version of."""
+        if beat.suspects:
+            self.crashes.registry.merge(*beat.suspects)
         now = self.reactor.seconds()
         for watcher in self.watchers:
             told = beat.newest.get(watcher.kind, 0)
@@ -242,9 +273,16 @@
         """Take in the list of backend servers."""
         regions = self.settings.regions
         decoded = (self.documents.decode_server(o, regions) for o in objects.values())
-        servers = {server.name: server for server in decoded if server is not None}
+        listed = {server.name: server for server in decoded if server is not None}
         before = self.servers.states
-        self.servers.update(servers, self.reactor.seconds())
+        now = self.reactor.seconds()
+        known = {name: state.server for name, state in before.items()}
+        servers = self.lapsed.merge(known, listed, now)
+        missing = servers.keys() - listed.keys()
+        if missing:
+            get_logger().info("servers_kept", missing=sorted(missing))
+            self.reactor.callLater(self.lapsed.left_s(now) + MARGIN_S, self.relist)
+        self.servers.update(servers, now)
         self.servers_known = True
         self.pool.retain(set(servers))
         routes = {route.name for route in self.routing.routes}
@@ -264,6 +302,17 @@
         for name in before.keys() - servers.keys():
             get_logger().info("server_gone", server=name, revision=version)
 
+    def on_return(self) -> None:
+        """Keep servers in use whose entries lapsed while the store was away."""
+        self.lapsed.store_returned(self.reactor.seconds())
+
+    def relist(self) -> None:
+        """Take in the list again, now without the servers that did not return."""
+        watcher = self.watchers[SERVERS]
+        if watcher.version is None:
+            return
+        self.on_servers(watcher.kind, watcher.newest, watcher.objects)
+
     def on_evacuations(
         self, _kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
@@ -306,6 +355,7 @@
         self.tasks.start(entry.write(self.tasks))
         self.tasks.repeat(BEAT_PERIOD_S, self._beat)
         self.tasks.repeat(SWEEP_PERIOD_S, self._sweep)
+        self.tasks.repeat(RELOAD_PERIOD_S, self._reload)
         get_logger().info("node_started", incarnation=self.own.incarnation)
 
     async def _beat(self) -> None:
@@ -316,9 +366,22 @@
         self.pool.sweep()
         self.decisions.report_dropped()
 
+    async def _reload(self) -> None:
+        self.on_reload()
+
     def on_reload(self) -> None:
         """Take in changed bounds and regions; addresses stay until a restart."""
-        self.settings = self.reload()
+        try:
+            settings = self.reload()
+        except SteeringError as error:
+            get_logger().error("settings_refused", error=error.message)
+            return
+        if settings == self.settings:
+            return
+        if settings.bounds != self.settings.bounds:
+            self.forwarder.windows.clear()
+        self.settings = settings
+        self.relist()
         get_logger().info("settings_reloaded")
 
     def announce_stop(self) -> None:
--- a/ebonybend/platform/__main__.py
+++ b/ebonybend/platform/__main__.py
@@ -3,7 +3,7 @@
 import sys
 
 from ebonybend.errors import SteeringError
-from ebonybend.logs import configure_logs
+from ebonybend.logs import LossyFile, configure_logs
 from ebonybend.loop import install_reactor
 from ebonybend.platform.settings import read_settings, settings_path
 
@@ -17,7 +17,8 @@
     try:
         path = settings_path()
         settings = read_settings(path)
-        configure_logs("info", instance=settings.name)
+        log_file = LossyFile(sys.stdout.fileno())
+        configure_logs("info", log_file, instance=settings.name)
         install_reactor()
         # These modules import the installed reactor.
         from twisted.internet import reactor
@@ -37,6 +38,7 @@
             PlatformDocuments(),
             METRICS_PORT,
             lambda: read_settings(path),
+            log_file,
         )
         service.start()
     except SteeringError as error:
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -24,6 +24,8 @@
 URGENT_FULL_AT = 3.0
 RETURNED_FULL_AT = 1.7
 FULL_AT = 1.4
+# Slots that less urgent requests leave free where urgent ones can't wait.
+RESERVED_SLOTS = 1
 # Servers of other regions that are considered when the object's region is full.
 FAR_PLACES = 2
 # Bounds of the time after which a refused caller is asked to come back.
@@ -43,8 +45,8 @@
     object_key: bytes
     # Region that takes the object.
     region: str
-    # Whether no other route of the service is more urgent.
-    urgent: bool = True
+    # The most urgent route of the service, if it is more urgent than this one.
+    urgent_route: Route | None = None
     # Time that is left to the caller, if it comes back after a refusal; None if it
     # asks for the first time.
     returned_left_s: float | None = None
@@ -116,27 +118,37 @@
         way = state.round_trip_s or 0.0
         within = query.returned_left_s or query.route.objective_s
         on_time = within * ON_TIME_PART
-        if load < slots:
+        if load < min(slots, self._most(state, query)):
             # It starts at once; a slow server is used only while it is on time.
             return state.slowness < 2.0 or way + expected <= on_time
-        if load >= slots * _full_at(query):
+        if load >= self._most(state, query):
             return False
         mean = state.service_s if state.service_s is not None else expected
         wait = (load + 1 - slots) * mean / slots
         return way + wait + expected <= on_time
 
+    def _most(self, state: ServerState, query: PlacementQuery) -> float:
+        """Return the load up to which a server takes a request."""
+        slots = state.server.slots
+        urgent = query.urgent_route
+        if urgent is None:
+            return slots * URGENT_FULL_AT
+        part = FULL_AT if query.returned_left_s is None else RETURNED_FULL_AT
+        needed = self.times.warm_time(urgent.name) * state.slowness
+        mean = state.service_s or 0.0
+        if not needed or not mean:
+            return slots * part
+        # A less urgent request leaves a queue in which an urgent one is on time.
+        spare = urgent.objective_s * ON_TIME_PART - needed - (state.round_trip_s or 0.0)
+        queue = spare * slots / mean
+        return min(max(slots + queue, slots - RESERVED_SLOTS), slots * part)
+
     def _idle(self, states: list[ServerState], now: float) -> ServerState | None:
         """Return the least loaded server if it is nearly idle."""
         idle = [s for s in states if s.load(now) < s.server.slots * IDLE_PART]
         return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
 
 
-def _full_at(query: PlacementQuery) -> float:
-    if query.urgent:
-        return URGENT_FULL_AT
-    return FULL_AT if query.returned_left_s is None else RETURNED_FULL_AT
-
-
 def without_ejected(states: list[ServerState], now: float) -> list[ServerState]:
     """Leave ejected servers out, unless too many of a region's would be."""
     by_region: dict[str, list[ServerState]] = {}
--- a/ebonybend/steering/suspects.py
+++ b/ebonybend/steering/suspects.py
@@ -62,8 +62,9 @@
 class SuspectRegistry:
     """The suspects that an instance knows, from its own crashes and from others."""
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, crashes_to_refuse: int = CRASHES_TO_REFUSE):
         self.clock = clock
+        self.crashes_to_refuse = crashes_to_refuse
         self.suspects: dict[str, Suspect] = {}
         # When a fingerprint was last cleared; older notices no longer count.
         self.cleared_at: dict[str, float] = {}
@@ -80,7 +81,7 @@
             known = self._live(name, now) or Suspect(0, False, now)
             same = server in known.servers and now - known.crashed_at < SAME_CRASH_S
             known.crashes += 0 if same else 1
-            known.refused |= alone or known.crashes >= CRASHES_TO_REFUSE
+            known.refused |= alone or known.crashes >= self.crashes_to_refuse
             known.crashed_at = now
             known.servers |= {server} if server else frozenset()
             self.suspects[name] = known
@@ -163,7 +164,7 @@
         # Crashes on two servers that two instances saw are two crashes.
         ours.servers |= theirs.servers
         ours.crashes = max(ours.crashes, theirs.crashes, len(ours.servers))
-        ours.refused |= theirs.refused or ours.crashes >= CRASHES_TO_REFUSE
+        ours.refused |= theirs.refused or ours.crashes >= self.crashes_to_refuse
         ours.crashed_at = max(ours.crashed_at, theirs.crashed_at)
 
     def _expire(self, now: float) -> None:
--- /dev/null
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -0,0 +1,47 @@
+from testtools import TestCase
+
+from ebonybend.clock import ManualClock
+from ebonybend.steering.crashes import CRASH_S, CRASHES_TO_REFUSE, CrashWatch
+
+
+class CrashWatchTest(TestCase):
+    """Guards against a request that crashes one server after the other."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.watch = CrashWatch(self.clock)
+
+    def crash(self, server, *fingerprints):
+        for fingerprint in fingerprints:
+            self.watch.request_lost(server, fingerprint)
+        self.clock.advance(0.1)
+        self.watch.connection_refused(server)
+        self.clock.advance(2.0)
+
+    def test_refused_after_the_third_crash(self):
+        for number in range(CRASHES_TO_REFUSE):
+            self.assertFalse(self.watch.is_refused("bad"))
+            self.crash(f"s{number}", "bad")
+        self.assertTrue(self.watch.is_refused("bad"))
+
+    def test_lost_answers_alone_are_no_crash(self):
+        for number in range(10):
+            self.watch.request_lost(f"s{number}", "good")
+            self.clock.advance(CRASH_S + 0.1)
+            self.watch.connection_refused(f"s{number}")
+        self.assertFalse(self.watch.has_suspects())
+
+    def test_a_success_clears_requests_that_ran_beside_the_culprit(self):
+        for number in range(CRASHES_TO_REFUSE):
+            self.crash(f"s{number}", "bad", "good")
+            self.watch.registry.succeeded("good")
+        self.assertFalse(self.watch.is_refused("good"))
+        self.assertTrue(self.watch.is_refused("bad"))
+
+    def test_other_nodes_refuse_what_one_tells(self):
+        for number in range(CRASHES_TO_REFUSE):
+            self.crash(f"s{number}", "bad")
+        other = CrashWatch(self.clock)
+        other.registry.merge(*self.watch.told())
+        self.assertTrue(other.is_refused("bad"))
--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -28,6 +28,7 @@
     priority=2,
     sticky=True,
 )
+URGENT = evolve(ROUTE, name="defect-report", objective_s=0.2, priority=1)
 QUERY = PlacementQuery(
     service=SERVICE, route=ROUTE, object_key=b"17", region="kingston"
 )
@@ -127,10 +128,39 @@
         state.in_flight = self.load
         state.slowness = self.slowness
         state.round_trip_s = self.way_s
-        query = evolve(QUERY, urgent=self.urgent, returned_left_s=self.returned_left_s)
+        query = evolve(
+            QUERY,
+            urgent_route=None if self.urgent else URGENT,
+            returned_left_s=self.returned_left_s,
+        )
         self.assertEqual(self.taken, found.choose(query, 0.0) is not None)
 
 
+class UrgentTest(TestWithScenarios, TestCase):
+    """Guards against long requests that make short urgent ones late.
+
+    Load pattern: requests of 144 ms that are due in 150 ms beside ones of 880 ms.
+    """
+
+    scenarios = [
+        ("queue is short for the urgent", {"mean_s": 0.02, "most": SLOTS * FULL_AT}),
+        ("queue of some requests", {"mean_s": 0.35, "most": SLOTS + 2}),
+        ("no queue", {"mean_s": 5.0, "most": SLOTS + 0.14}),
+        ("slow server", {"mean_s": 0.35, "slowness": 3.0, "most": SLOTS - 1}),
+    ]
+    slowness = 1.0
+
+    def test_load_that_leaves_the_urgent_on_time(self):
+        found = placement(server("s0"))
+        state = found.table.states["s0"]
+        found.times.answered("defect-report", state, b"17", 0.1, False)
+        found.times.answered("defect-report", state, b"17", 0.1, False)
+        state.service_s = self.mean_s
+        state.slowness = self.slowness
+        most = found._most(state, evolve(QUERY, urgent_route=URGENT))
+        self.assertAlmostEqual(self.most, most, delta=0.01)
+
+
 class LimitsTest(TestWithScenarios, TestCase):
     """Guards against requests to servers that must not get any."""
 
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -57,6 +57,8 @@
         on_change: OnChange,
         gather_s: float = 0.0,
         longest_backoff_s: float = LONGEST_BACKOFF_S,
+        watch_timeout_ms: int = WATCH_TIMEOUT_MS,
+        on_return: Callable[[], None] = lambda: None,
     ):
         self.store = store
         self.kind = kind
@@ -65,6 +67,9 @@
         # Pause after a change, in which further changes gather.
         self.gather_s = gather_s
         self.backoff = Backoff(random, longest_backoff_s)
+        self.watch_timeout_ms = watch_timeout_ms
+        # Called before the first objects after a failure are reported.
+        self.on_return = on_return
         self.objects: dict[str, StoredObject] = {}
         # None until the first list; the watch resumes from here.
         self.version: int | None = None
@@ -120,7 +125,7 @@
         since = self.version
         # After a failure an answer at once tells that the platform is back; a long
         # poll would tell it 10 s later.
-        timeout_ms = 0 if self.failing else WATCH_TIMEOUT_MS
+        timeout_ms = 0 if self.failing else self.watch_timeout_ms
         answer = await self.store.watch(self.kind, since, timeout_ms)
         if isinstance(answer, Success) and answer.unwrap().version < since:
             # The platform lost its state or forgot this version: read everything.
@@ -134,7 +139,10 @@
             return False
         found = answer.unwrap()
         self.last_contact = self.timers.seconds()
-        self.failing = False
+        if self.failing:
+            self.failing = False
+            get_logger().info("watch_returned", kind=self.kind, version=found.version)
+            self.on_return()
         if whole:
             self.objects = {item.name: item for item in found.items}
         changed = whole or bool(found.items)
--- /dev/null
+++ b/ebonybend/tests/test_logs.py
@@ -0,0 +1,48 @@
+import os
+from os import pipe
+
+from testtools import TestCase
+
+from ebonybend.logs import LossyFile
+from ebonybend.node.decisions import MOST_ANSWERS_PER_S, LineBudget
+
+
+class LossyFileTest(TestCase):
+    """Guards against a process that stops because nobody reads its log."""
+
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def test_reader_that_stops_costs_lines_and_no_time(self):
+        file = LossyFile(self.writer)
+        line = "x" * 999 + "\n"
+        for _ in range(200):
+            file.write(line)
+        self.assertGreater(file.dropped, 100)
+        received = b""
+        while len(received) < (200 - file.dropped) * len(line) - len(line):
+            received += os.read(self.reader, 1 << 20)
+        lines = received.split(b"\n")[:-1]
+        self.assertEqual({999}, {len(found) for found in lines})
+
+    def test_lines_are_whole_after_the_reader_returns(self):
+        file = LossyFile(self.writer)
+        for _ in range(100):
+            file.write("a" * 1500 + "\n")
+        os.read(self.reader, 1 << 20)
+        file.write("b\n")
+        data = os.read(self.reader, 1 << 20)
+        self.assertEqual(b"b", data.split(b"\n")[-2])
+
+
+class LineBudgetTest(TestCase):
+    """Guards against a log that grows with the load."""
+
+    def test_lines_in_a_second(self):
+        budget = LineBudget(MOST_ANSWERS_PER_S)
+        allowed = sum(budget.allow(step / 1000) for step in range(1000))
+        self.assertEqual(MOST_ANSWERS_PER_S, allowed)
+        self.assertEqual(1000 - MOST_ANSWERS_PER_S, budget.take_dropped())
