Tell a restarted server's connections apart; test node, adapter and forwarder

Cause: found by the new test of a reused address: connections were kept by the server's name, so an entry that came back at another address got requests over connections to the old one.

Change: connections are kept by name, address and start; stand-ins of the platform's store and endpoints; tests of the whole path with a real node process, of the forwarder's sends and of the adapter's formats; nothing queues on servers of which no answer is known.

--- /dev/null
+++ b/bench/tests/test_platform_node.py
@@ -0,0 +1,194 @@
+"""One node as a process of its own, against the stand-ins of the platform."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from socket import socket
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from testtools import TestCase
+
+from standins.platform_server import PlatformEndpoint
+from standins.platform_store import PlatformStoreServer
+
+ROOT = Path(__file__).resolve().parents[2]
+WAIT_S = 10.0
+# Bound of the users' pages on a change of the configuration, and on a leaving server.
+APPLY_S = 2.5
+DRAIN_S = 2.5
+GRACE_S = 2.0
+SETTINGS = """
+NodeName = "node-1"
+Ip = "127.0.0.1"
+Zone = "kingston-a"
+Region = "kingston"
+InternalPorts = [{ports[0]}, {ports[0]}]
+Bounds = ["GraceS={grace}"]
+[Zones]
+kingston-a = "kingston"
+[Listen]
+Front = "127.0.0.1:{ports[1]}"
+Ready = "127.0.0.1:{ports[2]}"
+Directory = "127.0.0.1:{ports[3]}"
+[Platform]
+Addr = "{store}"
+"""
+
+
+def free_ports(count):
+    """Return ports that nothing listens on."""
+    sockets = [socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def config(version, service="history", prefix="/a/"):
+    path = {
+        "Name": f"r{prefix}",
+        "PathPrefix": prefix,
+        "Kind": "unsafe",
+        "TimeoutMs": 2000,
+        "GoalMs": 500,
+        "MaxAttempts": 2,
+        "Service": service,
+    }
+    hosts = [{"Host": "h.example", "Paths": [path]}]
+    return {"Version": version, "Services": [], "VirtualHosts": hosts}
+
+
+def entry(service, address, state="ready"):
+    info = {"Service": service, "Zone": "kingston-a", "MaxConcurrency": 4}
+    status = {"State": state, "Sequence": 1, "WarmupLeftMs": 0}
+    return {"Addr": address, "born": 1, "Info": info, "Status": status}
+
+
+class PlatformNodeTest(TestCase):
+    """Guards against a node that serves with old state, or not at all."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = PlatformStoreServer()
+        self.addCleanup(self.store.stop)
+        self.endpoints = {}
+        for service in ("history", "signoff"):
+            endpoint = self.endpoints[service] = PlatformEndpoint(f"i-{service}")
+            self.addCleanup(endpoint.stop)
+            state = self.store.state
+            state.put("servers", f"i-{service}", entry(service, endpoint.address))
+        self.store.state.put("servers", "i-odd", "not an entry")
+        self.store.state.put("config", "main", config(1))
+        self.ports = free_ports(5)
+        self.start()
+        self.count = 0
+
+    def start(self):
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = Path(directory.name) / "local.toml"
+        text = SETTINGS.format(
+            ports=self.ports, store=self.store.address, grace=GRACE_S
+        )
+        path.write_text(text)
+        environment = {
+            **os.environ,
+            "EBONYBEND_NODE_FILE": str(path),
+            "EBONYBEND_METRICS_PORT": str(self.ports[4]),
+        }
+        self.log = open(Path(directory.name) / "log", "w+")  # noqa: SIM115
+        self.addCleanup(self.log.close)
+        self.node = subprocess.Popen(
+            [sys.executable, "-m", "ebonybend.platform"],
+            cwd=ROOT,
+            env=environment,
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+        self.addCleanup(self.node.wait)
+        self.addCleanup(self.node.kill)
+        self.wait_until(lambda: self.ask(self.ports[2], "/ready")[0] == 200)
+
+    def ask(self, port, path, headers=None, body=None):
+        connection = HTTPConnection("127.0.0.1", port, timeout=3.0)
+        try:
+            connection.request("POST" if body else "GET", path, body, headers or {})
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, HTTPException):
+            return 0, b""
+        finally:
+            connection.close()
+
+    def send(self, path):
+        self.count += 1
+        headers = {"Host": "h.example", "Attempt-Id": f"id-{self.count}"}
+        return self.ask(self.ports[1], path, headers, b"body")
+
+    def wait_until(self, check, longest_s=WAIT_S):
+        until = monotonic() + longest_s
+        while not check():
+            if monotonic() > until:
+                self.log.seek(0)
+                self.fail("not in time; the node's log: " + self.log.read()[-2000:])
+            sleep(0.05)
+
+    def test_1_request_reaches_the_service_of_its_route(self):
+        self.assertEqual((200, b"POST /a/x body"), self.send("/a/x"))
+        self.assertEqual(1, self.endpoints["history"].runs["id-1"])
+        self.assertEqual(404, self.send("/b/x")[0])
+
+    def test_2_directory_and_metrics(self):
+        status, body = self.ask(
+            self.ports[3], "/resolve?Name=h.example&Region=kingston&Zone=kingston-a"
+        )
+        self.assertEqual(200, status)
+        self.assertEqual([f"127.0.0.1:{self.ports[1]}"], json.loads(body)["Addrs"])
+        status, body = self.ask(self.ports[4], "/metrics")
+        self.assertIn(b"ebonybend_config_version 1.0", body)
+
+    def test_3_change_is_in_force_also_after_the_history_is_gone(self):
+        self.store.state.put("config", "main", config(4, "signoff"))
+        self.wait_until(lambda: self.send("/a/x")[1] and self.ran("signoff"), APPLY_S)
+        self.store.state.forget_history()
+        self.store.state.put("config", "main", config(6, "history", "/c/"))
+        self.wait_until(lambda: self.send("/c/x")[0] == 200, APPLY_S)
+        self.store.state.put("config", "main", config(5, "history", "/a/"))
+        sleep(0.5)
+        self.assertEqual(404, self.send("/a/x")[0])
+
+    def ran(self, service):
+        return bool(self.endpoints[service].runs)
+
+    def test_4_leaving_server_gets_no_request(self):
+        leaving = entry("history", self.endpoints["history"].address, "draining")
+        self.store.state.put("servers", "i-history", leaving)
+        self.wait_until(lambda: self.send("/a/x")[0] == 503, DRAIN_S)
+
+    def test_5_serves_while_the_store_is_away(self):
+        self.store.state.refuse_with = 503
+        sleep(0.3)
+        self.assertEqual(200, self.send("/a/x")[0])
+        self.store.state.refuse_with = None
+        self.store.state.put("config", "main", config(2, "signoff"))
+        self.wait_until(lambda: self.send("/a/x")[0] and self.ran("signoff"), APPLY_S)
+
+    def test_6_reused_address_runs_nothing_of_another_service(self):
+        state = self.store.state
+        address = self.endpoints["signoff"].address
+        state.put("servers", "i-history", entry("history", address))
+        self.wait_until(lambda: self.send("/a/x")[0] == 503, DRAIN_S)
+        self.assertFalse(self.ran("signoff"))
+
+    def test_7_stops_within_its_grace_time(self):
+        self.node.send_signal(signal.SIGTERM)
+        self.wait_until(lambda: self.ask(self.ports[2], "/ready")[0] != 200, 1.0)
+        self.assertEqual(200, self.send("/a/x")[0])
+        self.assertEqual(0, self.node.wait(GRACE_S + 1.0))
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -1,6 +1,6 @@
 """Connections to backend servers, kept open between requests."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -28,6 +28,15 @@
 CONNECT_TIMEOUT_S = 0.6
 
 
+# A server may start again under its name, also at another address.
+Process = tuple[str, str, int]
+
+
+def process_of(server: BackendServer) -> Process:
+    """Return what tells one start of a server from another."""
+    return server.name, server.address, server.started_ms
+
+
 class Unreachable(Exception):
     """No connection came about, so nothing was sent."""
 
@@ -43,12 +52,12 @@
     def __init__(self, reactor: Any, request_id_header: bytes):
         self.reactor = reactor
         self.request_id_header = request_id_header
-        self.idle: dict[str, list[BackendConnection]] = {}
+        self.idle: dict[Process, list[BackendConnection]] = {}
         self.opened = 0
 
     def take(self, server: BackendServer, single: bool) -> BackendConnection | None:
         """Return a kept connection, or None."""
-        kept = self.idle.get(server.name)
+        kept = self.idle.get(process_of(server))
         now = self.reactor.seconds()
         while kept:
             connection = kept.pop()
@@ -65,7 +74,7 @@
         endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), CONNECT_TIMEOUT_S)
         factory = Factory.forProtocol(BackendConnection)
         factory.protocol = lambda: BackendConnection(
-            self.request_id_header, self._returner(server.name)
+            self.request_id_header, self._returner(process_of(server))
         )
         connecting: Deferred[BackendConnection] = endpoint.connect(factory)
         try:
@@ -82,24 +91,24 @@
         detect_silence(connection.transport)
         return connection
 
-    def _returner(self, name: str) -> Callable[[BackendConnection], None]:
+    def _returner(self, process: Process) -> Callable[[BackendConnection], None]:
         def keep(connection: BackendConnection) -> None:
             connection.idle_since = self.reactor.seconds()
-            self.idle.setdefault(name, []).append(connection)
+            self.idle.setdefault(process, []).append(connection)
 
         return keep
 
-    def retain(self, names: set[str]) -> None:
+    def retain(self, servers: Iterable[BackendServer]) -> None:
         """Close the idle connections to servers that are no longer used."""
-        for name in list(self.idle):
-            if name not in names:
-                for connection in self.idle.pop(name):
-                    connection.close()
+        kept = {process_of(server) for server in servers}
+        for process in self.idle.keys() - kept:
+            for connection in self.idle.pop(process):
+                connection.close()
 
     def sweep(self) -> None:
         """Close the connections that are too old to be used."""
         now = self.reactor.seconds()
-        for name, kept in self.idle.items():
+        for process, kept in self.idle.items():
             fresh = []
             for connection in kept:
                 if not connection.usable:
@@ -108,7 +117,7 @@
                     fresh.append(connection)
                 else:
                     connection.close()
-            self.idle[name] = fresh
+            self.idle[process] = fresh
 
 
 def _most_idle_s(connection: BackendConnection, single: bool) -> float:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -284,7 +284,7 @@
             self.reactor.callLater(self.lapsed.left_s(now) + MARGIN_S, self.relist)
         self.servers.update(servers, now)
         self.servers_known = True
-        self.pool.retain(set(servers))
+        self.pool.retain(servers.values())
         routes = {route.name for route in self.routing.routes}
         self.times.retain(set(servers), routes)
         for name, server in servers.items():
--- a/ebonybend/platform/__main__.py
+++ b/ebonybend/platform/__main__.py
@@ -1,5 +1,6 @@
 """Start a node on the platform: python3 -m ebonybend.platform."""
 
+import os
 import sys
 
 from ebonybend.errors import SteeringError
@@ -7,8 +8,9 @@
 from ebonybend.loop import install_reactor
 from ebonybend.platform.settings import read_settings, settings_path
 
-# Port of the metrics; deploy/system.toml names the same.
-METRICS_PORT = 9464
+# Port of the metrics unless the variable names another; deploy/system.toml names it.
+METRICS_PORT = "9464"
+METRICS_PORT_VARIABLE = "EBONYBEND_METRICS_PORT"
 EXIT_BAD_SETTING = 2
 
 
@@ -36,7 +38,7 @@
             PlatformStore(http, settings.store_address),
             PlatformWire(),
             PlatformDocuments(),
-            METRICS_PORT,
+            int(os.environ.get(METRICS_PORT_VARIABLE, METRICS_PORT)),
             lambda: read_settings(path),
             log_file,
         )
--- /dev/null
+++ b/ebonybend/platform/tests/test_formats.py
@@ -0,0 +1,215 @@
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from msgspec import Raw
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.web.http_headers import Headers
+
+from ebonybend.codec import from_json, to_json
+from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.node.members import Member
+from ebonybend.node.wire import CallerHeaders, ServerLoad
+from ebonybend.platform.calls import PlatformWire
+from ebonybend.platform.documents import PlatformDocuments
+from ebonybend.platform.settings import decode_bounds, read_settings
+from ebonybend.store.client import StoredObject
+from ebonybend.world import LifeState
+
+SERVER = {
+    "Addr": "10.1.0.9:8080",
+    "born": 1786893926004,
+    "Info": {"Service": "history", "Zone": "kingston-a", "MaxConcurrency": 5},
+    "Status": {"State": "ready", "Sequence": 4, "WarmupLeftMs": 1500},
+}
+REGIONS = {"kingston-a": "kingston"}
+SETTINGS = """
+NodeName = "front-kingston-a-1"
+Ip = "10.1.0.18"
+Zone = "kingston-a"
+Region = "kingston"
+InternalPorts = [7200, 7215]
+Bounds = ["GraceS=6", "BudgetRatio=0.2", "ContactMs=4000"]
+Unknown = "ignored"
+[Listen]
+Front = "10.1.0.18:8381"
+Ready = "10.1.0.18:8388"
+Directory = "10.1.0.18:8383"
+[Platform]
+Addr = "10.200.1.7:8384"
+"""
+
+
+def stored(spec, name="i-1"):
+    value = {"Metadata": {"Name": name, "Rev": 7}, "Spec": spec, "Status": None}
+    return StoredObject(name, 7, Raw(to_json(value)))
+
+
+def without(name):
+    return {key: value for key, value in SERVER.items() if key != name}
+
+
+class ServerEntryTest(TestWithScenarios, TestCase):
+    """Guards against an entry of another writer that stops the node or is used."""
+
+    scenarios = [
+        ("whole", {"spec": SERVER, "state": LifeState.LIVE}),
+        (
+            "draining",
+            {"spec": {**SERVER, "Status": {"State": "draining"}}, "state": "leaving"},
+        ),
+        ("unknown state", {"spec": {**SERVER, "Status": {"State": "odd"}}}),
+        ("no address", {"spec": without("Addr")}),
+        ("address without port", {"spec": {**SERVER, "Addr": "10.1.0.9"}}),
+        ("address of another type", {"spec": {**SERVER, "Addr": 5}}),
+        ("no status", {"spec": without("Status")}),
+        ("no slots", {"spec": {**SERVER, "Info": {"Service": "s", "Zone": "z"}}}),
+        ("a text", {"spec": "text"}),
+        ("nothing", {"spec": None}),
+    ]
+    state = None
+
+    def test_decode(self):
+        server = PlatformDocuments().decode_server(stored(self.spec), REGIONS)
+        if self.state is None:
+            self.assertIsNone(server)
+            return
+        self.assertEqual(LifeState(self.state), server.state)
+        self.assertEqual("kingston", server.region)
+        self.assertEqual(5, server.slots)
+
+
+class ConfigTest(TestCase):
+    """Guards against a configuration that is read as another."""
+
+    def test_decode(self):
+        path = {
+            "Name": "r1",
+            "PathPrefix": "/a/",
+            "Kind": "unsafe",
+            "TimeoutMs": 800,
+            "GoalMs": 300,
+            "Priority": 1,
+            "MaxAttempts": 2,
+            "Sticky": True,
+            "Backends": [
+                {"Service": "x", "Weight": 90},
+                {"Service": "y", "Weight": 10},
+            ],
+            "HomeRegions": ["kingston"],
+        }
+        hosts = [{"Host": "H.example", "Paths": [path]}]
+        config = PlatformDocuments().decode_config(
+            stored({"Version": 3, "VirtualHosts": hosts})
+        )
+        route = config.routes[0]
+        self.assertEqual((3, "h.example"), (config.version, route.host))
+        self.assertFalse(route.idempotent)
+        self.assertEqual((0.8, 0.3), (route.timeout_s, route.objective_s))
+        self.assertEqual([90, 10], [part.weight for part in route.parts])
+        self.assertEqual(("kingston",), route.home_regions)
+
+    def test_unreadable(self):
+        self.assertIsNone(PlatformDocuments().decode_config(stored({"Version": "x"})))
+
+    def test_member_round_trip(self):
+        documents = PlatformDocuments()
+        member = Member("n", "kingston-a", "kingston", "10.1.0.1:1", "10.1.0.1:2", 5)
+        spec = from_json(documents.encode_member(member), dict)
+        self.assertEqual(member, documents.decode_member(stored(spec)))
+
+
+class HeadersTest(TestWithScenarios, TestCase):
+    """Guards against a request without id, or with a bad deadline, that is sent on."""
+
+    scenarios = [
+        (
+            "whole",
+            {
+                "raw": {"Attempt-Id": "a", "Deadline-Ms": "1200", "Affinity-Key": "17"},
+                "told": CallerHeaders(b"a", 1.2, b"17"),
+            },
+        ),
+        ("no deadline", {"raw": {"Attempt-Id": "a"}, "told": (b"a", None, b"")}),
+        ("no id", {"raw": {"Deadline-Ms": "5"}, "told": None}),
+        ("bad deadline", {"raw": {"Attempt-Id": "a", "Deadline-Ms": "x"}}),
+    ]
+    told = None
+
+    def test_read(self):
+        headers = Headers({name: [value] for name, value in self.raw.items()})
+        told = PlatformWire().read_caller_headers(headers)
+        expected = self.told
+        if isinstance(expected, tuple):
+            expected = CallerHeaders(*expected)
+        self.assertEqual(expected, told)
+
+
+class LoadTest(TestWithScenarios, TestCase):
+    """Guards against a malformed load report that is taken for a load."""
+
+    scenarios = [
+        ("whole", {"text": "3,0,8", "load": ServerLoad(3, 0, 8)}),
+        ("too short", {"text": "3,0", "load": None}),
+        ("no number", {"text": "3,x,8", "load": None}),
+    ]
+
+    def test_read(self):
+        headers = Headers({"Server-Load": [self.text]})
+        self.assertEqual(self.load, PlatformWire().read_load(headers))
+
+
+class NotRunTest(TestWithScenarios, TestCase):
+    """Guards against "not run" being concluded from any other answer."""
+
+    scenarios = [
+        ("full", {"status": 503, "raw": {"Not-Executed": ["1"]}, "not_run": True}),
+        ("another server", {"status": 421, "raw": {}, "not_run": True}),
+        ("own failure", {"status": 503, "raw": {}, "not_run": False}),
+        ("time-out", {"status": 504, "raw": {}, "not_run": False}),
+    ]
+
+    def test_states_not_run(self):
+        found = PlatformWire().states_not_run(self.status, Headers(self.raw))
+        self.assertEqual(self.not_run, found)
+
+
+class SettingsTest(TestWithScenarios, TestCase):
+    """Guards against a start with settings that are wrong, without a clear error."""
+
+    scenarios = [
+        ("whole", {"text": SETTINGS, "error": None}),
+        ("no file", {"text": None, "error": "No such file"}),
+        ("no TOML", {"text": "= 5", "error": "Invalid"}),
+        (
+            "no store",
+            {"text": SETTINGS.partition("[Platform]")[0], "error": "'Platform'"},
+        ),
+        (
+            "bad bound",
+            {"text": SETTINGS.replace("GraceS=6", "GraceS=x"), "error": "'x'"},
+        ),
+    ]
+
+    def test_read(self):
+        path = self.make_path()
+        if self.text is not None:
+            path.write_text(self.text)
+        if self.error is None:
+            settings = read_settings(path)
+            self.assertEqual(7200, settings.peer_port)
+            self.assertEqual(4.0, settings.bounds.settle_s)
+            return
+        raised = self.assertRaises(SteeringError, read_settings, path)
+        self.assertEqual(ErrorKind.BAD_SETTING, raised.kind)
+        self.assertIn(self.error, raised.message)
+        self.assertIn(str(path), raised.message)
+
+    def make_path(self):
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        return Path(directory.name) / "local.toml"
+
+    def test_bounds(self):
+        bounds = decode_bounds(["ShiftMax=0.1", "New=1"])
+        self.assertEqual(0.1, bounds.shift_most)
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -24,6 +24,8 @@
 URGENT_FULL_AT = 3.0
 RETURNED_FULL_AT = 1.7
 FULL_AT = 1.4
+# The same while no answer has told how long requests take.
+UNKNOWN_FULL_AT = 1.2
 # Slots that less urgent requests leave free where urgent ones can't wait.
 RESERVED_SLOTS = 1
 # Servers of other regions that are considered when the object's region is full.
@@ -86,7 +88,7 @@
         near = [s for s in candidates if s.server.region == query.region]
         pauses = []
         for state in self._ordered(near or candidates, query, now)[:PLACES]:
-            mean = state.service_s or 0.0
+            mean = state.service_s or query.route.objective_s
             slots = state.server.slots
             over = state.load(now) + 1 - slots * FULL_AT
             pauses.append(max(over, 1.0) * mean / slots)
@@ -123,7 +125,10 @@
             return state.slowness < 2.0 or way + expected <= on_time
         if load >= self._most(state, query):
             return False
-        mean = state.service_s if state.service_s is not None else expected
+        if state.service_s is None or not expected:
+            # Nothing is known of the wait yet, and cold servers are slow at first.
+            return load < slots * UNKNOWN_FULL_AT
+        mean = state.service_s
         wait = (load + 1 - slots) * mean / slots
         return way + wait + expected <= on_time
 
--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -60,6 +60,8 @@
     def setUp(self):
         super().setUp()
         self.placement = placement(*(server(f"s{i}") for i in range(4)))
+        for state in self.placement.table.states.values():
+            state.service_s = 0.05
         self.order = places(self.placement, self.placement.table.states)
 
     def choose(self, query=QUERY):
@@ -136,6 +138,20 @@
         self.assertEqual(self.taken, found.choose(query, 0.0) is not None)
 
 
+class FirstSecondsTest(TestCase):
+    """Guards against queues on servers of which nothing is known.
+
+    Load pattern: the first second of a day, when every object is cold.
+    """
+
+    def test_no_queue_before_the_first_answer(self):
+        found = placement(server("s0"))
+        found.table.states["s0"].in_flight = SLOTS + 2
+        self.assertIsNone(found.choose(QUERY, 0.0))
+        pause = found.pause_s(QUERY, 0.0)
+        self.assertGreaterEqual(pause, ROUTE.objective_s / SLOTS)
+
+
 class UrgentTest(TestWithScenarios, TestCase):
     """Guards against long requests that make short urgent ones late.
 
