Let shares of regions that no request used move at once

Change: shares of a service that got no request since the last update take their target at once; changes of shares are logged.

--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from ebonybend.logs import get_logger
 from ebonybend.node.members import Beat, Members
 from ebonybend.steering.placement import capacity_by_region
 from ebonybend.steering.regions import DemandMeter, RegionShares, target_shares
@@ -9,6 +10,9 @@
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.world.route import Route
 
+# Change of a share that is worth a line.
+LOGGED_CHANGE = 0.05
+
 
 class RegionSteering:
     """Meter the demand and keep the shares of the regions for each service."""
@@ -30,9 +34,13 @@
         self.clock = clock
         self.meters: dict[str, DemandMeter] = {}
         self.shares: dict[str, RegionShares] = {}
+        # Services that got requests since the last update.
+        self.used: set[str] = set()
+        self.logged: dict[str, dict[str, float]] = {}
 
     def arrived(self, route: Route, service: str) -> None:
         """Count a request of a caller."""
+        self.used.add(service)
         seconds = self.times.warm_time(route.name)
         meter = self.meters.get(service)
         if meter is None:
@@ -53,11 +61,35 @@
         """Let the shares follow the demands that are known now."""
         now = self.clock()
         demands = self._demands(now)
+        used, self.used = self.used, set()
         for service in self.table.by_service:
             capacity = capacity_by_region(self.table, service, now)
             target = target_shares(self.region, demands.get(service, {}), capacity)
             shares = self.shares.setdefault(service, RegionShares(self.region))
-            shares.follow(target, capacity, self.shift_most(), now)
+            in_use = service in used
+            shares.follow(target, capacity, self.shift_most(), now, in_use)
+            self._log(service, shares.shares, demands.get(service, {}), capacity)
+
+    def _log(
+        self,
+        service: str,
+        shares: Mapping[str, float],
+        demand: Mapping[str, float],
+        capacity: Mapping[str, float],
+    ) -> None:
+        """Log shares that differ clearly from those logged last."""
+        known = self.logged.get(service, {self.region: 1.0})
+        names = {*known, *shares}
+        if all(abs(known.get(n, 0) - shares.get(n, 0)) < LOGGED_CHANGE for n in names):
+            return
+        self.logged[service] = dict(shares)
+        get_logger().info(
+            "region_shares",
+            service=service,
+            shares=_rounded(shares),
+            demand=_rounded(demand),
+            capacity=_rounded(capacity),
+        )
 
     def _demands(self, now: float) -> Mapping[str, dict[str, float]]:
         """Return the demand by service and region."""
@@ -76,3 +108,7 @@
             for name, beat in self.members.beats.items()
             if name != self.members.own.name and self.members.is_alive(name, now)
         ]
+
+
+def _rounded(values: Mapping[str, float]) -> dict[str, float]:
+    return {name: round(value, 2) for name, value in values.items()}
--- a/ebonybend/steering/regions.py
+++ b/ebonybend/steering/regions.py
@@ -69,14 +69,18 @@
         capacity: Mapping[str, float],
         shift_most: float,
         now: float,
+        in_use: bool = True,
     ) -> None:
-        """Move toward a target, at most as fast as requests may change region."""
+        """Move toward a target, at most as fast as requests may change region.
+
+        Shares that no request has used since the last call move at once.
+        """
         if not self.shares:
             self.shares = {self.region: 1.0}
         elapsed = 0.0 if self.updated_at is None else now - self.updated_at
         self.updated_at = now
-        if all(capacity.get(name, 0.0) <= 0 for name in self.shares):
-            # Nothing that is in use has room, so the objects have to move at once.
+        if not in_use or all(capacity.get(name, 0.0) <= 0 for name in self.shares):
+            # No request changes its region, or none could stay in it.
             self.shares = dict(target)
             return
         step = shift_most * STEP_PART / SHIFT_WINDOW_S * elapsed
--- a/ebonybend/steering/tests/test_regions.py
+++ b/ebonybend/steering/tests/test_regions.py
@@ -80,6 +80,13 @@
         changed = sum(shares.region_of(key) != before[key] for key in KEYS)
         self.assertLess(changed / len(KEYS), 0.05)
 
+    def test_shares_are_right_before_the_first_request(self):
+        """Load pattern: servers that join one by one before traffic begins."""
+        shares = RegionShares("k")
+        shares.follow({"m": 1.0}, {"m": 3.0}, 0.15, 0.0, in_use=False)
+        shares.follow({"k": 1.0}, {"k": 9.0, "m": 9.0}, 0.15, 0.7, in_use=False)
+        self.assertEqual({"k"}, {shares.region_of(key) for key in KEYS})
+
     def test_moves_at_once_when_nothing_in_use_has_room(self):
         shares = RegionShares("k", {"k": 1.0}, 0.0)
         shares.follow({"m": 1.0}, {"m": 10.0}, 0.15, 0.1)
