Split the state followed in the store from the node's service

Change: node/followed.py holds watches and what they change; a node serves and is ready once configuration, servers and evacuations are read; listen() moves to a module of its own, so that a node no longer imports gRPC.

--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, maybeDeferred
-from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 
 from ebonybend.clock import SystemClock
@@ -27,13 +26,13 @@
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
+from ebonybend.listening import listen
 from ebonybend.logs import get_logger
-from ebonybend.settings import Settings, bad_setting, split_address
+from ebonybend.settings import Settings
 from ebonybend.world import LifeState
 
 MS = 1000.0
 NANOSECONDS_PER_MS = 1_000_000
-LISTEN_BACKLOG = 1024
 # Room for a push of outcomes, whose records alone reach 512 KB.
 MIN_PEER_BODY_BYTES = 1 << 20
 # Longest time to send the last answers after everything else has ended.
@@ -41,16 +40,6 @@
 CLOSE_POLL_S = 0.02
 
 
-def listen(reactor: Any, flag: str, address: str, site: HttpSite) -> Any:
-    """Open a listening port; raise BAD_SETTING naming the flag if it is in use."""
-    host, port = split_address(address)
-    try:
-        return reactor.listenTCP(port, site, backlog=LISTEN_BACKLOG, interface=host)
-    except CannotListenError as error:
-        reason = f"can't listen: {error.socketError}"
-        raise bad_setting(flag, address, reason) from error
-
-
 class EntryService:
     """One entry process: ports, loops and the data plane."""
 
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -18,6 +18,8 @@
 
 # Deadline of a request that states none and whose route has no time-out.
 DEFAULT_DEADLINE_S = 10.0
+# Time in which a starting node has usually read the store.
+NOT_READY_PAUSE_MS = 300
 # A suspect's content may be that of an innocent request, so its caller may come back.
 SUSPECT_STATUS = 503
 # Headers of an answer that the node's own server writes.
@@ -35,6 +37,7 @@
         clock: Callable[[], float],
         metrics: NodeMetrics,
         decisions: DecisionLog,
+        is_complete: Callable[[], bool],
     ):
         self.routing = routing
         self.forwarder = forwarder
@@ -42,6 +45,7 @@
         self.clock = clock
         self.metrics = metrics
         self.decisions = decisions
+        self.is_complete = is_complete
 
     async def handle(self, incoming: IncomingRequest) -> OutgoingAnswer:
         """Answer one request."""
@@ -68,8 +72,10 @@
         self, incoming: IncomingRequest, told: CallerHeaders, arrived_at: float
     ) -> CallerRequest:
         routing = self.routing
-        if routing.version is None:
-            raise SteeringError(ErrorKind.NOT_READY, "no configuration yet", 300)
+        if not self.is_complete():
+            raise SteeringError(
+                ErrorKind.NOT_READY, "the store is not read yet", NOT_READY_PAUSE_MS
+            )
         raw: Any = incoming.raw
         host = (raw.requestHeaders.getRawHeaders(b"Host") or [b""])[0]
         name = host.decode("latin-1").partition(":")[0]
--- /dev/null
+++ b/ebonybend/node/followed.py
@@ -0,0 +1,193 @@
+"""The state that a node follows in the store: routing, servers, evacuations, nodes."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+from ebonybend.logs import get_logger
+from ebonybend.node.lag import LagDetector
+from ebonybend.node.members import Beat, Members
+from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.wire import Documents
+from ebonybend.steering.lapsed import LapsedServers
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.store.client import ObjectStore, StoredObject
+from ebonybend.store.watcher import Watcher
+from ebonybend.world import BackendServer
+
+# Added to the time after which lapsed servers are looked at again.
+MARGIN_S = 0.05
+# Position of the watch on servers.
+SERVERS = 1
+# Changes that follow one another within this time are read in one call.
+GATHER_S = 0.1
+# The same for the list of nodes, which beats tell sooner.
+GATHER_NODES_S = 1.0
+# Long, because each answer without a change is a call; a dead watch is found by
+# keep-alive probes and by other nodes' beats.
+WATCH_TIMEOUT_MS = 25_000
+# A store that is back is noticed after this time; changes are to be in force 2.5 s
+# after they are made.
+LONGEST_BACKOFF_S = 0.8
+
+
+def _ignore() -> None:
+    """Do nothing on the return of the store."""
+
+
+class FollowedState:
+    """Follow the store's objects and apply each change."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        documents: Documents,
+        reactor: Any,
+        random: Random,
+        routing: RoutingState,
+        servers: ServerTable,
+        members: Members,
+        regions: Callable[[], Mapping[str, str]],
+        on_routing: Callable[[], None],
+        on_list: Callable[[Mapping[str, BackendServer]], None],
+    ):
+        self.documents = documents
+        self.reactor = reactor
+        self.routing = routing
+        self.servers = servers
+        self.members = members
+        self.regions = regions
+        self.on_routing = on_routing
+        self.on_list = on_list
+        self.lapsed = LapsedServers()
+        self.lag = LagDetector()
+        self.watchers = [
+            Watcher(
+                store,
+                kind,
+                reactor,
+                random,
+                on_change,
+                gather_s,
+                LONGEST_BACKOFF_S,
+                WATCH_TIMEOUT_MS,
+                on_return,
+            )
+            for kind, on_change, gather_s, on_return in (
+                (documents.config_kind, self.on_config, GATHER_S, _ignore),
+                (documents.servers_kind, self.on_servers, GATHER_S, self.on_return),
+                (documents.evacuations_kind, self.on_evacuations, GATHER_S, _ignore),
+                (documents.members_kind, self.on_members, GATHER_NODES_S, _ignore),
+            )
+        ]
+
+    def start(self) -> None:
+        """Follow the store until stopped."""
+        for watcher in self.watchers:
+            watcher.start()
+
+    def stop(self) -> None:
+        """Follow the store no more."""
+        for watcher in self.watchers:
+            watcher.stop()
+
+    def is_complete(self) -> bool:
+        """Tell whether routing, servers and evacuations are known."""
+        listed = all(
+            watcher.version is not None or watcher.last_contact is not None
+            for watcher in self.watchers[: SERVERS + 2]
+        )
+        return listed and self.routing.version is not None
+
+    def newest(self) -> dict[str, int]:
+        """Return the newest version of an object of each kind."""
+        return {watcher.kind: watcher.newest for watcher in self.watchers}
+
+    def compare(self, beat: Beat) -> None:
+        """List anew what another node knows a newer version of, if that lasts."""
+        now = self.reactor.seconds()
+        for watcher in self.watchers:
+            told = beat.newest.get(watcher.kind, 0)
+            if self.lag.is_behind(watcher.kind, watcher.newest, told, now):
+                get_logger().warning(
+                    "watch_behind",
+                    kind=watcher.kind,
+                    newest=watcher.newest,
+                    told=told,
+                    peer=beat.name,
+                )
+                watcher.hurry()
+
+    def on_config(
+        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the configuration."""
+        stored = objects.get(self.documents.config_name)
+        if stored is None:
+            return
+        config = self.documents.decode_config(stored)
+        if config is None:
+            get_logger().error("config_not_readable", version=stored.version)
+            return
+        if self.routing.take(config):
+            self.on_routing()
+
+    def on_servers(
+        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the list of backend servers."""
+        regions = self.regions()
+        decoded = (self.documents.decode_server(o, regions) for o in objects.values())
+        listed = {server.name: server for server in decoded if server is not None}
+        before = self.servers.states
+        now = self.reactor.seconds()
+        known = {name: state.server for name, state in before.items()}
+        servers = self.lapsed.merge(known, listed, now)
+        missing = servers.keys() - listed.keys()
+        if missing:
+            get_logger().info("servers_kept", missing=sorted(missing))
+            self.reactor.callLater(self.lapsed.left_s(now) + MARGIN_S, self.relist)
+        self.servers.update(servers, now)
+        self.on_list(servers)
+        for name, server in servers.items():
+            known = before.get(name)
+            if known is None or known.server.state is not server.state:
+                get_logger().info(
+                    "server_listed",
+                    server=name,
+                    state=server.state.value,
+                    service=server.service,
+                    domain=server.failure_domain,
+                    cold_s=server.cold_for_s,
+                    revision=version,
+                )
+        for name in before.keys() - servers.keys():
+            get_logger().info("server_gone", server=name, revision=version)
+
+    def on_return(self) -> None:
+        """Keep servers in use whose entries lapsed while the store was away."""
+        self.lapsed.store_returned(self.reactor.seconds())
+
+    def relist(self) -> None:
+        """Take in the list again, now without the servers that did not return."""
+        watcher = self.watchers[SERVERS]
+        if watcher.version is None:
+            return
+        self.on_servers(watcher.kind, watcher.newest, watcher.objects)
+
+    def on_evacuations(
+        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in which failure domains are evacuated."""
+        cold_s = {name: s.cold_s for name, s in self.routing.services.items()}
+        if frozenset(objects) != self.servers.evacuated:
+            get_logger().info("evacuations", domains=sorted(objects), revision=version)
+        self.servers.set_evacuated(objects, cold_s, self.reactor.seconds())
+
+    def on_members(
+        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
+    ) -> None:
+        """Take in the list of nodes."""
+        decoded = (self.documents.decode_member(o) for o in objects.values())
+        found = {member.name: member for member in decoded if member is not None}
+        self.members.update_list(found, self.reactor.seconds())
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -7,17 +7,17 @@
 from time import time
 from typing import Any
 
-from ebonybend.entry.service import listen
 from ebonybend.errors import SteeringError
 from ebonybend.http_server import HttpLimits, HttpSite
+from ebonybend.listening import listen
 from ebonybend.logs import LossyFile, get_logger
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import BEAT_PERIOD_S, BeatPort
 from ebonybend.node.callers import CallerPort
 from ebonybend.node.decisions import DecisionLog
 from ebonybend.node.demand import RegionSteering
+from ebonybend.node.followed import FollowedState
 from ebonybend.node.forwarder import Forwarder
-from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Beat, Member, Members
 from ebonybend.node.membership import OwnEntry
 from ebonybend.node.metrics import NodeMetrics
@@ -28,41 +28,22 @@
 from ebonybend.node.wire import Documents, Wire
 from ebonybend.settings import split_address
 from ebonybend.steering.crashes import CrashWatch
-from ebonybend.steering.lapsed import LapsedServers
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
-from ebonybend.store.client import ObjectStore, StoredObject
-from ebonybend.store.watcher import Watcher
+from ebonybend.store.client import ObjectStore
 from ebonybend.tasks import ReactorClock, Tasks
+from ebonybend.world import BackendServer
 
 MS_PER_S = 1000
 SWEEP_PERIOD_S = 1.0
-# Added to the time after which lapsed servers are looked at again.
-MARGIN_S = 0.05
-# Position of the watch on servers.
-SERVERS = 1
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
 # Descriptors kept for the store, other nodes, files and backend servers.
 RESERVED_DESCRIPTORS = 600
 # Connections of callers that a node takes however few descriptors it has.
 LEAST_CONNECTIONS = 100
-# Changes that follow one another within this time are read in one call.
-GATHER_S = 0.1
-# The same for the list of nodes, which beats tell sooner.
-GATHER_NODES_S = 1.0
-# Long, because each answer without a change is a call; a dead watch is found by
-# keep-alive probes and by other nodes' beats.
-WATCH_TIMEOUT_MS = 25_000
-# A store that is back is noticed after this time; changes are to be in force 2.5 s
-# after they are made.
-LONGEST_BACKOFF_S = 0.8
-
-
-def _ignore() -> None:
-    """Do nothing on the return of the store."""
 
 
 class NodeService:
@@ -103,31 +84,21 @@
         )
         self.members = Members(self.own)
         self.beat_count = 0
-        self.servers_known = False
-        self.lapsed = LapsedServers()
         self.crashes = CrashWatch(ReactorClock(reactor))
         self.forwarder = self._build_forwarder()
-        self.watchers = [
-            Watcher(
-                store,
-                kind,
-                reactor,
-                self.random,
-                on_change,
-                gather_s,
-                LONGEST_BACKOFF_S,
-                WATCH_TIMEOUT_MS,
-                on_return,
-            )
-            for kind, on_change, gather_s, on_return in (
-                (documents.config_kind, self.on_config, GATHER_S, _ignore),
-                (documents.servers_kind, self.on_servers, GATHER_S, self.on_return),
-                (documents.evacuations_kind, self.on_evacuations, GATHER_S, _ignore),
-                (documents.members_kind, self.on_members, GATHER_NODES_S, _ignore),
-            )
-        ]
+        self.followed = FollowedState(
+            store,
+            documents,
+            reactor,
+            self.random,
+            self.routing,
+            self.servers,
+            self.members,
+            lambda: self.settings.regions,
+            self.on_routing,
+            self.on_servers,
+        )
         self._build_sites()
-        self.lag = LagDetector()
         self.beats = BeatPort(
             self.members, self.own_beat, reactor.seconds, self.on_beat
         )
@@ -178,6 +149,7 @@
             self.reactor.seconds,
             self.metrics,
             self.decisions,
+            self.followed.is_complete,
         )
         directory = Directory(
             self.members,
@@ -218,8 +190,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers should use this node."""
-        known = self.routing.version is not None and self.servers_known
-        return known and not self.stop.stopping
+        return self.followed.is_complete() and not self.stop.stopping
 
     def own_beat(self) -> Beat:
         """Return what this node tells the others now."""
@@ -231,104 +202,26 @@
             ready=self.is_ready(),
             demand=self.regions.own_demand(),
             suspects=self.crashes.told(),
-            newest={watcher.kind: watcher.newest for watcher in self.watchers},
+            newest=self.followed.newest(),
             member=self.own,
         )
 
     def on_beat(self, beat: Beat) -> None:
-        """Take in suspects, and list what another node knows a newer version of."""
+        """Take in suspects and newer versions that another node tells."""
         if beat.suspects:
             self.crashes.registry.merge(*beat.suspects)
-        now = self.reactor.seconds()
-        for watcher in self.watchers:
-            told = beat.newest.get(watcher.kind, 0)
-            if self.lag.is_behind(watcher.kind, watcher.newest, told, now):
-                get_logger().warning(
-                    "watch_behind",
-                    kind=watcher.kind,
-                    newest=watcher.newest,
-                    told=told,
-                    peer=beat.name,
-                )
-                watcher.hurry()
+        self.followed.compare(beat)
 
-    def on_config(
-        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
-    ) -> None:
-        """Take in the configuration."""
-        stored = objects.get(self.documents.config_name)
-        if stored is None:
-            return
-        config = self.documents.decode_config(stored)
-        if config is None:
-            get_logger().error("config_not_readable", version=stored.version)
-            return
-        if self.routing.take(config):
-            self.forwarder.services = self.routing.services
-            self.caller_site.limits = self._limits()
+    def on_routing(self) -> None:
+        """Use the services and limits of a new configuration."""
+        self.forwarder.services = self.routing.services
+        self.caller_site.limits = self._limits()
 
-    def on_servers(
-        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
-    ) -> None:
-        """Take in the list of backend servers."""
-        regions = self.settings.regions
-        decoded = (self.documents.decode_server(o, regions) for o in objects.values())
-        listed = {server.name: server for server in decoded if server is not None}
-        before = self.servers.states
-        now = self.reactor.seconds()
-        known = {name: state.server for name, state in before.items()}
-        servers = self.lapsed.merge(known, listed, now)
-        missing = servers.keys() - listed.keys()
-        if missing:
-            get_logger().info("servers_kept", missing=sorted(missing))
-            self.reactor.callLater(self.lapsed.left_s(now) + MARGIN_S, self.relist)
-        self.servers.update(servers, now)
-        self.servers_known = True
+    def on_servers(self, servers: Mapping[str, BackendServer]) -> None:
+        """Forget what is known of servers and routes that no longer exist."""
         self.pool.retain(servers.values())
         routes = {route.name for route in self.routing.routes}
         self.times.retain(set(servers), routes)
-        for name, server in servers.items():
-            known = before.get(name)
-            if known is None or known.server.state is not server.state:
-                get_logger().info(
-                    "server_listed",
-                    server=name,
-                    state=server.state.value,
-                    service=server.service,
-                    domain=server.failure_domain,
-                    cold_s=server.cold_for_s,
-                    revision=version,
-                )
-        for name in before.keys() - servers.keys():
-            get_logger().info("server_gone", server=name, revision=version)
-
-    def on_return(self) -> None:
-        """Keep servers in use whose entries lapsed while the store was away."""
-        self.lapsed.store_returned(self.reactor.seconds())
-
-    def relist(self) -> None:
-        """Take in the list again, now without the servers that did not return."""
-        watcher = self.watchers[SERVERS]
-        if watcher.version is None:
-            return
-        self.on_servers(watcher.kind, watcher.newest, watcher.objects)
-
-    def on_evacuations(
-        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
-    ) -> None:
-        """Take in which failure domains are evacuated."""
-        cold_s = {name: s.cold_s for name, s in self.routing.services.items()}
-        if frozenset(objects) != self.servers.evacuated:
-            get_logger().info("evacuations", domains=sorted(objects), revision=version)
-        self.servers.set_evacuated(objects, cold_s, self.reactor.seconds())
-
-    def on_members(
-        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
-    ) -> None:
-        """Take in the list of nodes."""
-        decoded = (self.documents.decode_member(o) for o in objects.values())
-        found = {member.name: member for member in decoded if member is not None}
-        self.members.update_list(found, self.reactor.seconds())
 
     def refresh_metrics(self) -> None:
         """Set the gauges that are read when the metrics are served."""
@@ -349,8 +242,7 @@
         for number in (SIGTERM, SIGINT):
             loop.add_signal_handler(number, self.stop.request)
         loop.add_signal_handler(SIGHUP, self.on_reload)
-        for watcher in self.watchers:
-            watcher.start()
+        self.followed.start()
         entry = OwnEntry(self.store, self.documents, self.own, self.random)
         self.tasks.start(entry.write(self.tasks))
         self.tasks.repeat(BEAT_PERIOD_S, self._beat)
@@ -381,7 +273,7 @@
         if settings.bounds != self.settings.bounds:
             self.forwarder.windows.clear()
         self.settings = settings
-        self.relist()
+        self.followed.relist()
         get_logger().info("settings_reloaded")
 
     def announce_stop(self) -> None:
@@ -398,6 +290,5 @@
     def end(self) -> None:
         """End the process."""
         self.tasks.stop()
-        for watcher in self.watchers:
-            watcher.stop()
+        self.followed.stop()
         self.reactor.callLater(0, self.reactor.stop)
--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -10,10 +10,10 @@
     Loss,
 )
 
-ID = b"Attempt-Id: a1\r\n"
+ID = b"Request-Id: a1\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + ID + b"Content-Length: 5\r\n\r\nwhole"
-OTHER = OK + b"Attempt-Id: b2\r\nContent-Length: 5\r\n\r\nother"
+OTHER = OK + b"Request-Id: b2\r\nContent-Length: 5\r\n\r\nother"
 DONE = Failure(ConnectionDone())
 RESET = Failure(ConnectionLost())
 
@@ -23,7 +23,7 @@
 
     def __init__(self):
         self.freed = []
-        self.connection = BackendConnection(b"Attempt-Id", self.freed.append)
+        self.connection = BackendConnection(b"Request-Id", self.freed.append)
         self.transport = StringTransport()
         self.transport.abortConnection = self.transport.loseConnection
         self.connection.makeConnection(self.transport)
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -13,7 +13,6 @@
 from ebonybend.node.backend_pool import Unreachable
 from ebonybend.node.caller_requests import CallerRequest
 from ebonybend.node.forwarder import Forwarder
-from ebonybend.platform.calls import PlatformWire
 from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashWatch
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
@@ -35,7 +34,7 @@
 )
 OK = BackendAnswer(200, Headers(), b"whole")
 FAILED = BackendAnswer(500, Headers(), b"failed")
-FULL = BackendAnswer(503, Headers({"Not-Executed": ["1"]}), b"")
+FULL = BackendAnswer(503, Headers({"Not-Run": ["1"]}), b"")
 WRONG = BackendAnswer(421, Headers(), b"")
 CLOSED = AnswerNotReceived(Loss.CLOSED)
 REFUSED = Unreachable("refused", True)
@@ -52,6 +51,21 @@
         return "a"
 
 
+class PlainWire:
+    """Formats of these tests."""
+
+    def server_headers(self, server, left_s):
+        """State the time that is left."""
+        return ((b"Left", str(round(left_s, 3)).encode()),)
+
+    def states_not_run(self, status, headers):
+        """Read the header of a server that did not run a request."""
+        return status == 421 or headers.hasHeader("Not-Run")
+
+    def read_load(self, headers):
+        """Return no load."""
+
+
 class ScriptedPool:
     """Give connections that answer what a script says."""
 
@@ -99,7 +113,7 @@
             self.pool,
             Placement(table, ServiceTimes()),
             FixedRegion(),
-            PlatformWire(),
+            PlainWire(),
             lambda: RetryWindow(0.0, slack, 10.0),
             lambda: 1,
             Random(1),
@@ -113,7 +127,7 @@
             request_id=b"a1",
             method=b"POST",
             uri=b"/x?y=1",
-            headers=Headers({"Attempt-Id": ["a1"], "Connection": ["close"]}),
+            headers=Headers({"Request-Id": ["a1"], "Connection": ["close"]}),
             body=b"body",
             route=self.route,
             service="s",
@@ -233,7 +247,7 @@
         bench.pool.script = [OK]
         bench.pool.waiting.errback(CLOSED)
         self.assertEqual(200, bench.outcome())
-        self.assertIn(b"Deadline-Ms: 400\r\n", bench.pool.sent[1])
+        self.assertIn(b"Left: 0.4\r\n", bench.pool.sent[1])
 
     def test_headers_of_one_connection_are_not_passed_on(self):
         bench = Bench([OK])
