Log the inputs that decided a refusal

Cause: a refusal's line said that no server has room, without the loads, their age, the configuration or the region that it was decided by.

Change: each line names the configuration's version, the object's region and whether the caller came back; a refusal names the usable servers, the loads of the object's places and the age of the reports. Nothing is decided otherwise.

Checked: tests of the forwarder, placement and whole path pass.

--- a/ebonybend/node/caller_requests.py
+++ b/ebonybend/node/caller_requests.py
@@ -26,6 +26,10 @@
     urgent_route: Route | None
     # Whether the caller comes back after a refusal.
     returned: bool = False
+    # Configuration by which the route was found.
+    config_version: int = 0
+    # Region that takes the object.
+    region: str = ""
     sends: int = 0
     # Server to which it was sent last.
     server: str = ""
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -96,6 +96,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + min(limits, default=DEFAULT_DEADLINE_S),
             urgent_route=routing.urgent_route(route, service),
+            config_version=routing.version or 0,
             returned=told.deadline_s is not None
             and routing.returns.has_returned(route.name, told.deadline_s),
         )
--- a/ebonybend/node/decisions.py
+++ b/ebonybend/node/decisions.py
@@ -66,7 +66,10 @@
         if request is not None:
             fields = {
                 "route": request.route.name,
+                "config": request.config_version,
                 "service": request.service,
+                "region": request.region,
+                "returned": request.returned,
                 "object": request.object_key.decode("latin-1"),
                 "server": request.server,
                 "sends": request.sends,
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -163,11 +163,15 @@
         if search.answer is not None:
             return search.answer
         if not request.may_have_run:
-            pause = self.placement.pause_s(self._query(request, set()), self._now())
+            query = self._query(request, set())
+            pause = self.placement.pause_s(query, self._now())
             # Spreads the callers that were refused at the same moment.
             pause *= 1.0 + self.random.random() / 2
+            loads = self.placement.describe(query, self._now())
             raise SteeringError(
-                ErrorKind.OVERLOADED, search.error.message, int(pause * 1000)
+                ErrorKind.OVERLOADED,
+                f"{search.error.message}: {loads}",
+                int(pause * 1000),
             )
         raise SteeringError(ErrorKind.ANSWER_LOST, search.error.message)
 
@@ -181,11 +185,12 @@
 
     def _query(self, request: CallerRequest, excluded: set[str]) -> PlacementQuery:
         left = request.deadline - self.reactor.seconds()
+        request.region = self.regions.region_of(request.service, request.object_key)
         return PlacementQuery(
             service=service_of(self.services, request.service),
             route=request.route,
             object_key=request.object_key,
-            region=self.regions.region_of(request.service, request.object_key),
+            region=request.region,
             urgent_route=request.urgent_route,
             returned_left_s=left if request.returned else None,
             excluded=excluded,
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -94,6 +94,18 @@
             pauses.append(max(over, 1.0) * mean / slots)
         return min(max(min(pauses, default=0.0), LEAST_PAUSE_S), MOST_PAUSE_S)
 
+    def describe(self, query: PlacementQuery, now: float) -> str:
+        """Return the loads that decided a refusal, for the log."""
+        candidates = self._candidates(query, now)
+        near = [s for s in candidates if s.server.region == query.region]
+        places = self._ordered(near or candidates, query, now)[:PLACES]
+        loads = [
+            f"{state.server.name} {state.load(now):.1f} of {state.server.slots}"
+            f" (report {now - state.reported_at:.1f} s old)"
+            for state in places
+        ]
+        return f"{len(candidates)} usable; " + ", ".join(loads)
+
     def _candidates(self, query: PlacementQuery, now: float) -> list[ServerState]:
         homes = query.route.home_regions
         usable = [
