--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -76,11 +76,11 @@
         for state in places:
             if self._has_room(state, query, now):
                 return state
-        idle = self._idle(ordered[PLACES:], now)
+        idle = self._idle(ordered[PLACES:], query, now)
         if idle is not None or not near:
             return idle
         far = [s for s in candidates if s.server.region != query.region]
-        return self._idle(self._ordered(far, query, now)[:FAR_PLACES], now)
+        return self._idle(self._ordered(far, query, now)[:FAR_PLACES], query, now)
 
     def pause_s(self, query: PlacementQuery, now: float) -> float:
         """Return the time after which a place of the object has room again."""
@@ -160,9 +160,23 @@
         queue = spare * slots / mean
         return min(max(slots + queue, slots - RESERVED_SLOTS), slots * part)
 
-    def _idle(self, states: list[ServerState], now: float) -> ServerState | None:
-        """Return the least loaded server if it is nearly idle."""
-        idle = [s for s in states if s.load(now) < s.server.slots * IDLE_PART]
+    def _idle(
+        self, states: list[ServerState], query: PlacementQuery, now: float
+    ) -> ServerState | None:
+        """Return the least loaded server that is nearly idle, if it is on time.
+
+        The object is cold there, so a late answer would also cost the others a slot
+        for the time of several warm ones.
+        """
+        on_time = query.route.objective_s * ON_TIME_PART
+        idle = [
+            s
+            for s in states
+            if s.load(now) < s.server.slots * IDLE_PART
+            and (s.round_trip_s or 0.0)
+            + self.times.expected(query.route.name, s, query.object_key)
+            <= on_time
+        ]
         return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
 
 
