Turn answers of a store into results in one place

Cause: the client of the platform's store and that of the own object API held the same lines for lost calls and unreadable answers.

Change: store/client.py has store_result and decode_answer, and both clients use them. Checked: tests of both stores and of the node's whole path pass.

--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -1,6 +1,5 @@
 """Calls to the platform's store of objects."""
 
-from typing import Any
 from urllib.parse import quote
 
 from attrs import field, frozen
@@ -9,7 +8,7 @@
 
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
-from ebonybend.http_client import HttpAnswer, HttpClient, NotSent, RequestFailed
+from ebonybend.http_client import HttpAnswer, HttpClient
 from ebonybend.store.client import (
     CALL_TIMEOUT_S,
     MAX_ANSWER_BYTES,
@@ -18,6 +17,8 @@
     StoredObject,
     StoreFailure,
     StoreFailureKind,
+    decode_answer,
+    store_result,
 )
 
 # A list longer than this is read in pages; the store pages at about 500 objects.
@@ -84,7 +85,7 @@
         after = ""
         for _ in range(MOST_PAGES):
             answer = await self._call("GET", path + after)
-            page = answer.bind(lambda body: _decode(body, _Page))
+            page = answer.bind(lambda body: decode_answer(body, _Page))
             if not isinstance(page, Success):
                 return Failure(page.failure())
             found = page.unwrap()
@@ -139,17 +140,10 @@
     ) -> Result[bytes, StoreFailure]:
         self.platform_calls += 1
         headers = {"Content-Type": "application/json"} if body else {}
-        try:
-            answer = await self.http.request(
-                method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
-            )
-        except NotSent as error:
-            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
-        except RequestFailed as error:
-            return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
-        if 200 <= answer.status < 300:
-            return Success(answer.body)
-        return Failure(_failure(answer))
+        request = self.http.request(
+            method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
+        )
+        return await store_result(request, _failure)
 
 
 def _failure(answer: HttpAnswer) -> StoreFailure:
@@ -180,13 +174,6 @@
     return StoredObject(metadata.Name, metadata.Rev, raw, deleted)
 
 
-def _decode(body: bytes, kind: type) -> Result[Any, StoreFailure]:
-    try:
-        return Success(from_json(body, kind))
-    except SteeringError as error:
-        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
-
-
 def _decode_stored(body: bytes) -> Result[StoredObject, StoreFailure]:
     stored = _stored(Raw(body))
     if stored is None:
@@ -196,7 +183,7 @@
 
 
 def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
-    decoded = _decode(body, _Changes)
+    decoded = decode_answer(body, _Changes)
     if not isinstance(decoded, Success):
         return decoded
     changes = decoded.unwrap()
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -1,7 +1,8 @@
 """The platform's object API: what it offers, and a client over HTTP."""
 
+from collections.abc import Awaitable, Callable
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 from urllib.parse import quote
 
 from attrs import frozen
@@ -125,12 +126,12 @@
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind."""
         answer = await self._call("GET", f"/v1/objects/{quote(kind)}")
-        return answer.bind(lambda body: _decode(body, ObjectList))
+        return answer.bind(lambda body: decode_answer(body, ObjectList))
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
         answer = await self._call("GET", _path(kind, name))
-        return answer.bind(lambda body: _decode(body, StoredObject))
+        return answer.bind(lambda body: decode_answer(body, StoredObject))
 
     async def put(
         self, kind: str, name: str, value: bytes, version: int
@@ -138,7 +139,7 @@
         """Write JSON if the object has a version (0: doesn't exist); return the new."""
         headers = {"If-Match": str(version), "Content-Type": "application/json"}
         answer = await self._call("PUT", _path(kind, name), headers, value)
-        written = answer.bind(lambda body: _decode(body, _Written))
+        written = answer.bind(lambda body: decode_answer(body, _Written))
         return written.map(lambda result: result.version)
 
     async def watch(
@@ -148,7 +149,7 @@
         path = f"/v1/watch/{quote(kind)}?since={since}&timeout_ms={timeout_ms}"
         timeout = timeout_ms / 1000 + WATCH_MARGIN_S
         answer = await self._call("GET", path, timeout=timeout)
-        return answer.bind(lambda body: _decode(body, ObjectList))
+        return answer.bind(lambda body: decode_answer(body, ObjectList))
 
     async def _call(
         self,
@@ -159,25 +160,34 @@
         timeout: float = CALL_TIMEOUT_S,
     ) -> Result[bytes, StoreFailure]:
         self.platform_calls += 1
-        try:
-            answer = await self.http.request(
-                method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
-            )
-        except NotSent as error:
-            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
-        except RequestFailed as error:
-            return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
-        if 200 <= answer.status < 300:
-            return Success(answer.body)
-        return Failure(_failure(answer))
+        request = self.http.request(
+            method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
+        )
+        return await store_result(request, _failure)
 
 
-def _path(kind: str, name: str) -> str:
-    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
-
-
-def _decode(body: bytes, kind: type) -> Result:
+async def store_result(
+    request: Awaitable[HttpAnswer], failure_of: Callable[[HttpAnswer], StoreFailure]
+) -> Result[bytes, StoreFailure]:
+    """Return the body that a call to a store got, or what is known of its failure."""
+    try:
+        answer = await request
+    except NotSent as error:
+        return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
+    except RequestFailed as error:
+        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
+    if 200 <= answer.status < 300:
+        return Success(answer.body)
+    return Failure(failure_of(answer))
+
+
+def decode_answer(body: bytes, kind: type) -> Result[Any, StoreFailure]:
+    """Return a decoded body; one that can't be read may be of a call that ran."""
     try:
         return Success(from_json(body, kind))
     except SteeringError as error:
         return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
