Send nothing that can't be answered any more

Cause: found by reading: a connection that came about in the last 20 ms of a request's time still carried it, with a deadline of 1 ms.

Change: the time left is checked again after connecting; the caller is told that the request has not run, and the server is not blamed.

Checked: the new test fails without the change; tests of the forwarder pass.

--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -40,8 +40,10 @@
 class Unreachable(Exception):
     """No connection came about, so nothing was sent."""
 
-    def __init__(self, message: str, refused: bool):
+    def __init__(self, message: str, refused: bool, at_fault: bool = True):
         super().__init__(message)
+        # Whether it speaks against the server.
+        self.at_fault = at_fault
         # The address refused the connection, so no server listens on it.
         self.refused = refused
 
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -107,7 +107,8 @@
                 answer = await self._send(request, state)
             except Unreachable as failure:
                 search.unreachable += 1
-                state.unreachable(self.reactor.seconds(), failure.refused)
+                if failure.at_fault:
+                    state.unreachable(self.reactor.seconds(), failure.refused)
                 if failure.refused:
                     self.crashes.connection_refused(state.server.name)
                 search.error = SteeringError(
@@ -210,6 +211,9 @@
                 connection = await self.pool.connect(server)
                 state.connected(self.reactor.seconds() - opening)
             started = self.reactor.seconds()
+            if request.deadline - started < LEAST_LEFT_S:
+                connection.close()
+                raise Unreachable("connected too late to be answered", False, False)
             if request.sends == 0:
                 self._window(request.service).first(started)
             request.sends += 1
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -73,16 +73,23 @@
         self.script = list(script)
         self.sent = []
         self.waiting = None
+        # Delays the next connection until it fires, if set.
+        self.connecting = None
 
     def take(self, server, single):
         """Return no kept connection."""
 
     async def connect(self, server):
         """Return a connection, or fail as the script says."""
+        if self.connecting is not None:
+            await self.connecting
         if self.script and isinstance(self.script[0], Unreachable):
             raise self.script.pop(0)
         return self
 
+    def close(self):
+        """Do nothing."""
+
     def send(self, method, request_id, data):
         """Answer with the next of the script; wait if it is empty."""
         self.sent.append(data)
@@ -240,6 +247,15 @@
         bench.clock.advance(1.0)
         self.assertEqual(ErrorKind.DEADLINE_EXCEEDED, bench.outcome())
 
+    def test_nothing_is_sent_that_can_t_be_answered(self):
+        bench = Bench([OK])
+        connecting = bench.pool.connecting = Deferred()
+        bench.forward()
+        bench.clock.advance(0.99)
+        connecting.callback(None)
+        self.assertEqual(ErrorKind.OVERLOADED, bench.outcome())
+        self.assertEqual([], bench.pool.sent)
+
     def test_second_send_states_the_time_that_is_left(self):
         bench = Bench([])
         bench.forward()
