--- a/ebonybend/control/admin.py
+++ b/ebonybend/control/admin.py
@@ -4,10 +4,10 @@
 from ebonybend.control.metrics import CONTENT_TYPE, ControlMetrics
 from ebonybend.control.rules_admin import RulesAdmin
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_router import Router
 from ebonybend.http_server import (
     IncomingRequest,
     OutgoingAnswer,
-    Router,
     json_answer,
 )
 
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -14,7 +14,8 @@
 from ebonybend.control.ports import listen
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
-from ebonybend.http_server import HttpLimits, HttpSite, Router
+from ebonybend.http_router import Router
+from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.logs import get_logger
 from ebonybend.peers.http_transport import (
     MAX_EXCHANGE_BYTES,
--- a/ebonybend/entry/peer_server.py
+++ b/ebonybend/entry/peer_server.py
@@ -16,7 +16,8 @@
 )
 from ebonybend.entry.replication import FIND_PATH, OUTCOMES_PATH, answer_push
 from ebonybend.entry.serving import RequestPort
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
+from ebonybend.http_router import Router
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.steering.outcomes import OutcomeStore
 from ebonybend.steering.slots import Heartbeat, SlotLedger
 
--- a/ebonybend/entry/server.py
+++ b/ebonybend/entry/server.py
@@ -9,10 +9,10 @@
 from ebonybend.entry.metrics import EntryMetrics
 from ebonybend.entry.serving import RequestPort
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_router import Router
 from ebonybend.http_server import (
     IncomingRequest,
     OutgoingAnswer,
-    Router,
     json_answer,
 )
 
--- a/ebonybend/node/ports.py
+++ b/ebonybend/node/ports.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer, Router
+from ebonybend.http_router import Router
+from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.node.members import Members, nearest
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.wire import Wire
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -12,11 +12,11 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.codec import from_json
+from ebonybend.http_router import Router
 from ebonybend.http_server import (
     HttpLimits,
     IncomingRequest,
     OutgoingAnswer,
-    Router,
     json_answer,
 )
 from standins.command import TrackingSite, cut, listen, parse_flags, run, sleep
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -10,10 +10,10 @@
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from ebonybend.codec import from_json
+from ebonybend.http_router import Router
 from ebonybend.http_server import (
     IncomingRequest,
     OutgoingAnswer,
-    Router,
     json_answer,
 )
 from ebonybend.settings import split_address
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -10,10 +10,10 @@
 
 from ebonybend.codec import from_json
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_router import Router
 from ebonybend.http_server import (
     IncomingRequest,
     OutgoingAnswer,
-    Router,
     json_answer,
 )
 from standins.command import TrackingSite, cut, listen, parse_flags, run, sleep
