--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -10,7 +10,7 @@
     ServerState,
     ServerTable,
 )
-from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.steering.service_times import SLOW, ServiceTimes
 from ebonybend.world.route import Route, RoutedService
 
 # Places of an object in its region; more would keep it cold in each of them.
@@ -84,10 +84,8 @@
 
     def pause_s(self, query: PlacementQuery, now: float) -> float:
         """Return the time after which a place of the object has room again."""
-        candidates = self._candidates(query, now)
-        near = [s for s in candidates if s.server.region == query.region]
         pauses = []
-        for state in self._ordered(near or candidates, query, now)[:PLACES]:
+        for state in self._places(query, now):
             mean = state.service_s or query.route.objective_s
             slots = state.server.slots
             over = state.load(now) + 1 - slots * FULL_AT
@@ -96,15 +94,18 @@
 
     def describe(self, query: PlacementQuery, now: float) -> str:
         """Return the loads that decided a refusal, for the log."""
-        candidates = self._candidates(query, now)
-        near = [s for s in candidates if s.server.region == query.region]
-        places = self._ordered(near or candidates, query, now)[:PLACES]
         loads = [
             f"{state.server.name} {state.load(now):.1f} of {state.server.slots}"
             f" (report {now - state.reported_at:.1f} s old)"
-            for state in places
+            for state in self._places(query, now)
         ]
-        return f"{len(candidates)} usable; " + ", ".join(loads)
+        return f"{len(self._candidates(query, now))} usable; " + ", ".join(loads)
+
+    def _places(self, query: PlacementQuery, now: float) -> list[ServerState]:
+        """Return the object's places in its region, or anywhere if it has no server."""
+        candidates = self._candidates(query, now)
+        near = [s for s in candidates if s.server.region == query.region]
+        return self._ordered(near or candidates, query, now)[:PLACES]
 
     def _candidates(self, query: PlacementQuery, now: float) -> list[ServerState]:
         homes = query.route.home_regions
@@ -134,7 +135,7 @@
         on_time = within * ON_TIME_PART
         if load < min(slots, self._most(state, query)):
             # It starts at once; a slow server is used only while it is on time.
-            return state.slowness < 2.0 or way + expected <= on_time
+            return state.slowness < SLOW or way + expected <= on_time
         if load >= self._most(state, query):
             return False
         if state.service_s is None or not expected:
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -17,6 +17,8 @@
 # The estimate of a server's slowness stays within these factors.
 LEAST_SLOWNESS = 0.25
 MOST_SLOWNESS = 20.0
+# Factor from which a server counts as slow; servers of one service differ by less.
+SLOW = 2.0
 
 
 @define
@@ -97,7 +99,7 @@
                 slowness = state.slowness + GAIN * (ratio - state.slowness)
                 state.slowness = min(max(slowness, LEAST_SLOWNESS), MOST_SLOWNESS)
             # A slow server says nothing of the route.
-            if expected is None or state.slowness < 2.0:
+            if expected is None or state.slowness < SLOW:
                 times.learn(warm, seconds)
         self.warm.setdefault(name, WarmObjects()).handled(key)
 
