Drop servers that left while only this node was cut off

Ruled out: a dead watch (the log shows the return in time, then "servers_kept"). Change: beats tell for how long the store has answered a node; a node that hears of one that followed all the while drops what is missing. Alone, it keeps missing servers no longer than until it counts as settled, from the last time it knew the store away. Before: the new cases of test_lapsed and test_followed fail on the old rule.

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -8,6 +8,7 @@
 from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Beat, Members
 from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.settings import NodeSettings
 from ebonybend.node.wire import Documents
 from ebonybend.steering.lapsed import LapsedServers
 from ebonybend.steering.server_state import ServerTable
@@ -47,7 +48,7 @@
         routing: RoutingState,
         servers: ServerTable,
         members: Members,
-        regions: Callable[[], Mapping[str, str]],
+        settings: Callable[[], NodeSettings],
         on_routing: Callable[[], None],
         on_list: Callable[[Mapping[str, BackendServer]], None],
     ):
@@ -56,7 +57,7 @@
         self.routing = routing
         self.servers = servers
         self.members = members
-        self.regions = regions
+        self.settings = settings
         self.on_routing = on_routing
         self.on_list = on_list
         self.lapsed = LapsedServers()
@@ -103,9 +104,21 @@
         """Return the newest version of an object of each kind."""
         return {watcher.kind: watcher.newest for watcher in self.watchers}
 
+    def followed_s(self) -> float:
+        """Return the time for which the list of servers was answered; 0 if it isn't."""
+        since = self.watchers[SERVERS].answered_since
+        return 0.0 if since is None else self.reactor.seconds() - since
+
     def compare(self, beat: Beat) -> None:
-        """List anew what another node knows a newer version of, if that lasts."""
+        """List anew what another node knows a newer version of, if that lasts.
+
+        Drop missing servers that would be back, had the store been away.
+        """
         now = self.reactor.seconds()
+        if beat.followed_s and self.lapsed.left_s(now):
+            self.lapsed.store_answered_since(now - beat.followed_s)
+            if not self.lapsed.left_s(now):
+                self.relist()
         for watcher in self.watchers:
             told = beat.newest.get(watcher.kind, 0)
             if self.lag.is_behind(watcher.kind, watcher.newest, told, now):
@@ -136,7 +149,7 @@
         self, _kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Take in the list of backend servers."""
-        regions = self.regions()
+        regions = self.settings().regions
         decoded = (self.documents.decode_server(o, regions) for o in objects.values())
         listed = {server.name: server for server in decoded if server is not None}
         before = self.servers.states
@@ -166,7 +179,9 @@
 
     def on_return(self) -> None:
         """Keep servers in use whose entries lapsed while the store was away."""
-        self.lapsed.store_returned(self.reactor.seconds())
+        settle_s = self.settings().bounds.settle_s
+        away_at = self.watchers[SERVERS].away_at
+        self.lapsed.store_returned(self.reactor.seconds(), away_at, settle_s)
 
     def relist(self) -> None:
         """Take in the list again, now without the servers that did not return."""
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -37,6 +37,9 @@
     ready: bool
     # Newest version of an object of each kind that the node follows in the store.
     newest: dict[str, int]
+    # Time for which the store has answered the node without a failure; 0 while it
+    # doesn't.
+    followed_s: float
     # Demand at the node in slots by service.
     demand: dict[str, float]
     # Requests that crashed servers.
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -94,7 +94,7 @@
             self.routing,
             self.servers,
             self.members,
-            lambda: self.settings.regions,
+            lambda: self.settings,
             self.on_routing,
             self.on_servers,
         )
@@ -203,6 +203,7 @@
             demand=self.regions.own_demand(),
             suspects=self.crashes.told(),
             newest=self.followed.newest(),
+            followed_s=self.followed.followed_s(),
             member=self.own,
         )
 
--- /dev/null
+++ b/ebonybend/node/tests/test_followed.py
@@ -0,0 +1,131 @@
+from random import Random
+
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from ebonybend.codec import to_json
+from ebonybend.node.followed import FollowedState
+from ebonybend.node.members import Beat, Member, Members
+from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.settings import NodeSettings, SharedBounds
+from ebonybend.platform.documents import PlatformDocuments
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
+
+SETTLE_S = 4.0
+OWN = Member("n1", "a-1", "a", "10.1.0.1:80", "10.1.0.1:81", 1)
+OTHER = evolve(OWN, name="n2", peer_address="10.1.0.2:81")
+SETTINGS = NodeSettings(
+    name="n1",
+    failure_domain="a-1",
+    region="a",
+    ip="10.1.0.1",
+    callers_address="10.1.0.1:80",
+    ready_address="10.1.0.1:82",
+    directory_address="10.1.0.1:83",
+    peer_port=81,
+    store_address="10.2.0.1:80",
+    regions={"a-1": "a"},
+    bounds=SharedBounds(settle_s=SETTLE_S),
+)
+
+
+def server(address):
+    info = {"Service": "s", "Zone": "a-1", "MaxConcurrency": 4}
+    status = {"State": "ready", "WarmupLeftMs": 0}
+    return {"Addr": address, "born": 1, "Info": info, "Status": status}
+
+
+class World:
+    """A node that follows a store, without ports."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = MemoryStore(self.clock)
+        self.client = StoreClient(self.store)
+        self.servers = ServerTable()
+        self.put("config", "main", {"Version": 1})
+        self.put("servers", "s1", server("10.3.0.1:80"))
+        self.put("servers", "s2", server("10.3.0.2:80"))
+        self.followed = FollowedState(
+            self.client,
+            PlatformDocuments(),
+            self.clock,
+            Random(1),
+            RoutingState(),
+            self.servers,
+            Members(OWN),
+            lambda: SETTINGS,
+            lambda: None,
+            lambda servers: None,
+        )
+        self.followed.start()
+        self.run(1.0)
+
+    def put(self, kind, name, spec, deleted=False):
+        value = to_json({"Metadata": {"Name": name}, "Spec": spec})
+        self.store.write(kind, name, value, deleted)
+
+    def run(self, seconds):
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.clock.advance(0.01)
+
+    def cut(self, seconds):
+        """Cut the node off from the store; waiting watches end with the cut."""
+        self.client.down = True
+        self.run(seconds)
+        self.client.down = False
+
+    def return_to_store(self):
+        while not self.followed.followed_s():
+            self.run(0.01)
+
+    def beat(self, followed_s):
+        self.followed.compare(
+            Beat(
+                name="n2",
+                incarnation=1,
+                count=1,
+                ready=True,
+                newest={},
+                followed_s=followed_s,
+                demand={},
+                suspects=(),
+                member=OTHER,
+            )
+        )
+
+
+class MissingServerTest(TestWithScenarios, TestCase):
+    """Guards against requests to a server that left while the node was cut off."""
+
+    scenarios = [
+        ("alone", {"told_s": None, "kept": True}),
+        ("another node followed all the while", {"told_s": 9.0, "kept": False}),
+        ("another node returned as late", {"told_s": 0.1, "kept": True}),
+        ("another node can't reach the store", {"told_s": 0.0, "kept": True}),
+    ]
+
+    def test_return(self):
+        world = World()
+        world.client.down = True
+        world.put("servers", "s1", server("10.3.0.1:80"), deleted=True)
+        world.cut(8.0)
+        world.return_to_store()
+        self.assertIn("s1", world.servers.states)
+        if self.told_s is not None:
+            world.beat(self.told_s)
+        self.assertEqual(self.kept, "s1" in world.servers.states)
+        world.run(SETTLE_S)
+        self.assertEqual(["s2"], list(world.servers.states))
+
+    def test_nothing_missing_is_used_once_the_node_counts_as_settled(self):
+        world = World()
+        world.client.down = True
+        world.put("servers", "s1", server("10.3.0.1:80"), deleted=True)
+        world.cut(8.0)
+        world.run(SETTLE_S)
+        self.assertEqual(["s2"], list(world.servers.states))
--- a/ebonybend/steering/lapsed.py
+++ b/ebonybend/steering/lapsed.py
@@ -6,24 +6,37 @@
 
 # Entries of servers that live are back about 2 s after the store's return.
 RETURN_GRACE_S = 2.2
+# Time before a node counts as settled by which it uses no entry that is missing;
+# covers a request on its way.
+SETTLE_MARGIN_S = 0.3
 
 
 class LapsedServers:
     """Tell which servers stay in use although the list no longer has them."""
 
     def __init__(self) -> None:
-        # Time of the store's last return; None if it has not been away.
-        self.returned_at: float | None = None
+        # Time until which missing servers are kept.
+        self.until = float("-inf")
 
-    def store_returned(self, now: float) -> None:
-        """Take in that the store answers again."""
-        self.returned_at = now
+    def store_returned(self, now: float, away_at: float, settle_s: float) -> None:
+        """Take in that the store answers this node again.
+
+        It was last known to be away at a time, and the node has to be up to date when
+        it has reached the store for settle_s.
+        """
+        settled_at = away_at + settle_s - SETTLE_MARGIN_S
+        self.until = min(now + RETURN_GRACE_S, settled_at)
+
+    def store_answered_since(self, time: float) -> None:
+        """Take in that the store has answered another node since a time.
+
+        Entries that lapsed before are back by now, so what is missing has gone.
+        """
+        self.until = min(self.until, time + RETURN_GRACE_S)
 
     def left_s(self, now: float) -> float:
         """Return for how long missing entries are still kept."""
-        if self.returned_at is None:
-            return 0.0
-        return max(self.returned_at + RETURN_GRACE_S - now, 0.0)
+        return max(self.until - now, 0.0)
 
     def merge(
         self,
--- a/ebonybend/steering/tests/test_lapsed.py
+++ b/ebonybend/steering/tests/test_lapsed.py
@@ -1,13 +1,19 @@
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
-from ebonybend.steering.lapsed import RETURN_GRACE_S, LapsedServers
+from ebonybend.steering.lapsed import (
+    RETURN_GRACE_S,
+    SETTLE_MARGIN_S,
+    LapsedServers,
+)
 from ebonybend.world import BackendServer, LifeState
 
 OLD = BackendServer("old", "s", "a-1", "10.0.0.1:80", 4)
 OTHER = BackendServer("other", "s", "a-1", "10.0.0.2:80", 4)
 LEAVING = BackendServer("old", "s", "a-1", "10.0.0.1:80", 4, state=LifeState.LEAVING)
 REUSED = BackendServer("new", "t", "a-1", "10.0.0.1:80", 4)
+NOW = 10.0
+SETTLE_S = 4.0
 
 
 class LapsedServersTest(TestWithScenarios, TestCase):
@@ -15,20 +21,43 @@
 
     scenarios = [
         ("store was never away", {"returned_at": None, "kept": False}),
-        ("store has just returned", {"returned_at": 10.0, "kept": True}),
-        ("grace is over", {"returned_at": 10.0 - RETURN_GRACE_S, "kept": False}),
-        ("was leaving", {"returned_at": 10.0, "known": LEAVING, "kept": False}),
-        ("address is reused", {"returned_at": 10.0, "listed": REUSED, "kept": False}),
+        ("store has just returned", {"returned_at": NOW, "kept": True}),
+        ("grace is over", {"returned_at": NOW - RETURN_GRACE_S, "kept": False}),
+        ("was leaving", {"returned_at": NOW, "known": LEAVING, "kept": False}),
+        ("address is reused", {"returned_at": NOW, "listed": REUSED, "kept": False}),
+        (
+            "another node reached the store all the while",
+            {"returned_at": NOW, "other_since": NOW - RETURN_GRACE_S, "kept": False},
+        ),
+        (
+            "another node reached it a little sooner",
+            {"returned_at": NOW, "other_since": NOW - 1.0, "kept": True},
+        ),
+        (
+            "another node reached it before, and the store was never away",
+            {"returned_at": None, "other_since": NOW, "kept": False},
+        ),
+        (
+            "the node counts as settled soon",
+            {
+                "returned_at": NOW,
+                "away_at": NOW - SETTLE_S + SETTLE_MARGIN_S,
+                "kept": False,
+            },
+        ),
     ]
     known = OLD
     listed = OTHER
+    other_since = None
+    away_at = None
 
     def test_merge(self):
         lapsed = LapsedServers()
         if self.returned_at is not None:
-            lapsed.store_returned(self.returned_at)
-        merged = lapsed.merge(
-            {"old": self.known}, {self.listed.name: self.listed}, 10.0
-        )
+            away_at = self.returned_at if self.away_at is None else self.away_at
+            lapsed.store_returned(self.returned_at, away_at, SETTLE_S)
+        if self.other_since is not None:
+            lapsed.store_answered_since(self.other_since)
+        merged = lapsed.merge({"old": self.known}, {self.listed.name: self.listed}, NOW)
         self.assertEqual(self.kept, "old" in merged)
         self.assertIn(self.listed.name, merged)
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -22,6 +22,9 @@
 FIRST_BACKOFF_S = 0.2
 # The watch is back at most this time after the platform is.
 LONGEST_BACKOFF_S = 5.0
+# A platform that is away is noticed this long after the last byte that it should have
+# acknowledged: the time between keep-alive probes, and the time to connect.
+NOTICED_AFTER_S = 1.0
 
 OnChange = Callable[[str, int, Mapping[str, StoredObject]], None]
 
@@ -77,6 +80,11 @@
         self.newest = 0
         self.last_contact: float | None = None
         self.failing = False
+        # Time since which every call was answered; None while calls fail.
+        self.answered_since: float | None = None
+        # Time at which the platform was last known to be away.
+        self.away_at = float("-inf")
+        self.asked_at = 0.0
         self.waiting: Deferred[bool] | None = None
         self.tasks: Tasks | None = None
 
@@ -120,6 +128,7 @@
                 await tasks.sleep(self.backoff.next())
 
     async def _step(self) -> bool:
+        self.asked_at = self.timers.seconds()
         if self.version is None:
             return await self.read()
         since = self.version
@@ -139,6 +148,8 @@
             return False
         found = answer.unwrap()
         self.last_contact = self.timers.seconds()
+        if self.answered_since is None:
+            self.answered_since = self.last_contact
         if self.failing:
             self.failing = False
             get_logger().info("watch_returned", kind=self.kind, version=found.version)
@@ -158,9 +169,14 @@
         return True
 
     def _failed(self, failure: StoreFailure) -> None:
+        self.away_at = self.asked_at
         if not self.failing:
+            # The watch may have waited long before the platform went away.
+            noticed = self.timers.seconds() - NOTICED_AFTER_S
+            self.away_at = max(self.asked_at, noticed)
             get_logger().warning("watch_failed", kind=self.kind, error=failure.message)
         self.failing = True
+        self.answered_since = None
         if failure.kind is StoreFailureKind.REJECTED:
             # The version may be too old to resume from.
             self.version = None
