Tell entries of crashing requests at once; read answers before time-outs

Cause (test_one_sender_again_and_again): an entry learned of suspects by its report, every 500 ms, so each other region began one more run of a request that was already refused. Ruled out: the exchange between controls, which pushed the suspects before the caller had its answer. Change: a gRPC call that the control holds until peers told it of suspects; the entry then reports at once. A control answers the peer once its entry has the new table.

Change: the time-out of the HTTP client, which lets the loop read first, is a class of its own and serves both. The new test fails on the old code.

--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -9,6 +9,7 @@
 from ebonybend.control.client_map import ClientMapShards
 from ebonybend.control.entry_link import EntryLink
 from ebonybend.control.members import Members
+from ebonybend.control.notices import Notices
 from ebonybend.control.own_records import OwnRecords
 from ebonybend.control.platform_feed import PlatformFeed
 from ebonybend.control.prober import PROBE_PERIOD_S, Connect, Prober
@@ -22,7 +23,13 @@
 from ebonybend.peers.records import InstanceRevision, Kind, ServerListing, SuspectRecord
 from ebonybend.peers.suspects import SuspectSet
 from ebonybend.settings import Settings
-from ebonybend.steering.table import EntryReport, SuspectView, TableReply
+from ebonybend.steering.table import (
+    EntryReport,
+    NoticeReply,
+    NoticeRequest,
+    SuspectView,
+    TableReply,
+)
 from ebonybend.store.audit_log import AuditLog
 from ebonybend.store.client import ObjectStore
 from ebonybend.store.rules_store import RulesObject, RulesStore
@@ -34,6 +41,11 @@
 DUTY_PERIOD_S = 0.5
 # The entry waits this long at most until its crash notice is sent on.
 SUSPECT_PUSH_S = 0.3
+# A peer's notice is answered once the own entry has it, or after this time; half of
+# what the peer waits, so that an entry that is gone delays nobody else.
+ENTRY_INFORMED_S = 0.15
+# Longest time for which the entry's call for a notice is held.
+NOTICE_HOLD_S = 5.0
 
 
 class ControlCore:
@@ -121,7 +133,8 @@
         )
         self.changes = ChangeNotes(self.members, self.builder, self.audit)
         self.explainer = Explainer(clock, self.rules, self.shards)
-        self.exchange.on_suspects = self.builder.hurry
+        self.notices = Notices(timers)
+        self.exchange.on_suspects = self._suspects_told
         self.replica.listen(Kind.RULES, self._rules_changed)
         self.replica.listen(Kind.SERVERS, self._servers_listed)
 
@@ -173,6 +186,19 @@
             await self._push_suspects()
         return self._reply(report)
 
+    async def notice(self, request: NoticeRequest) -> NoticeReply:
+        """Answer the entry process when it should report, or after a time."""
+        told = await self.notices.wait_told(request.taken, NOTICE_HOLD_S)
+        return NoticeReply(told)
+
+    async def entry_informed(self) -> None:
+        """Return once the entry process is given what peers told, or after a time."""
+        await self.notices.wait_taken(ENTRY_INFORMED_S)
+
+    def _suspects_told(self) -> None:
+        self.builder.hurry()
+        self.notices.tell()
+
     def _reply(self, report: EntryReport) -> TableReply:
         if not self.synchronised or report.rules_revision > self.rules.revision:
             # A table with an older revision would be refused by the entry.
@@ -183,6 +209,7 @@
         known = (report.table_control_incarnation, report.table_serial)
         if known == (table.control_incarnation, table.serial):
             table = None
+        self.notices.take()
         return TableReply(table, self._age_ms())
 
     def _age_ms(self) -> float:
--- a/ebonybend/control/entry_server.py
+++ b/ebonybend/control/entry_server.py
@@ -15,6 +15,8 @@
     ClientMapRequest,
     ClientMapShard,
     EntryReport,
+    NoticeReply,
+    NoticeRequest,
     TableReply,
 )
 
@@ -29,15 +31,23 @@
 )
 
 Exchange = Callable[[EntryReport], Awaitable[TableReply]]
+Notice = Callable[[NoticeRequest], Awaitable[NoticeReply]]
 ClientMap = Callable[[ClientMapRequest], Awaitable[ClientMapShard]]
 
 
 class EntryServer:
     """The gRPC service ebonybend.Control; handlers are coroutines on Deferreds."""
 
-    def __init__(self, address: str, exchange: Exchange, client_map: ClientMap):
+    def __init__(
+        self,
+        address: str,
+        exchange: Exchange,
+        notice: Notice,
+        client_map: ClientMap,
+    ):
         self.address = address
         self.exchange = exchange
+        self.notice = notice
         self.client_map = client_map
         self.server: Any = None
 
@@ -46,6 +56,7 @@
         self.server = server(options=OPTIONS)
         handlers = {
             "Exchange": _handler(self.exchange, EntryReport),
+            "Notice": _handler(self.notice, NoticeRequest),
             "ClientMap": _handler(self.client_map, ClientMapRequest),
         }
         self.server.add_generic_rpc_handlers(
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -58,14 +58,19 @@
         )
         self.admin = Admin(self.core)
         self.entry_server = EntryServer(
-            settings.control_listen, self.core.entry_report, self.client_map
+            settings.control_listen,
+            self.core.entry_report,
+            self.core.notice,
+            self.client_map,
         )
         self.sites: list[HttpSite] = []
         self.ports: list[Any] = []
 
     async def start(self) -> None:
         """Open the ports, synchronise and start the loops."""
-        peers = ExchangeServer(self.core.exchange, self.core.shards.body)
+        peers = ExchangeServer(
+            self.core.exchange, self.core.shards.body, self.core.entry_informed
+        )
         self._listen("exchange_listen", self.settings.exchange_listen, peers.router)
         self._listen("admin_listen", self.settings.admin_listen, self.admin.router)
         await self.entry_server.start()
--- /dev/null
+++ b/ebonybend/control/tests/test_notices.py
@@ -0,0 +1,49 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from ebonybend.control.notices import Notices
+
+LONGEST_S = 5.0
+
+
+class NoticesTest(TestWithScenarios, TestCase):
+    """Guards against an entry process that learns of a crash by its next report."""
+
+    scenarios = [
+        ("nothing told", {"known": 0, "told_at": None, "ends_at": LONGEST_S}),
+        ("told meanwhile", {"known": 0, "told_at": 1.0, "ends_at": 1.0}),
+        ("told before", {"known": 1, "told_at": None, "ends_at": 0.0}),
+    ]
+
+    def test_wait(self):
+        clock = Clock()
+        notices = Notices(clock)
+        ended = []
+        waiting = Deferred.fromCoroutine(notices.wait_told(self.known, LONGEST_S))
+        waiting.addCallback(lambda count: ended.append((clock.seconds(), count)))
+        if self.told_at is not None:
+            clock.callLater(self.told_at, notices.tell)
+        for _ in range(24):
+            clock.advance(0.25)
+        count = 0 if self.told_at is None else 1
+        self.assertEqual([(self.ends_at, count)], ended)
+        self.assertEqual([], notices.waiting)
+
+    def test_waits_until_the_entry_has_what_was_told(self):
+        clock = Clock()
+        notices = Notices(clock)
+        ended = []
+
+        def wait():
+            waiting = Deferred.fromCoroutine(notices.wait_taken(LONGEST_S))
+            waiting.addCallback(lambda _: ended.append(clock.seconds()))
+
+        wait()
+        self.assertEqual([0.0], ended)
+        notices.tell()
+        wait()
+        clock.advance(1.0)
+        notices.take()
+        self.assertEqual([0.0, 1.0], ended)
--- a/ebonybend/entry/control_client.py
+++ b/ebonybend/entry/control_client.py
@@ -16,13 +16,19 @@
     ClientMapRequest,
     ClientMapShard,
     EntryReport,
+    NoticeReply,
+    NoticeRequest,
     TableReply,
 )
+from ebonybend.tasks import Tasks
 
 EXCHANGE_METHOD = "/ebonybend.Control/Exchange"
+NOTICE_METHOD = "/ebonybend.Control/Notice"
 CLIENT_MAP_METHOD = "/ebonybend.Control/ClientMap"
 REPORT_INTERVAL_S = 0.5
 EXCHANGE_TIMEOUT_S = 1.0
+# The control holds a call for a notice up to 5 s.
+NOTICE_TIMEOUT_S = 6.0
 # A table of 520 nodes is larger than gRPC's default limit of 4 MB.
 MAX_MESSAGE_BYTES = 64 << 20
 CHANNEL_OPTIONS = (
@@ -54,13 +60,31 @@
         self.reachable = False
         self._timer: Any = None
         self._running: Deferred[None] | None = None
+        self._tasks = Tasks(reactor)
 
     def start(self) -> None:
         """Open the channel and start reporting."""
         self.channel = insecure_channel(self.address, options=CHANNEL_OPTIONS)
         self._exchange = self._method(EXCHANGE_METHOD, TableReply)
         self._client_map = self._method(CLIENT_MAP_METHOD, ClientMapShard)
+        self._notice = self._method(NOTICE_METHOD, NoticeReply)
         self._tick()
+        self._tasks.start(self._follow_notices())
+
+    async def _follow_notices(self) -> None:
+        """Report at once whenever the control has something that can't wait."""
+        taken = 0
+        while not self._tasks.stopped and self.channel is not None:
+            call = self._notice(NoticeRequest(taken), timeout=NOTICE_TIMEOUT_S)
+            try:
+                reply = await Deferred.fromFuture(ensure_future(_result(call)))
+            except (RpcError, SteeringError):
+                # The regular reports log that the control can't be reached.
+                await self._tasks.sleep(REPORT_INTERVAL_S)
+                continue
+            if reply.told != taken:
+                taken = reply.told
+                await self.report_now()
 
     def _method(self, path: str, reply: type) -> Any:
         return self.channel.unary_unary(
@@ -71,6 +95,7 @@
 
     def stop(self) -> Deferred[Any]:
         """Stop reporting and close the channel."""
+        self._tasks.stop()
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self.channel is None:
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -26,6 +26,7 @@
 from zope.interface import implementer
 
 from ebonybend.sockets import detect_silence
+from ebonybend.timeouts import Timeout
 
 # Shorter than the idle time-out of the servers, so that a connection is not reused
 # while the other side closes it.
@@ -180,27 +181,6 @@
         return self._newConnection(key, endpoint)
 
 
-class _Timeout:
-    """Cancel a Deferred after a time, once what has arrived by then is read.
-
-    A process that was paused fires its timers before it reads its connections. The
-    answer may have arrived during the pause.
-    """
-
-    def __init__(self, reactor: Any, seconds: float, waiting: Deferred[Any]):
-        self.reactor = reactor
-        self.waiting = waiting
-        self.timer = reactor.callLater(seconds, self._due)
-
-    def _due(self) -> None:
-        self.timer = self.reactor.callLater(0, self.waiting.cancel)
-
-    def stop(self) -> None:
-        """Don't cancel."""
-        if self.timer.active():
-            self.timer.cancel()
-
-
 def _was_cancelled(error: ResponseFailed) -> bool:
     """Tell whether this process itself ended the request."""
     return any(reason.check(CancelledError) for reason in error.reasons)
@@ -294,7 +274,7 @@
         """Send a request and return the response once its headers are received."""
         started = connection.request(request)
         left = max(deadline - self.reactor.seconds(), 0.0)
-        timeout = _Timeout(self.reactor, left, started)
+        timeout = Timeout(self.reactor, left, started.cancel)
         try:
             return await started
         except CancelledError as error:
@@ -319,7 +299,7 @@
         reader = _BodyReader(expected, max_body)
         response.deliverBody(reader)
         left = max(deadline - self.reactor.seconds(), 0.0)
-        timeout = _Timeout(self.reactor, left, reader.done)
+        timeout = Timeout(self.reactor, left, reader.done.cancel)
         try:
             body = await reader.done
         except CancelledError as error:
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -22,6 +22,7 @@
 from ebonybend.steering.server_state import ServerState
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.steering.suspects import fingerprint
+from ebonybend.timeouts import Timeout
 from ebonybend.world.route import RoutedService
 
 # Headers that concern one connection only, or that the node sets itself.
@@ -271,7 +272,7 @@
             expired.append(True)
             waiting.cancel()
 
-        timer = self.reactor.callLater(left, expire)
+        timeout = Timeout(self.reactor, left, expire)
         try:
             return await waiting
         except AnswerNotReceived as error:
@@ -284,8 +285,7 @@
                 ) from error
             raise
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
 
     def _encode(self, request: CallerRequest, server: str, now: float) -> bytes:
         own = self.wire.server_headers(server, request.deadline - now)
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -245,8 +245,17 @@
         bench = Bench([])
         bench.forward()
         bench.clock.advance(1.0)
+        bench.clock.advance(0.0)
         self.assertEqual(ErrorKind.DEADLINE_EXCEEDED, bench.outcome())
 
+    def test_answer_that_arrived_while_the_process_was_paused(self):
+        bench = Bench([])
+        bench.forward()
+        # The loop runs its due timers before it reads the connection.
+        bench.clock.callLater(1.0, lambda: bench.pool.waiting.callback(OK))
+        bench.clock.advance(1.5)
+        self.assertEqual(200, bench.outcome())
+
     def test_nothing_is_sent_that_can_t_be_answered(self):
         bench = Bench([OK])
         connecting = bench.pool.connecting = Deferred()
--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -1,6 +1,6 @@
 """Carry exchanges over HTTP with MessagePack bodies."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from urllib.parse import quote
 
 from ebonybend.codec import pack, unpack
@@ -71,9 +71,14 @@
     """Answer the exchanges of other controls."""
 
     def __init__(
-        self, exchange: PeerExchange, shard: Callable[[str, int], bytes | None]
+        self,
+        exchange: PeerExchange,
+        shard: Callable[[str, int], bytes | None],
+        informed: Callable[[], Awaitable[None]],
     ):
         self.exchange = exchange
+        # Returns once this instance acts on what the exchange has brought.
+        self.informed = informed
         # Returns a shard of the client map by name and version.
         self.shard = shard
         self.router = Router()
@@ -93,4 +98,5 @@
     async def answer_exchange(self, request: IncomingRequest) -> OutgoingAnswer:
         """Answer POST /peer/exchange."""
         reply = self.exchange.answer(unpack(request.body, ExchangeRequest))
+        await self.informed()
         return OutgoingAnswer(200, pack(reply), HEADERS)
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -148,6 +148,21 @@
     audit: tuple[str, ...] = field(default=())
 
 
+@frozen
+class NoticeRequest:
+    """Ask the control to answer when it has something that can't wait for a report."""
+
+    # Notices that the entry process has taken, counted since the control's start.
+    taken: int
+
+
+@frozen
+class NoticeReply:
+    """How many notices the control has told."""
+
+    told: int
+
+
 @frozen
 class ClientMapRequest:
     """Ask for one shard of a version of the client map."""
