Divide objects between regions before traffic, and move those of lost servers at once

Ruled out: a faster step in general. Requests of a region in a window of 2 s are few enough that their spread alone uses half of the bound on changes of region. Change: before any demand is known, each region is expected to bring as much as the others, at the usual fill. The part of a region whose servers were lost moves at once; its objects change places anyway.

--- a/bench/closed_loop.py
+++ b/bench/closed_loop.py
@@ -11,8 +11,8 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 
+from ebonybend.addresses import split_address
 from ebonybend.codec import to_json
-from ebonybend.settings import split_address
 
 _TARGET = flags.DEFINE_string("target", None, 'Address "ip:port".', required=True)
 _PATH = flags.DEFINE_string("path", "/", "Path to read.")
--- a/bench/http_calls.py
+++ b/bench/http_calls.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
+from ebonybend.addresses import split_address
 from ebonybend.codec import to_json
-from ebonybend.settings import split_address
 
 TIMEOUT_S = 2.0
 
--- a/bench/keyed.py
+++ b/bench/keyed.py
@@ -15,8 +15,8 @@
 from bench.http_calls import CallAnswer, must_call
 from bench.load import Attempt, AttemptResult, Operation, OperationResult, Traffic
 from bench.lookup_cache import LookupAnswer
+from ebonybend.addresses import split_address
 from ebonybend.codec import from_json
-from ebonybend.settings import split_address
 
 CONNECT_TIMEOUT_S = 1.0
 # Time that a caller waits for an answer after its deadline.
--- a/bench/raw_reads.py
+++ b/bench/raw_reads.py
@@ -11,7 +11,7 @@
 from bench.history import Report, check, read_server_events
 from bench.http_calls import CallAnswer
 from bench.load import Attempt, AttemptResult, Operation, OperationResult, Traffic
-from ebonybend.settings import split_address
+from ebonybend.addresses import split_address
 
 TIMEOUT_S = 5.0
 CALLER_NUMBER = 78
--- a/ebonybend/control/core.py
+++ b/ebonybend/control/core.py
@@ -23,11 +23,11 @@
 from ebonybend.peers.records import InstanceRevision, Kind, ServerListing, SuspectRecord
 from ebonybend.peers.suspects import SuspectSet
 from ebonybend.settings import Settings
+from ebonybend.steering.suspects import SuspectView
 from ebonybend.steering.table import (
     EntryReport,
     NoticeReply,
     NoticeRequest,
-    SuspectView,
     TableReply,
 )
 from ebonybend.store.audit_log import AuditLog
--- a/ebonybend/control/entry_server.py
+++ b/ebonybend/control/entry_server.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from ebonybend.codec import pack, unpack
-from ebonybend.settings import bad_setting
+from ebonybend.errors import bad_setting
 from ebonybend.steering.table import (
     ClientMapRequest,
     ClientMapShard,
--- a/ebonybend/control/ports.py
+++ b/ebonybend/control/ports.py
@@ -4,8 +4,9 @@
 
 from twisted.internet.error import CannotListenError
 
+from ebonybend.addresses import split_address
+from ebonybend.errors import bad_setting
 from ebonybend.http_server import HttpSite
-from ebonybend.settings import bad_setting, split_address
 
 
 def listen(reactor: Any, flag: str, address: str, site: HttpSite) -> Any:
--- a/ebonybend/control/tests/cluster.py
+++ b/ebonybend/control/tests/cluster.py
@@ -10,7 +10,8 @@
 from ebonybend.control.health_client import Health, ProbeFailed
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest
 from ebonybend.settings import parse_settings
-from ebonybend.steering.table import EntryReport, SuspectView
+from ebonybend.steering.suspects import SuspectView
+from ebonybend.steering.table import EntryReport
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
 from ebonybend.tasks import Tasks
 from ebonybend.world import (
--- a/ebonybend/control/tests/test_cluster.py
+++ b/ebonybend/control/tests/test_cluster.py
@@ -8,7 +8,8 @@
 from ebonybend.control.platform_feed import rules_record
 from ebonybend.control.tests.cluster import Cluster, deployment
 from ebonybend.peers.records import MAIN, DeploymentRecord, Kind
-from ebonybend.steering.table import ClientMapRequest, ServerLoad, SuspectView
+from ebonybend.steering.suspects import SuspectView
+from ebonybend.steering.table import ClientMapRequest, ServerLoad
 from ebonybend.store.rules_store import ProposedChange
 from ebonybend.world import LifeState, ServerState
 
--- a/ebonybend/errors.py
+++ b/ebonybend/errors.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 from types import MappingProxyType
+from typing import Any
 
 from attrs import frozen
 
@@ -155,3 +156,10 @@
     def answer(self) -> Answer:
         """Return the answer that this error's kind gives."""
         return ANSWERS[self.kind]
+
+
+def bad_setting(flag: str, value: Any, allowed: str) -> SteeringError:
+    """Return the error for a setting, in one line."""
+    return SteeringError(
+        ErrorKind.BAD_SETTING, f"--{flag}={value!r} is not valid: {allowed}"
+    )
--- a/ebonybend/node/beats.py
+++ b/ebonybend/node/beats.py
@@ -5,11 +5,11 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from ebonybend.addresses import split_address
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import SteeringError
 from ebonybend.logs import get_logger
 from ebonybend.node.members import Beat, Members
-from ebonybend.settings import split_address
 
 # Two lost datagrams in a row don't make a node silent.
 BEAT_PERIOD_S = 0.7
--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -1,11 +1,17 @@
 """The demand for each service here and at other nodes, and where objects go."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from ebonybend.logs import get_logger
 from ebonybend.node.members import Beat, Members
-from ebonybend.steering.placement import capacity_by_region
-from ebonybend.steering.regions import DemandMeter, RegionShares, target_shares
+from ebonybend.steering.placement import capacity_by_region, slots_in
+from ebonybend.steering.regions import (
+    DemandMeter,
+    LostSlots,
+    RegionShares,
+    even_demand,
+    target_shares,
+)
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.world.route import Route
@@ -20,6 +26,7 @@
     def __init__(
         self,
         region: str,
+        all_regions: Callable[[], Collection[str]],
         shift_most: Callable[[], float],
         table: ServerTable,
         times: ServiceTimes,
@@ -27,6 +34,7 @@
         clock: Callable[[], float],
     ):
         self.region = region
+        self.all_regions = all_regions
         self.shift_most = shift_most
         self.table = table
         self.times = times
@@ -34,6 +42,7 @@
         self.clock = clock
         self.meters: dict[str, DemandMeter] = {}
         self.shares: dict[str, RegionShares] = {}
+        self.slots: dict[str, LostSlots] = {}
         # Services that got requests since the last update.
         self.used: set[str] = set()
         self.logged: dict[str, dict[str, float]] = {}
@@ -64,10 +73,15 @@
         used, self.used = self.used, set()
         for service in self.table.by_service:
             capacity = capacity_by_region(self.table, service, now)
-            target = target_shares(self.region, demands.get(service, {}), capacity)
+            demand = demands.get(service, {})
+            if not any(demand.values()):
+                demand = even_demand(self.all_regions(), capacity)
+            target = target_shares(self.region, demand, capacity)
             shares = self.shares.setdefault(service, RegionShares(self.region))
             in_use = service in used
-            shares.follow(target, capacity, self.shift_most(), now, in_use)
+            slots = slots_in(self.table, service, self.region, now)
+            lost_part = self.slots.setdefault(service, LostSlots()).update(slots)
+            shares.follow(target, capacity, self.shift_most(), now, in_use, lost_part)
             self._log(service, shares.shares, demands.get(service, {}), capacity)
 
     def _log(
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from ebonybend.steering.table import SuspectView
+from ebonybend.steering.suspects import SuspectView
 
 # A node that was not heard for this time is not named to callers.
 SILENT_AFTER_S = 2.5
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -7,6 +7,7 @@
 from time import time
 from typing import Any
 
+from ebonybend.addresses import split_address
 from ebonybend.errors import SteeringError
 from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.listening import listen
@@ -26,7 +27,6 @@
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, Wire
-from ebonybend.settings import split_address
 from ebonybend.steering.crashes import CrashWatch
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
@@ -115,6 +115,7 @@
         self.times = ServiceTimes()
         self.regions = RegionSteering(
             self.settings.region,
+            lambda: set(self.settings.regions.values()),
             lambda: self.settings.bounds.shift_most,
             self.servers,
             self.times,
--- a/ebonybend/peers/suspects.py
+++ b/ebonybend/peers/suspects.py
@@ -11,8 +11,8 @@
     CRASHES_TO_REFUSE,
     REFUSED_LIFETIME_S,
     SUSPECT_LIFETIME_S,
+    SuspectView,
 )
-from ebonybend.steering.table import SuspectView
 
 # Bounds memory and message size when many requests crash servers.
 MAX_SUSPECTS = 1000
--- a/ebonybend/settings.py
+++ b/ebonybend/settings.py
@@ -7,12 +7,12 @@
 import os
 from collections.abc import Sequence
 from ipaddress import ip_address
-from typing import Any
 
 from absl import flags
 from attrs import frozen
 
-from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.addresses import split_address
+from ebonybend.errors import ErrorKind, SteeringError, bad_setting
 
 ENVIRONMENT_PREFIX = "EBONYBEND_"
 ROLES = ("entry", "control")
@@ -49,23 +49,6 @@
     receive_timeout_ms: int
 
 
-def bad_setting(flag: str, value: Any, allowed: str) -> SteeringError:
-    """Return the error for a setting, in one line."""
-    return SteeringError(
-        ErrorKind.BAD_SETTING, f"--{flag}={value!r} is not valid: {allowed}"
-    )
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP address and the port of "ip:port"; raise ValueError if bad."""
-    host, _, port = address.rpartition(":")
-    ip_address(host)
-    number = int(port)
-    if not 1 <= number <= 65535:
-        raise ValueError(f"port {number} is not in 1..65535")
-    return host, number
-
-
 _ADDRESS = 'an address "ip:port", for example 127.0.0.1:8080'
 
 
--- a/ebonybend/steering/__init__.py
+++ b/ebonybend/steering/__init__.py
@@ -1,78 +1,55 @@
-"""Pure steering decisions; clocks and random sources are passed in."""
+"""Pure steering decisions; clocks and random sources are passed in.
 
-from ebonybend.steering.admission import Admission, ServerResult
-from ebonybend.steering.choice import (
-    DomainChooser,
-    DomainOption,
-    DomainQuery,
-    DomainScore,
-    ServerChooser,
-    ServerScore,
-)
-from ebonybend.steering.freshness import age_weight, remote_window_factor
-from ebonybend.steering.keys import (
-    KeyPrefix,
-    KeyRegistry,
-    Reservation,
-    ReservationState,
-    SealedIncarnation,
-    StoredAnswer,
-)
-from ebonybend.steering.links import LinkBudget
-from ebonybend.steering.lookup import (
-    ClientMap,
-    ClientShard,
-    LookupRanker,
-    encode_shard,
-)
-from ebonybend.steering.outcomes import Found, FoundState, OutcomeStore
-from ebonybend.steering.retries import RetryBudget
-from ebonybend.steering.shares import (
-    CapShare,
-    CapUsage,
-    Loan,
-    Ramp,
-    WindowLimiter,
-    split_units,
-)
-from ebonybend.steering.slots import Heartbeat, SlotLedger
-from ebonybend.steering.suspects import SuspectRegistry, Verdict, fingerprint
+Public names are imported on first use, so that a process loads only the modules that it
+needs: a node on the platform starts with half of them.
+"""
 
-__all__ = [
-    "Admission",
-    "CapShare",
-    "CapUsage",
-    "ClientMap",
-    "ClientShard",
-    "DomainChooser",
-    "DomainOption",
-    "DomainQuery",
-    "DomainScore",
-    "Found",
-    "FoundState",
-    "Heartbeat",
-    "KeyPrefix",
-    "KeyRegistry",
-    "LinkBudget",
-    "Loan",
-    "LookupRanker",
-    "OutcomeStore",
-    "Ramp",
-    "Reservation",
-    "ReservationState",
-    "RetryBudget",
-    "SealedIncarnation",
-    "ServerChooser",
-    "ServerResult",
-    "ServerScore",
-    "SlotLedger",
-    "StoredAnswer",
-    "SuspectRegistry",
-    "Verdict",
-    "WindowLimiter",
-    "age_weight",
-    "encode_shard",
-    "fingerprint",
-    "remote_window_factor",
-    "split_units",
-]
+from importlib import import_module
+from typing import Any
+
+# Module of each public name.
+_MODULES = {
+    "Admission": "admission",
+    "CapShare": "shares",
+    "CapUsage": "shares",
+    "ClientMap": "lookup",
+    "ClientShard": "lookup",
+    "DomainChooser": "choice",
+    "DomainOption": "choice",
+    "DomainQuery": "choice",
+    "DomainScore": "choice",
+    "Found": "outcomes",
+    "FoundState": "outcomes",
+    "Heartbeat": "slots",
+    "KeyPrefix": "keys",
+    "KeyRegistry": "keys",
+    "LinkBudget": "links",
+    "Loan": "shares",
+    "LookupRanker": "lookup",
+    "OutcomeStore": "outcomes",
+    "Ramp": "shares",
+    "Reservation": "keys",
+    "ReservationState": "keys",
+    "RetryBudget": "retries",
+    "SealedIncarnation": "keys",
+    "ServerChooser": "choice",
+    "ServerResult": "admission",
+    "ServerScore": "choice",
+    "SlotLedger": "slots",
+    "StoredAnswer": "keys",
+    "SuspectRegistry": "suspects",
+    "Verdict": "suspects",
+    "WindowLimiter": "shares",
+    "age_weight": "freshness",
+    "encode_shard": "lookup",
+    "fingerprint": "suspects",
+    "remote_window_factor": "freshness",
+    "split_units": "shares",
+}
+__all__ = sorted(_MODULES)
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -5,8 +5,7 @@
 """
 
 from ebonybend.clock import Clock
-from ebonybend.steering.suspects import SuspectRegistry, Verdict
-from ebonybend.steering.table import SuspectView
+from ebonybend.steering.suspects import SuspectRegistry, SuspectView, Verdict
 
 # Time between lost answers and a refused connection that shows a crash.
 CRASH_S = 1.5
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -202,7 +202,7 @@
 def capacity_by_region(
     table: ServerTable, service: str, now: float
 ) -> dict[str, float]:
-    """Return the slots of a service that can be used now, by region."""
+    """Return the room of a service by region, in slots of servers of common speed."""
     capacity: dict[str, float] = {}
     for state in without_ejected(table.usable(service), now):
         slots = state.server.slots / max(state.slowness, 1.0)
@@ -211,6 +211,12 @@
     return capacity
 
 
+def slots_in(table: ServerTable, service: str, region: str, now: float) -> int:
+    """Return the slots of a service that can be used in a region."""
+    states = without_ejected(table.usable(service), now)
+    return sum(s.server.slots for s in states if s.server.region == region)
+
+
 def service_of(services: Mapping[str, RoutedService], name: str) -> RoutedService:
     """Return a service's bounds; a service without any has no cold rate."""
     return services.get(name) or RoutedService(name, 0, 0.0, 0.0)
--- a/ebonybend/steering/regions.py
+++ b/ebonybend/steering/regions.py
@@ -5,7 +5,7 @@
 nodes compute the same shares from the demands that they tell one another.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
@@ -50,6 +50,14 @@
     return shares
 
 
+def even_demand(
+    regions: Collection[str], capacity: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the demand to expect before any is known: as much in each region."""
+    total = FILL * sum(capacity.values())
+    return {region: total / len(regions) for region in regions}
+
+
 def _by_room(capacity: Mapping[str, float]) -> dict[str, float]:
     total = sum(capacity.values())
     return {name: slots / total for name, slots in capacity.items()} if total else {}
@@ -70,10 +78,13 @@
         shift_most: float,
         now: float,
         in_use: bool = True,
+        lost_part: float = 0.0,
     ) -> None:
         """Move toward a target, at most as fast as requests may change region.
 
-        Shares that no request has used since the last call move at once.
+        Shares that no request has used since the last call move at once. So does the
+        part of the own region whose servers were lost since then: its objects change
+        places anyway.
         """
         if not self.shares:
             self.shares = {self.region: 1.0}
@@ -84,6 +95,7 @@
             self.shares = dict(target)
             return
         step = shift_most * STEP_PART / SHIFT_WINDOW_S * elapsed
+        step += self.shares.get(self.region, 0.0) * lost_part
         names = sorted({*self.shares, *target})
         change = {n: target.get(n, 0.0) - self.shares.get(n, 0.0) for n in names}
         size = sum(abs(value) for value in change.values()) / 2
@@ -106,6 +118,18 @@
         return self.region
 
 
+@define
+class LostSlots:
+    """Tell when a region loses servers."""
+
+    slots: int = 0
+
+    def update(self, slots: int) -> float:
+        """Take in the slots that can be used now; return the part that was lost."""
+        before, self.slots = self.slots, slots
+        return max(1.0 - slots / before, 0.0) if before else 0.0
+
+
 @define
 class DemandMeter:
     """The demand for one service at one node, in slots."""
--- a/ebonybend/steering/suspects.py
+++ b/ebonybend/steering/suspects.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 from enum import Enum
 
+from attrs import frozen
 from xxhash import xxh3_128
 
 from ebonybend.clock import Clock
-from ebonybend.steering.table import SuspectView
 
 # Two crashes within this time without a success between them refuse a request.
 SUSPECT_LIFETIME_S = 60.0
@@ -19,6 +19,19 @@
 SAME_CRASH_S = 1.0
 
 
+@frozen
+class SuspectView:
+    """A request that was running when a backend server crashed."""
+
+    fingerprint: str
+    crashes: int
+    refused: bool
+    # Time since the last crash, in milliseconds.
+    age_ms: float = 0.0
+    # The servers that crashed; they tell two crashes from two reports of one.
+    servers: tuple[str, ...] = ()
+
+
 class Verdict(Enum):
     """How a request may run."""
 
--- a/ebonybend/steering/table.py
+++ b/ebonybend/steering/table.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from ebonybend.steering.suspects import SuspectView
 from ebonybend.world import Deployment, LifeState, ServerState
 
 
@@ -62,19 +63,6 @@
     age_ms: float
 
 
-@frozen
-class SuspectView:
-    """A request that was running when a backend server crashed."""
-
-    fingerprint: str
-    crashes: int
-    refused: bool
-    # Time since the last crash, in milliseconds.
-    age_ms: float = 0.0
-    # The servers that crashed; they tell two crashes from two reports of one.
-    servers: tuple[str, ...] = ()
-
-
 @frozen
 class Table:
     """Everything that an entry process decides with."""
--- a/ebonybend/steering/tests/test_regions.py
+++ b/ebonybend/steering/tests/test_regions.py
@@ -4,7 +4,9 @@
 from ebonybend.steering.regions import (
     SHIFT_WINDOW_S,
     DemandMeter,
+    LostSlots,
     RegionShares,
+    even_demand,
     target_shares,
 )
 
@@ -92,6 +94,43 @@
         shares.follow({"m": 1.0}, {"m": 10.0}, 0.15, 0.1)
         self.assertEqual({"m": 1.0}, shares.shares)
 
+    def test_objects_of_lost_servers_move_at_once(self):
+        """Load pattern: one of a region's two failure domains is evacuated."""
+        shares = RegionShares("k", {"k": 1.0}, 0.0)
+        shares.follow({"k": 0.2, "m": 0.8}, {"k": 5.0, "m": 10.0}, 0.15, 0.0, True, 0.5)
+        self.assertAlmostEqual(0.5, shares.shares["k"])
+
+
+class StartTest(TestCase):
+    """Guards against a region that is full from the first second of traffic.
+
+    Load pattern: as many callers in each region, and most slots in one of them.
+    """
+
+    def test_shares_before_any_demand_is_known(self):
+        capacity = {"k": 10.0, "m": 50.0}
+        demand = even_demand({"k", "m"}, capacity)
+        self.assertAlmostEqual(1 / 3, target_shares("k", demand, capacity)["k"])
+        self.assertEqual({"m": 1.0}, target_shares("m", demand, capacity))
+
+
+class LostSlotsTest(TestWithScenarios, TestCase):
+    """Guards against a region that keeps the callers of servers that it lost."""
+
+    scenarios = [
+        ("first count", {"counts": [10], "lost": 0.0}),
+        ("half is lost", {"counts": [10, 5], "lost": 0.5}),
+        ("told once", {"counts": [10, 5, 5], "lost": 0.0}),
+        ("servers return", {"counts": [5, 10], "lost": 0.0}),
+        ("all are lost", {"counts": [10, 0], "lost": 1.0}),
+    ]
+
+    def test_lost(self):
+        slots = LostSlots()
+        for count in self.counts:
+            lost = slots.update(count)
+        self.assertEqual(self.lost, lost)
+
 
 class DemandMeterTest(TestCase):
     """Guards against a demand that is off by the rate or stays after the load."""
--- a/ebonybend/tool/admin_client.py
+++ b/ebonybend/tool/admin_client.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
+from ebonybend.addresses import split_address
 from ebonybend.codec import from_json
 from ebonybend.control.admin_messages import (
     ApplyAnswer,
@@ -20,7 +21,6 @@
     WhereAnswer,
 )
 from ebonybend.errors import ErrorKind, Outcome, SteeringError
-from ebonybend.settings import split_address
 
 T = TypeVar("T")
 MAX_ANSWER_BYTES = 32 << 20
--- a/ebonybend/tool/options.py
+++ b/ebonybend/tool/options.py
@@ -6,8 +6,9 @@
 from absl import flags
 from attrs import frozen
 
-from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.settings import apply_environment, bad_setting, split_address
+from ebonybend.addresses import split_address
+from ebonybend.errors import ErrorKind, SteeringError, bad_setting
+from ebonybend.settings import apply_environment
 
 # The environment of a daemon names its own instance in EBONYBEND_INSTANCE, so these
 # flags are read from the command line only.
--- a/standins/command.py
+++ b/standins/command.py
@@ -7,8 +7,8 @@
 from twisted.internet.defer import Deferred
 from twisted.web.http import HTTPChannel
 
+from ebonybend.addresses import split_address
 from ebonybend.http_server import Handler, HttpLimits, HttpSite
-from ebonybend.settings import split_address
 
 # The platform accepts values up to 1 MB.
 LIMITS = HttpLimits(max_body_bytes=(1 << 20) + 4096, max_connections=5000)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -9,6 +9,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from ebonybend.addresses import split_address
 from ebonybend.codec import from_json
 from ebonybend.http_router import Router
 from ebonybend.http_server import (
@@ -16,7 +17,6 @@
     OutgoingAnswer,
     json_answer,
 )
-from ebonybend.settings import split_address
 from standins.command import LISTEN_BACKLOG, TrackingSite, listen, parse_flags, run
 from standins.proxy_flow import Flow, LinkClock
 from standins.proxy_rules import Effect, Listener, ProxyConfig, effect_for, port_closed
--- a/standins/proxy_target.py
+++ b/standins/proxy_target.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from ebonybend.settings import split_address
+from ebonybend.addresses import split_address
 
 RETRY_S = 0.05
 CONNECT_TIMEOUT_S = 5.0
