Bound the traffic between nodes, and read fewer lists of servers

Ruled out: telling digests on (more bytes at 520 nodes than the turns), and a list in the store (too slow for a node that falls silent). Change: a beat goes to 18 nodes of the own region and 4 of others, in turn. Nodes of the region get the node's own demand, others that of its region. A node counts as silent after its turns. A stopping node still tells all. Entries are decoded once for each version, and changes within 0.4 s of another are read in one call.

--- a/ebonybend/node/beats.py
+++ b/ebonybend/node/beats.py
@@ -1,6 +1,6 @@
 """Datagrams between nodes: who is here and which versions are known."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.protocol import DatagramProtocol
@@ -9,33 +9,41 @@
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import SteeringError
 from ebonybend.logs import get_logger
-from ebonybend.node.members import Beat, Members
-
-# Two lost datagrams in a row don't make a node silent.
-BEAT_PERIOD_S = 0.7
+from ebonybend.node.members import Beat, Member, Members
 
 
 class BeatPort(DatagramProtocol):
-    """Send a beat to every other node once per period, and take in theirs."""
+    """Send a beat to other nodes once per period, and take in theirs."""
 
     def __init__(
         self,
         members: Members,
-        own_beat: Callable[[], Beat],
+        own_beat: Callable[[bool], Beat],
         clock: Callable[[], float],
         on_beat: Callable[[Beat], None],
     ):
         self.members = members
+        # Returns what is told in the own region (True) or elsewhere.
         self.own_beat = own_beat
         self.clock = clock
         self.on_beat = on_beat
 
     def send(self) -> None:
+        """Send this node's beat to those whose turn it is."""
+        self._send(*self.members.recipients())
+
+    def send_to_all(self) -> None:
         """Send this node's beat to all others."""
+        self._send(*self.members.by_distance())
+
+    def _send(self, near: Iterable[Member], far: Iterable[Member]) -> None:
         if self.transport is None:
             return
-        data = pack(self.own_beat())
-        for member in self.members.others():
+        for is_near, members in ((True, near), (False, far)):
+            self._send_one(pack(self.own_beat(is_near)), members)
+
+    def _send_one(self, data: bytes, members: Iterable[Member]) -> None:
+        for member in members:
             host, port = split_address(member.peer_address)
             try:
                 self.transport.write(data, (host, port))
--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Mapping
 
 from ebonybend.logs import get_logger
-from ebonybend.node.members import Beat, Members
+from ebonybend.node.members import Members
 from ebonybend.steering.placement import capacity_by_region, slots_in
 from ebonybend.steering.regions import (
     DemandMeter,
@@ -59,7 +59,7 @@
     def own_demand(self) -> dict[str, float]:
         """Return the demand at this node in slots by service."""
         now = self.clock()
-        return {name: round(m.read(now), 2) for name, m in self.meters.items()}
+        return {name: meter.read(now) for name, meter in self.meters.items()}
 
     def region_of(self, service: str, object_key: bytes) -> str:
         """Return the region that takes an object."""
@@ -105,24 +105,28 @@
             capacity=_rounded(capacity),
         )
 
+    def region_demand(self) -> dict[str, float]:
+        """Return the demand at the nodes of the own region by service."""
+        found = self.own_demand()
+        for beat in self.members.fresh_beats(self.region, self.clock()):
+            for service, hundredths in beat.demand.items():
+                found[service] = found.get(service, 0.0) + hundredths / 100
+        return found
+
     def _demands(self, now: float) -> Mapping[str, dict[str, float]]:
         """Return the demand by service and region."""
+        told = {self.region: self.region_demand()}
+        for region in self.all_regions():
+            beats = self.members.fresh_beats(region, now)
+            if region != self.region and beats:
+                newest = max(beats, key=lambda b: self.members.heard[b.name])
+                told[region] = {n: v / 100 for n, v in newest.demand.items()}
         found: dict[str, dict[str, float]] = {}
-        told = [(self.region, self.own_demand())]
-        told += [(b.member.region, b.demand) for b in self._fresh_beats(now)]
-        for region, demand in told:
+        for region, demand in told.items():
             for service, slots in demand.items():
-                regions = found.setdefault(service, {})
-                regions[region] = regions.get(region, 0.0) + slots
+                found.setdefault(service, {})[region] = slots
         return found
 
-    def _fresh_beats(self, now: float) -> list[Beat]:
-        return [
-            beat
-            for name, beat in self.members.beats.items()
-            if name != self.members.own.name and self.members.is_alive(name, now)
-        ]
-
 
 def _rounded(values: Mapping[str, float]) -> dict[str, float]:
     return {name: round(value, 2) for name, value in values.items()}
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -21,7 +21,7 @@
 # Position of the watch on servers.
 SERVERS = 1
 # Changes that follow one another within this time are read in one call.
-GATHER_S = 0.1
+GATHER_S = 0.4
 # The same for the list of nodes, which beats tell sooner.
 GATHER_NODES_S = 1.0
 # Long, because each answer without a change is a call; a dead watch is found by
@@ -62,6 +62,8 @@
         self.on_list = on_list
         self.lapsed = LapsedServers()
         self.lag = LagDetector()
+        # Version of each server's entry, and what it holds.
+        self.decoded: dict[str, tuple[int, BackendServer | None]] = {}
         self.watchers = [
             Watcher(
                 store,
@@ -149,9 +151,9 @@
         self, _kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Take in the list of backend servers."""
-        regions = self.settings().regions
-        decoded = (self.documents.decode_server(o, regions) for o in objects.values())
+        decoded = (self._decode_server(stored) for stored in objects.values())
         listed = {server.name: server for server in decoded if server is not None}
+        self.decoded = {name: self.decoded[name] for name in objects}
         before = self.servers.states
         now = self.reactor.seconds()
         known = {name: state.server for name, state in before.items()}
@@ -177,6 +179,20 @@
         for name in before.keys() - servers.keys():
             get_logger().info("server_gone", server=name, revision=version)
 
+    def _decode_server(self, stored: StoredObject) -> BackendServer | None:
+        """Return a server; only an object that changed is decoded."""
+        known = self.decoded.get(stored.name)
+        if known is None or known[0] != stored.version:
+            regions = self.settings().regions
+            server = self.documents.decode_server(stored, regions)
+            known = self.decoded[stored.name] = stored.version, server
+        return known[1]
+
+    def forget_decoded(self) -> None:
+        """Decode all servers anew, because the regions of failure domains changed."""
+        self.decoded.clear()
+        self.relist()
+
     def on_return(self) -> None:
         """Keep servers in use whose entries lapsed while the store was away."""
         settle_s = self.settings().bounds.settle_s
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -1,13 +1,23 @@
 """The nodes of the system: who they are, and which of them were heard lately."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from math import ceil
 
 from attrs import frozen
+from xxhash import xxh3_64_intdigest
 
 from ebonybend.steering.suspects import SuspectView
 
-# A node that was not heard for this time is not named to callers.
+# Two lost datagrams in a row don't make a node silent.
+BEAT_PERIOD_S = 0.7
+# A node that was not heard for this time is not named to callers, if it tells this one
+# with every beat; otherwise it is given the time of its turns.
 SILENT_AFTER_S = 2.5
+# Nodes of the own region that one beat goes to, and of all other regions together.
+# 100 nodes of a region hear each other every 4.2 s then, and a node of any deployment
+# sends 10 KB/s at the most.
+MOST_NEAR = 18
+MOST_FAR = 4
 # A node that was never heard is given this time after its entry was seen.
 FIRST_WORD_S = 3.0
 
@@ -40,8 +50,9 @@
     # Time for which the store has answered the node without a failure; 0 while it
     # doesn't.
     followed_s: float
-    # Demand at the node in slots by service.
-    demand: dict[str, float]
+    # Demand in hundredths of a slot by service: of the node, told in its region, or of
+    # all nodes of its region that it has heard, told to other regions.
+    demand: dict[str, int]
     # Requests that crashed servers.
     suspects: tuple[SuspectView, ...]
     member: Member
@@ -56,6 +67,10 @@
         self.beats: dict[str, Beat] = {}
         # Time at which a node was heard last, or first seen in the list.
         self.heard: dict[str, float] = {}
+        # The other nodes of the own region and of all others; None if out of date.
+        self.groups: tuple[list[Member], list[Member]] | None = None
+        # Spreads the turns of different senders over their receivers.
+        self.turn = xxh3_64_intdigest(own.name.encode())
 
     def update_list(self, members: Mapping[str, Member], now: float) -> None:
         """Take in the store's list."""
@@ -65,6 +80,7 @@
                 grace = FIRST_WORD_S - SILENT_AFTER_S
                 self.heard.setdefault(name, now + grace)
         self.listed = dict(members)
+        self.groups = None
 
     def take_beat(self, beat: Beat, now: float) -> bool:
         """Take in a beat; return False for one that is older than a known one."""
@@ -72,12 +88,13 @@
         order = (beat.incarnation, beat.count)
         if known is not None and order <= (known.incarnation, known.count):
             return False
+        if known is None or known.member != beat.member:
+            self.groups = None
         self.beats[beat.name] = beat
         self.heard[beat.name] = now
         return True
 
-    def others(self) -> list[Member]:
-        """Return the other nodes that beats are sent to."""
+    def _others(self) -> list[Member]:
         found = {beat.name: beat.member for beat in self.beats.values()}
         for name, member in self.listed.items():
             known = found.get(name)
@@ -86,17 +103,80 @@
         found.pop(self.own.name, None)
         return list(found.values())
 
+    def recipients(self) -> tuple[list[Member], list[Member]]:
+        """Return the nodes that the next beat goes to: of the own region, and others.
+
+        Where there are many, they take turns.
+        """
+        self.turn += 1
+        near, far = self.by_distance()
+        return (
+            _in_turn(near, MOST_NEAR, self.turn),
+            _in_turn(far, MOST_FAR, self.turn),
+        )
+
+    def by_distance(self) -> tuple[list[Member], list[Member]]:
+        """Return the other nodes of the own region, and those of all others.
+
+        The others are in an order in which neighbours are of different regions.
+        """
+        if self.groups is None:
+            self.groups = self._divide()
+        return self.groups
+
+    def _divide(self) -> tuple[list[Member], list[Member]]:
+        near: list[Member] = []
+        by_region: dict[str, list[Member]] = {}
+        for member in sorted(self._others(), key=lambda member: member.name):
+            if member.region == self.own.region:
+                near.append(member)
+            else:
+                by_region.setdefault(member.region, []).append(member)
+        far = [
+            (number, member.name, member)
+            for members in by_region.values()
+            for number, member in enumerate(members)
+        ]
+        return near, [member for _, _, member in sorted(far, key=lambda x: x[:2])]
+
+    def silent_after_s(self, region: str) -> float:
+        """Return the time without a beat after which a node counts as silent.
+
+        The nodes of a deployment take their turns alike.
+        """
+        near, far = self.by_distance()
+        is_near = region == self.own.region
+        turns = len(near) / MOST_NEAR if is_near else len(far) / MOST_FAR
+        return SILENT_AFTER_S + (max(ceil(turns), 1) - 1) * BEAT_PERIOD_S
+
+    def fresh_beats(self, region: str, now: float) -> list[Beat]:
+        """Return the beats of a region's other nodes that were heard lately."""
+        after_s = self.silent_after_s(region)
+        return [
+            beat
+            for name, beat in self.beats.items()
+            if beat.member.region == region
+            and name != self.own.name
+            and now - self.heard[name] <= after_s
+        ]
+
     def is_alive(self, name: str, now: float) -> bool:
         """Tell whether a node was heard lately."""
         if name == self.own.name:
             return True
         heard = self.heard.get(name)
-        return heard is not None and now - heard <= SILENT_AFTER_S
+        if heard is None:
+            return False
+        known = self.beats.get(name)
+        member = known.member if known else self.listed.get(name)
+        region = member.region if member else ""
+        return now - heard <= self.silent_after_s(region)
 
     def usable(self, now: float, own_ready: bool) -> list[Member]:
         """Return the nodes that callers may be sent to."""
         found = [self.own] if own_ready else []
-        for member in self.others():
+        near, far = self.by_distance()
+        for member in near + far:
             beat = self.beats.get(member.name)
             if beat is not None and beat.ready and self.is_alive(member.name, now):
                 found.append(beat.member)
@@ -104,12 +184,21 @@
 
     def count(self) -> int:
         """Return the number of nodes that may share a bound with this one."""
-        return len(self.others()) + 1
+        near, far = self.by_distance()
+        return len(near) + len(far) + 1
 
     def alive_count(self, now: float) -> int:
         """Return the number of nodes that were heard lately, this one included."""
-        names = (member.name for member in self.others())
-        return 1 + sum(self.is_alive(name, now) for name in names)
+        near, far = self.by_distance()
+        return 1 + sum(self.is_alive(member.name, now) for member in near + far)
+
+
+def _in_turn(members: Sequence[Member], most: int, turn: int) -> list[Member]:
+    """Return at most a number of nodes; the next turn returns those after them."""
+    if len(members) <= most:
+        return list(members)
+    start = turn * most
+    return [members[(start + step) % len(members)] for step in range(most)]
 
 
 def nearest(
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -13,13 +13,13 @@
 from ebonybend.listening import listen
 from ebonybend.logs import LossyFile, get_logger
 from ebonybend.node.backend_pool import BackendPool
-from ebonybend.node.beats import BEAT_PERIOD_S, BeatPort
+from ebonybend.node.beats import BeatPort
 from ebonybend.node.callers import CallerPort
 from ebonybend.node.decisions import DecisionLog
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.followed import FollowedState
 from ebonybend.node.forwarder import Forwarder
-from ebonybend.node.members import Beat, Member, Members
+from ebonybend.node.members import BEAT_PERIOD_S, Beat, Member, Members
 from ebonybend.node.membership import OwnEntry
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.ports import Directory, metrics_router, readiness_router
@@ -193,15 +193,17 @@
         """Tell whether callers should use this node."""
         return self.followed.is_complete() and not self.stop.stopping
 
-    def own_beat(self) -> Beat:
-        """Return what this node tells the others now."""
+    def own_beat(self, is_near: bool) -> Beat:
+        """Return what this node tells nodes of its region, or of others, now."""
+        regions = self.regions
+        demand = regions.own_demand() if is_near else regions.region_demand()
         self.beat_count += 1
         return Beat(
             name=self.own.name,
             incarnation=self.own.incarnation,
             count=self.beat_count,
             ready=self.is_ready(),
-            demand=self.regions.own_demand(),
+            demand={name: round(slots * 100) for name, slots in demand.items()},
             suspects=self.crashes.told(),
             newest=self.followed.newest(),
             followed_s=self.followed.followed_s(),
@@ -275,13 +277,13 @@
         if settings.bounds != self.settings.bounds:
             self.forwarder.windows.clear()
         self.settings = settings
-        self.followed.relist()
+        self.followed.forget_decoded()
         get_logger().info("settings_reloaded")
 
     def announce_stop(self) -> None:
         """Tell callers and the other nodes that this node stops."""
         self.caller_site.closing = True
-        self.beats.send()
+        self.beats.send_to_all()
 
     def close_ports(self) -> None:
         """Accept no more connections, and close those that carry no request."""
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -99,6 +99,36 @@
         )
 
 
+class CountedDocuments(PlatformDocuments):
+    """Count the entries of servers that are decoded."""
+
+    def __init__(self):
+        self.decoded = 0
+
+    def decode_server(self, stored, regions):
+        """Count and decode an entry."""
+        self.decoded += 1
+        return super().decode_server(stored, regions)
+
+
+class ManyServersTest(TestCase):
+    """Guards against work for each change that grows with the number of servers."""
+
+    def test_only_changed_entries_are_decoded(self):
+        world = World()
+        documents = world.followed.documents = CountedDocuments()
+        world.put("servers", "s2", server("10.3.0.9:80"))
+        world.run(2.0)
+        self.assertEqual(1, documents.decoded)
+        self.assertEqual("10.3.0.9:80", world.servers.states["s2"].server.address)
+
+    def test_changed_regions_apply_to_all_servers(self):
+        world = World()
+        documents = world.followed.documents = CountedDocuments()
+        world.followed.forget_decoded()
+        self.assertEqual(2, documents.decoded)
+
+
 class MissingServerTest(TestWithScenarios, TestCase):
     """Guards against requests to a server that left while the node was cut off."""
 
