Keep the shares of regions in the store over a loss of all nodes

Ruled out: the nodes' start (ready 0.7 s after power), the servers, the store. Change: the first node of a region writes its shares and the learned times of routes when a share moved by 0.03, at most every 4 s, in an object that nobody watches; a starting node reads it once and goes on from there. Older than 60 s, it is not used.

--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -43,6 +43,8 @@
         self.meters: dict[str, DemandMeter] = {}
         self.shares: dict[str, RegionShares] = {}
         self.slots: dict[str, LostSlots] = {}
+        # Shares of before the start, in use until requests come.
+        self.restored: dict[str, dict[str, float]] = {}
         # Services that got requests since the last update.
         self.used: set[str] = set()
         self.logged: dict[str, dict[str, float]] = {}
@@ -66,6 +68,17 @@
         shares = self.shares.get(service)
         return self.region if shares is None else shares.region_of(object_key)
 
+    def restore(self, shares: Mapping[str, Mapping[str, float]]) -> None:
+        """Begin with shares of before the start, where objects are warm."""
+        for service, parts in shares.items():
+            if service not in self.meters:
+                self.restored[service] = dict(parts)
+                self.shares[service] = RegionShares(self.region, dict(parts))
+
+    def current_shares(self) -> dict[str, dict[str, float]]:
+        """Return the shares in use by service."""
+        return {service: dict(s.shares) for service, s in self.shares.items()}
+
     def update(self) -> None:
         """Let the shares follow the demands that are known now."""
         now = self.clock()
@@ -78,7 +91,11 @@
                 demand = even_demand(self.all_regions(), capacity)
             target = target_shares(self.region, demand, capacity)
             shares = self.shares.setdefault(service, RegionShares(self.region))
-            in_use = service in used
+            if service in used:
+                self.restored.pop(service, None)
+            in_use = service in used or service in self.restored
+            if service in self.restored:
+                target = self.restored[service]
             slots = slots_in(self.table, service, self.region, now)
             lost_part = self.slots.setdefault(service, LostSlots()).update(slots)
             shares.follow(target, capacity, self.shift_most(), now, in_use, lost_part)
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -19,6 +19,7 @@
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.followed import FollowedState
 from ebonybend.node.forwarder import Forwarder
+from ebonybend.node.kept_state import WRITE_PERIOD_S, StateKeeper
 from ebonybend.node.members import BEAT_PERIOD_S, Beat, Member, Members
 from ebonybend.node.membership import OwnEntry
 from ebonybend.node.metrics import NodeMetrics
@@ -33,6 +34,7 @@
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.store.client import ObjectStore
+from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks
 from ebonybend.world import BackendServer
 
@@ -98,6 +100,16 @@
             self.on_routing,
             self.on_servers,
         )
+        self.keeper = StateKeeper(
+            store,
+            documents,
+            self.regions,
+            self.times,
+            self.members,
+            time,
+            reactor.seconds,
+            Backoff(self.random),
+        )
         self._build_sites()
         self.beats = BeatPort(
             self.members, self.own_beat, reactor.seconds, self.on_beat
@@ -224,6 +236,8 @@
     def on_servers(self, servers: Mapping[str, BackendServer]) -> None:
         """Forget what is known of servers and routes that no longer exist."""
         self.pool.retain(servers.values())
+        if self.routing.version is None:
+            return
         routes = {route.name for route in self.routing.routes}
         self.times.retain(set(servers), routes)
 
@@ -249,7 +263,9 @@
         self.followed.start()
         entry = OwnEntry(self.store, self.documents, self.own, self.random)
         self.tasks.start(entry.write(self.tasks))
+        self.tasks.start(self.keeper.restore(self.tasks))
         self.tasks.repeat(BEAT_PERIOD_S, self._beat)
+        self.tasks.repeat(WRITE_PERIOD_S, self.keeper.write)
         self.tasks.repeat(SWEEP_PERIOD_S, self._sweep)
         self.tasks.repeat(RELOAD_PERIOD_S, self._reload)
         get_logger().info("node_started", incarnation=self.own.incarnation)
--- /dev/null
+++ b/ebonybend/node/tests/test_kept_state.py
@@ -0,0 +1,146 @@
+from random import Random
+
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from ebonybend.codec import to_json
+from ebonybend.node.demand import RegionSteering
+from ebonybend.node.kept_state import MOST_AGE_S, StateKeeper
+from ebonybend.node.members import Beat, Member, Members
+from ebonybend.platform.documents import PlatformDocuments
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.store.tests.memory_store import MemoryStore, StoreClient, result_of
+from ebonybend.store.watcher import Backoff
+from ebonybend.tasks import Tasks
+from ebonybend.world import BackendServer
+from ebonybend.world.route import Route, RoutePart
+
+FIRST = Member("n1", "k-a", "k", "10.1.0.1:80", "10.1.0.1:81", 1)
+SECOND = evolve(FIRST, name="n2", peer_address="10.1.0.2:81")
+ROUTE = Route("r", "h", "/", True, (RoutePart("s", 1.0),), 1, 1.0, 0.3, 1)
+WALL_S = 1_000_000.0
+SHIFT_MOST = 0.15
+
+
+class ObjectDocuments(PlatformDocuments):
+    """Write values as the platform's store returns them."""
+
+    def encode_kept(self, state):
+        """Return a whole object."""
+        return to_json({"Metadata": {"Name": "k"}, "Spec": state})
+
+
+class Node:
+    """The steering of one node, and what it keeps."""
+
+    def __init__(self, store, own=FIRST, wall_s=WALL_S):
+        self.clock = store.clock
+        table = ServerTable()
+        servers = {
+            f"{region}{i}": BackendServer(f"{region}{i}", "s", region, "1:1", 5)
+            for region, count in (("k", 1), ("m", 3))
+            for i in range(count)
+        }
+        table.update({n: evolve(s, region=n[0]) for n, s in servers.items()}, 0.0)
+        self.times = ServiceTimes()
+        self.members = Members(own)
+        self.regions = RegionSteering(
+            "k",
+            lambda: ("k", "m"),
+            lambda: SHIFT_MOST,
+            table,
+            self.times,
+            self.members,
+            self.clock.seconds,
+        )
+        self.client = StoreClient(store)
+        self.keeper = StateKeeper(
+            self.client,
+            ObjectDocuments(),
+            self.regions,
+            self.times,
+            self.members,
+            lambda: wall_s,
+            self.clock.seconds,
+            Backoff(Random(1)),
+        )
+
+    def restore(self):
+        result_of(self.clock, self.keeper.restore(Tasks(self.clock)))
+
+    def share(self):
+        return round(self.regions.shares["s"].shares.get("k", 0.0), 3)
+
+
+class KeptStateTest(TestWithScenarios, TestCase):
+    """Guards against cold objects after all nodes lost power at once.
+
+    Load pattern: a region that has given most of its objects away restarts under load.
+    """
+
+    scenarios = [
+        ("a second later", {"wall_s": WALL_S + 1, "share": 0.2}),
+        ("the clock stepped back", {"wall_s": WALL_S - 4, "share": 0.2}),
+        ("an hour later", {"wall_s": WALL_S + 60 * MOST_AGE_S, "share": 0.5}),
+    ]
+
+    def test_shares_after_a_restart(self):
+        store = MemoryStore(Clock())
+        before = Node(store)
+        before.restore()
+        before.regions.restore({"s": {"k": 0.2, "m": 0.8}})
+        result_of(store.clock, before.keeper.write())
+        after = Node(store, wall_s=self.wall_s)
+        after.restore()
+        after.regions.update()
+        self.assertEqual(self.share, after.share())
+        after.regions.arrived(ROUTE, "s")
+        store.clock.advance(0.7)
+        after.regions.update()
+        self.assertLess(abs(after.share() - self.share), SHIFT_MOST)
+
+
+class WriterTest(TestWithScenarios, TestCase):
+    """Guards against calls to the store that tell nothing new."""
+
+    scenarios = [
+        ("the first node of the region", {"own": FIRST, "writes": 1}),
+        ("another one", {"own": SECOND, "writes": 0}),
+        ("nothing changed", {"own": FIRST, "again": True, "writes": 1}),
+        ("the store was not read", {"own": FIRST, "read": False, "writes": 0}),
+        ("the answer is lost", {"own": FIRST, "lost": 1, "again": True, "writes": 2}),
+    ]
+    again = False
+    read = True
+    lost = 0
+
+    def test_writes(self):
+        store = MemoryStore(Clock())
+        node = Node(store, self.own)
+        other = FIRST if self.own is SECOND else SECOND
+        node.members.take_beat(
+            Beat(
+                name=other.name,
+                incarnation=1,
+                count=1,
+                ready=True,
+                newest={},
+                followed_s=1.0,
+                demand={},
+                suspects=(),
+                member=other,
+            ),
+            0.0,
+        )
+        if self.read:
+            node.restore()
+        node.regions.update()
+        node.client.lose_answers = self.lost
+        result_of(store.clock, node.keeper.write())
+        if self.again:
+            for _ in range(2):
+                result_of(store.clock, node.keeper.write())
+        self.assertEqual(self.writes, len(store.writes))
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -7,6 +7,7 @@
 from twisted.web.http_headers import Headers
 
 from ebonybend.node.members import Member
+from ebonybend.steering.service_times import RouteTimes
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer
 from ebonybend.world.route import RoutingConfig
@@ -31,6 +32,18 @@
     slots: int
 
 
+@frozen
+class KeptState:
+    """What the nodes of one region know together."""
+
+    # Wall time of the write in milliseconds.
+    written_ms: int
+    # Share of the region's objects that each region takes, by service.
+    shares: dict[str, dict[str, float]]
+    # How long requests take, by route.
+    times: dict[str, RouteTimes]
+
+
 class Wire(Protocol):
     """The formats between clients, nodes and servers."""
 
@@ -77,6 +90,8 @@
     servers_kind: str
     evacuations_kind: str
     members_kind: str
+    # One object for each region, which nobody watches.
+    kept_kind: str
 
     def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
         """Return the routing that an object holds, or None if it can't be read."""
@@ -95,3 +110,11 @@
     def encode_member(self, member: Member) -> bytes:
         """Return the value of a node's own entry."""
         ...
+
+    def decode_kept(self, stored: StoredObject) -> KeptState | None:
+        """Return what a region's nodes keep, or None if it can't be read."""
+        ...
+
+    def encode_kept(self, state: KeptState) -> bytes:
+        """Return the value of what a region's nodes keep."""
+        ...
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -5,6 +5,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.node.members import Member
+from ebonybend.node.wire import KeptState
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.route import (
@@ -21,6 +22,8 @@
 EVACUATIONS_KIND = "evacuations"
 # A kind of this project: one object for each node.
 MEMBERS_KIND = "ebonybend-nodes"
+# A kind of this project: one object for each region.
+KEPT_KIND = "ebonybend-kept"
 
 MS_PER_S = 1000.0
 SAFE = "safe"
@@ -119,6 +122,11 @@
     Spec: Member
 
 
+@frozen
+class _KeptObject:
+    Spec: KeptState
+
+
 def _route(host: str, path: _Path) -> Route:
     parts = tuple(RoutePart(part.Service, part.Weight) for part in path.Backends)
     return Route(
@@ -144,6 +152,7 @@
     servers_kind = SERVERS_KIND
     evacuations_kind = EVACUATIONS_KIND
     members_kind = MEMBERS_KIND
+    kept_kind = KEPT_KIND
 
     def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
         """Return the routing that an object holds, or None if it can't be read."""
@@ -205,3 +214,14 @@
     def encode_member(self, member: Member) -> bytes:
         """Return the value of a node's own entry."""
         return to_json(member)
+
+    def decode_kept(self, stored: StoredObject) -> KeptState | None:
+        """Return what a region's nodes keep, or None if it can't be read."""
+        try:
+            return from_json(bytes(stored.value), _KeptObject).Spec
+        except SteeringError:
+            return None
+
+    def encode_kept(self, state: KeptState) -> bytes:
+        """Return the value of what a region's nodes keep."""
+        return to_json(state)
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
 
 from attrs import define, field
 
@@ -67,6 +68,11 @@
         self.routes: dict[str, RouteTimes] = {}
         self.warm: dict[str, WarmObjects] = {}
 
+    def restore(self, routes: Mapping[str, RouteTimes]) -> None:
+        """Begin with times that were learned before the start."""
+        for route, times in routes.items():
+            self.routes.setdefault(route, times)
+
     def is_warm(self, server: str, key: bytes) -> bool:
         """Tell whether this node saw the server handle the object."""
         known = self.warm.get(server)
