Give up silent servers after a second, and try them again with one request

A connection to a server without power ended after 2 s of unacknowledged bytes, later than most callers wait; each node needed three such losses to leave the server out, and after the pause sent it all its requests again. Ruled out: queues (no refusals in that time), the store (servers were listed as live). Change: bytes that a server does not acknowledge for 1 s end the connection and leave the server out at once; after the pause one request at a time tries it, and one failure leaves it out again.

--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -16,6 +16,11 @@
 
 # Answers to earlier requests that are skipped before the connection is given up.
 MOST_SKIPPED = 2
+# A request that a server has not acknowledged for this time, in milliseconds, is lost:
+# three transmissions on the longest way, and less than most callers wait.
+SILENT_AFTER_MS = 1000
+# Part of that time from which on a loss is taken for silence; a reset comes sooner.
+SILENT_PART = 0.9
 
 
 class Loss(Enum):
@@ -23,6 +28,8 @@
 
     # The connection ended.
     CLOSED = "closed"
+    # The server did not even acknowledge the request.
+    SILENT = "silent"
     # The bytes received are no answer to this request.
     GARBLED = "garbled"
     # This node ended the connection.
@@ -87,8 +94,17 @@
 class BackendConnection(Protocol):
     """Send requests one after the other and match each with its own answer."""
 
-    def __init__(self, request_id_header: bytes, on_free: Callable[[Any], None]):
+    def __init__(
+        self,
+        request_id_header: bytes,
+        on_free: Callable[[Any], None],
+        clock: Callable[[], float],
+    ):
         self.request_id_header = request_id_header
+        self.clock = clock
+        self.sent_at = 0.0
+        # Whether any byte came since the request was sent.
+        self.heard = False
         # Called when the connection can take another request.
         self.on_free = on_free
         self.usable = True
@@ -114,6 +130,8 @@
         self.request_id = request_id
         self.skipped = 0
         self.requests += 1
+        self.sent_at = self.clock()
+        self.heard = False
         self.waiting = Deferred(lambda _: self._fail(Loss.ABORTED))
         self._expect_answer()
         self.transport.write(data)
@@ -156,6 +174,7 @@
             # Bytes that no request asked for.
             self.close()
             return
+        self.heard = True
         self._feed(data)
 
     def _feed(self, data: bytes) -> None:
@@ -218,7 +237,14 @@
             waiting.callback(answer)
             return
         if self.waiting is not None:
-            self._fail(Loss.CLOSED)
+            self._fail(Loss.SILENT if self._is_silent(reason) else Loss.CLOSED)
+
+    def _is_silent(self, reason: Failure) -> bool:
+        """Tell whether the kernel gave up a server that acknowledges nothing."""
+        if self.heard or reason.check(ConnectionDone):
+            return False
+        waited_ms = (self.clock() - self.sent_at) * 1000
+        return waited_ms >= SILENT_AFTER_MS * SILENT_PART
 
 
 def _has_token(headers: Headers, token: bytes) -> bool:
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -12,7 +12,7 @@
 )
 from twisted.internet.protocol import Factory
 
-from ebonybend.node.backend_connection import BackendConnection
+from ebonybend.node.backend_connection import SILENT_AFTER_MS, BackendConnection
 from ebonybend.sockets import detect_silence
 from ebonybend.world import BackendServer
 
@@ -76,7 +76,9 @@
         endpoint = TCP4ClientEndpoint(self.reactor, host, int(port), CONNECT_TIMEOUT_S)
         factory = Factory.forProtocol(BackendConnection)
         factory.protocol = lambda: BackendConnection(
-            self.request_id_header, self._returner(process_of(server))
+            self.request_id_header,
+            self._returner(process_of(server)),
+            self.reactor.seconds,
         )
         connecting: Deferred[BackendConnection] = endpoint.connect(factory)
         try:
@@ -90,7 +92,7 @@
             raise Unreachable(str(error), False) from error
         self.opened += 1
         connection.transport.setTcpNoDelay(True)
-        detect_silence(connection.transport)
+        detect_silence(connection.transport, SILENT_AFTER_MS)
         return connection
 
     def _returner(self, process: Process) -> Callable[[BackendConnection], None]:
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -117,8 +117,11 @@
                 )
                 continue
             except AnswerNotReceived as failure:
-                state.failed(self.reactor.seconds())
-                if failure.loss is Loss.CLOSED:
+                if failure.loss is Loss.SILENT:
+                    state.unreachable(self.reactor.seconds(), False)
+                else:
+                    state.failed(self.reactor.seconds())
+                if failure.loss in (Loss.CLOSED, Loss.SILENT):
                     self.crashes.request_lost(state.server.name, _fingerprint(request))
                 search.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -5,6 +5,7 @@
 from twisted.python.failure import Failure
 
 from ebonybend.node.backend_connection import (
+    SILENT_AFTER_MS,
     AnswerNotReceived,
     BackendConnection,
     Loss,
@@ -23,7 +24,10 @@
 
     def __init__(self):
         self.freed = []
-        self.connection = BackendConnection(b"Request-Id", self.freed.append)
+        self.now = 0.0
+        self.connection = BackendConnection(
+            b"Request-Id", self.freed.append, lambda: self.now
+        )
         self.transport = StringTransport()
         self.transport.abortConnection = self.transport.loseConnection
         self.connection.makeConnection(self.transport)
@@ -147,3 +151,25 @@
         waiting.cancel()
         self.assertTrue(exchange.transport.disconnecting)
         self.assertEqual(Loss.ABORTED, exchange.results[0].value.loss)
+
+
+class SilenceTest(TestWithScenarios, TestCase):
+    """Guards against requests that wait on a server without power until their end."""
+
+    scenarios = [
+        ("nothing acknowledged", {"loss": Loss.SILENT}),
+        ("reset at once", {"after_s": 0.1, "loss": Loss.CLOSED}),
+        ("a part had arrived", {"received": OK, "loss": Loss.CLOSED}),
+        ("closed by the server", {"reason": DONE, "loss": Loss.CLOSED}),
+    ]
+    after_s = SILENT_AFTER_MS / 1000
+    received = b""
+    reason = RESET
+
+    def test_loss(self):
+        exchange = Exchange()
+        if self.received:
+            exchange.connection.dataReceived(self.received)
+        exchange.now = self.after_s
+        exchange.connection.connectionLost(self.reason)
+        self.assertEqual(self.loss, exchange.results[0].value.loss)
--- a/ebonybend/sockets.py
+++ b/ebonybend/sockets.py
@@ -18,11 +18,13 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
 
 
-def detect_silence(transport: Any) -> None:
+def detect_silence(
+    transport: Any, unacknowledged_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
+) -> None:
     """Let the kernel end a connection whose other side no longer answers."""
     handle = transport.getHandle()
     handle.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     handle.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     handle.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     handle.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    handle.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms)
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -9,8 +9,9 @@
 
 # Weight of a new answer in a moving average; about the last ten answers count.
 GAIN = 0.2
-# A reported load says less the older it is, and nothing after this time.
-LOAD_LIFETIME_S = 1.0
+# A reported load says less the older it is, and nothing after this time: about two warm
+# requests, by which what was counted has left.
+LOAD_LIFETIME_S = 0.4
 # Failures in a row after which a server is left out for a time.
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_S = 1.0
@@ -53,8 +54,11 @@
         return now < self.cold_until
 
     def is_ejected(self, now: float) -> bool:
-        """Tell whether the server is left out after failures."""
-        return now < self.ejected_until
+        """Tell whether the server is left out after failures.
+
+        After the pause one request at a time tries it, until an answer comes.
+        """
+        return now < self.ejected_until or (self.ejections > 0 and self.in_flight > 0)
 
     def report(self, running: int, waiting: int, now: float) -> None:
         """Take in the load that an answer reports."""
@@ -73,7 +77,7 @@
     def failed(self, now: float) -> None:
         """Take in a lost answer or an answer of failure."""
         self.failures += 1
-        if self.failures >= FAILURES_TO_EJECT:
+        if self.failures >= FAILURES_TO_EJECT or self.ejections > 0:
             self._eject(now, FIRST_EJECTION_S)
 
     def connected(self, seconds: float) -> None:
--- /dev/null
+++ b/ebonybend/steering/tests/test_server_state.py
@@ -0,0 +1,73 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from ebonybend.steering.server_state import (
+    FAILURES_TO_EJECT,
+    FIRST_EJECTION_S,
+    LOAD_LIFETIME_S,
+    ServerState,
+)
+from ebonybend.world import BackendServer
+
+SERVER = BackendServer("s1", "s", "a-1", "10.0.0.1:80", 4)
+
+
+class EjectionTest(TestWithScenarios, TestCase):
+    """Guards against callers that all wait for a server that no longer answers.
+
+    Load pattern: servers without power, and servers that fail in turns.
+    """
+
+    scenarios = [
+        ("new", {"steps": (), "ejected": False}),
+        ("one failure", {"steps": ("failed",), "ejected": False}),
+        ("failures", {"steps": ("failed",) * FAILURES_TO_EJECT, "ejected": True}),
+        ("silent", {"steps": ("silent",), "ejected": True}),
+        ("pause is over", {"steps": ("silent", "wait"), "ejected": False}),
+        ("one tries it", {"steps": ("silent", "wait", "send"), "ejected": True}),
+        (
+            "trial fails",
+            {"steps": ("silent", "wait", "send", "failed", "end"), "ejected": True},
+        ),
+        (
+            "trial is answered",
+            {"steps": ("silent", "wait", "send", "answered"), "ejected": False},
+        ),
+    ]
+
+    def test_ejected(self):
+        state = ServerState(SERVER)
+        now = 0.0
+        for step in self.steps:
+            match step:
+                case "failed":
+                    state.failed(now)
+                case "silent":
+                    state.unreachable(now, False)
+                case "wait":
+                    now += FIRST_EJECTION_S
+                case "send":
+                    state.in_flight += 1
+                case "end":
+                    state.in_flight -= 1
+                case "answered":
+                    state.succeeded(0.1)
+        self.assertEqual(self.ejected, state.is_ejected(now))
+
+
+class LoadTest(TestWithScenarios, TestCase):
+    """Guards against refusals for requests that have long left a server.
+
+    Load pattern: a burst on all servers, of which each node hears by turns.
+    """
+
+    scenarios = [
+        ("just reported", {"age_s": 0.0, "load": 9.0}),
+        ("half as old", {"age_s": LOAD_LIFETIME_S / 2, "load": 5.0}),
+        ("old", {"age_s": LOAD_LIFETIME_S, "load": 1.0}),
+    ]
+
+    def test_load(self):
+        state = ServerState(SERVER, in_flight=1)
+        state.report(running=4, waiting=5, now=10.0)
+        self.assertAlmostEqual(self.load, state.load(10.0 + self.age_s))
