--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.logs import get_logger
 from ebonybend.node.backend_connection import (
     AnswerNotReceived,
     BackendAnswer,
@@ -109,7 +110,7 @@
             except Unreachable as failure:
                 search.unreachable += 1
                 if failure.at_fault:
-                    state.unreachable(self.reactor.seconds(), failure.refused)
+                    self._unreachable(state, failure.refused, str(failure))
                 if failure.refused:
                     self.crashes.connection_refused(state.server.name)
                 search.error = SteeringError(
@@ -118,9 +119,9 @@
                 continue
             except AnswerNotReceived as failure:
                 if failure.loss is Loss.SILENT:
-                    state.unreachable(self.reactor.seconds(), False)
+                    self._unreachable(state, False, str(failure))
                 else:
-                    state.failed(self.reactor.seconds())
+                    self._failed(state, str(failure))
                 if failure.loss in (Loss.CLOSED, Loss.SILENT):
                     self.crashes.request_lost(state.server.name, _fingerprint(request))
                 search.error = SteeringError(
@@ -136,6 +137,25 @@
             if answer.status < FAILURE_STATUS or not request.route.idempotent:
                 return answer
 
+    def _failed(self, state: ServerState, reason: str) -> None:
+        before = state.ejected_until
+        state.failed(self._now())
+        self._log_ejection(state, before, reason)
+
+    def _unreachable(self, state: ServerState, refused: bool, reason: str) -> None:
+        before = state.ejected_until
+        state.unreachable(self._now(), refused)
+        self._log_ejection(state, before, reason)
+
+    def _log_ejection(self, state: ServerState, before: float, reason: str) -> None:
+        if state.ejected_until != before:
+            get_logger().info(
+                "server_left_out",
+                server=state.server.name,
+                seconds=round(state.ejected_until - self._now(), 2),
+                reason=reason,
+            )
+
     def _refuse_suspect(self, request: CallerRequest) -> None:
         """Refuse a request that crashed several servers."""
         if not self.crashes.has_suspects():
@@ -229,9 +249,8 @@
             answer = await self._await_answer(
                 connection.send(request.method, request.request_id, data), request
             )
-        except SteeringError:
-            # No answer in time.
-            state.failed(self.reactor.seconds())
+        except SteeringError as error:
+            self._failed(state, error.message)
             raise
         finally:
             state.in_flight -= 1
@@ -254,7 +273,7 @@
         if self.wire.states_not_run(answer.status, answer.headers):
             return
         if answer.status >= FAILURE_STATUS:
-            state.failed(now)
+            self._failed(state, f"answered {answer.status}")
         else:
             seconds = max(now - started - (state.round_trip_s or 0.0), 0.001)
             state.succeeded(seconds)
