Count servers that come and go as lost once

Cause (found in reading): a server that is tried by one request after a failure is left out while the request runs, so its region lost and regained its slots with each trial, and each loss let shares move at once, beyond the bound on requests that change region. Change: slots count as regained after 4 s. The new case of test_regions fails before. Also: the tests' beats are made in one place, and the update of shares in three steps.

--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -42,6 +42,7 @@
         self.clock = clock
         self.meters: dict[str, DemandMeter] = {}
         self.shares: dict[str, RegionShares] = {}
+        # Slots of the own region by service.
         self.slots: dict[str, LostSlots] = {}
         # Shares of before the start, in use until requests come.
         self.restored: dict[str, dict[str, float]] = {}
@@ -84,22 +85,36 @@
         now = self.clock()
         demands = self._demands(now)
         used, self.used = self.used, set()
+        for service in used:
+            self.restored.pop(service, None)
         for service in self.table.by_service:
-            capacity = capacity_by_region(self.table, service, now)
-            demand = demands.get(service, {})
-            if not any(demand.values()):
-                demand = even_demand(self.all_regions(), capacity)
-            target = target_shares(self.region, demand, capacity)
-            shares = self.shares.setdefault(service, RegionShares(self.region))
-            if service in used:
-                self.restored.pop(service, None)
+            # Shares that were restored are those by which objects are warm, so they
+            # are kept like those of a service in use.
             in_use = service in used or service in self.restored
-            if service in self.restored:
-                target = self.restored[service]
-            slots = slots_in(self.table, service, self.region, now)
-            lost_part = self.slots.setdefault(service, LostSlots()).update(slots)
-            shares.follow(target, capacity, self.shift_most(), now, in_use, lost_part)
-            self._log(service, shares.shares, demands.get(service, {}), capacity)
+            self._follow(service, demands.get(service, {}), in_use, now)
+
+    def _follow(
+        self, service: str, demand: Mapping[str, float], in_use: bool, now: float
+    ) -> None:
+        """Let the shares of one service follow its demand."""
+        capacity = capacity_by_region(self.table, service, now)
+        target = self._target(service, demand, capacity)
+        slots = slots_in(self.table, service, self.region, now)
+        lost_part = self.slots.setdefault(service, LostSlots()).update(slots, now)
+        shares = self.shares.setdefault(service, RegionShares(self.region))
+        shares.follow(target, capacity, self.shift_most(), now, in_use, lost_part)
+        self._log(service, shares.shares, demand, capacity)
+
+    def _target(
+        self, service: str, demand: Mapping[str, float], capacity: Mapping[str, float]
+    ) -> Mapping[str, float]:
+        """Return the shares to go to."""
+        restored = self.restored.get(service)
+        if restored is not None:
+            return restored
+        if not any(demand.values()):
+            demand = even_demand(self.all_regions(), capacity)
+        return target_shares(self.region, demand, capacity)
 
     def _log(
         self,
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -7,9 +7,10 @@
 
 from ebonybend.codec import to_json
 from ebonybend.node.followed import FollowedState
-from ebonybend.node.members import Beat, Member, Members
+from ebonybend.node.members import Member, Members
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings, SharedBounds
+from ebonybend.node.tests.beat_double import beat
 from ebonybend.platform.documents import PlatformDocuments
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
@@ -84,19 +85,7 @@
             self.run(0.01)
 
     def beat(self, followed_s):
-        self.followed.compare(
-            Beat(
-                name="n2",
-                incarnation=1,
-                count=1,
-                ready=True,
-                newest={},
-                followed_s=followed_s,
-                demand={},
-                suspects=(),
-                member=OTHER,
-            )
-        )
+        self.followed.compare(beat(OTHER, followed_s=followed_s))
 
 
 class CountedDocuments(PlatformDocuments):
--- a/ebonybend/node/tests/test_kept_state.py
+++ b/ebonybend/node/tests/test_kept_state.py
@@ -8,7 +8,8 @@
 from ebonybend.codec import to_json
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.kept_state import MOST_AGE_S, StateKeeper
-from ebonybend.node.members import Beat, Member, Members
+from ebonybend.node.members import Member, Members
+from ebonybend.node.tests.beat_double import beat
 from ebonybend.platform.documents import PlatformDocuments
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
@@ -122,17 +123,7 @@
         node = Node(store, self.own)
         other = FIRST if self.own is SECOND else SECOND
         node.members.take_beat(
-            Beat(
-                name=other.name,
-                incarnation=1,
-                count=1,
-                ready=True,
-                newest={},
-                followed_s=1.0,
-                demand={},
-                suspects=(),
-                member=other,
-            ),
+            beat(other),
             0.0,
         )
         if self.read:
--- a/ebonybend/node/tests/test_members.py
+++ b/ebonybend/node/tests/test_members.py
@@ -1,4 +1,3 @@
-from attrs import evolve
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
@@ -8,10 +7,10 @@
     MOST_FAR,
     MOST_NEAR,
     SILENT_AFTER_S,
-    Beat,
     Member,
     Members,
 )
+from ebonybend.node.tests.beat_double import beat
 
 # Budget of the two-year target for a node's control traffic, in bytes a second.
 CONTROL_BYTES_PER_S = 11_000
@@ -30,21 +29,6 @@
     return found
 
 
-def beat(sender, **changes):
-    base = Beat(
-        name=sender.name,
-        incarnation=1,
-        count=1,
-        ready=True,
-        newest={},
-        followed_s=1.0,
-        demand={},
-        suspects=(),
-        member=sender,
-    )
-    return evolve(base, **changes)
-
-
 class TurnsTest(TestWithScenarios, TestCase):
     """Guards against traffic between nodes that grows with their number squared."""
 
--- a/ebonybend/steering/regions.py
+++ b/ebonybend/steering/regions.py
@@ -18,6 +18,9 @@
 SHIFT_WINDOW_S = 2.0
 # Shares below this are not worth a cold object.
 LEAST_SHARE = 0.02
+# Servers that are back for this time count as regained; a server that is tried after a
+# failure is left out for 1 s to 8 s again if it fails.
+REGAINED_AFTER_S = 4.0
 HASH_SPAN = float(1 << 64)
 
 
@@ -120,14 +123,25 @@
 
 @define
 class LostSlots:
-    """Tell when a region loses servers."""
+    """Tell when a region loses servers; one that comes and goes is lost once."""
 
+    # Slots that the region is counted to have.
     slots: int = 0
+    # Time since which it has more; None if it hasn't.
+    more_since: float | None = None
 
-    def update(self, slots: int) -> float:
+    def update(self, slots: int, now: float) -> float:
         """Take in the slots that can be used now; return the part that was lost."""
-        before, self.slots = self.slots, slots
-        return max(1.0 - slots / before, 0.0) if before else 0.0
+        if slots <= self.slots:
+            before, self.slots = self.slots, slots
+            self.more_since = None
+            return 1.0 - slots / before if before else 0.0
+        if self.more_since is None:
+            self.more_since = now
+        if self.slots == 0 or now - self.more_since >= REGAINED_AFTER_S:
+            self.slots = slots
+            self.more_since = None
+        return 0.0
 
 
 @define
--- a/ebonybend/steering/tests/test_regions.py
+++ b/ebonybend/steering/tests/test_regions.py
@@ -118,17 +118,24 @@
     """Guards against a region that keeps the callers of servers that it lost."""
 
     scenarios = [
-        ("first count", {"counts": [10], "lost": 0.0}),
-        ("half is lost", {"counts": [10, 5], "lost": 0.5}),
-        ("told once", {"counts": [10, 5, 5], "lost": 0.0}),
-        ("servers return", {"counts": [5, 10], "lost": 0.0}),
-        ("all are lost", {"counts": [10, 0], "lost": 1.0}),
+        ("first count", {"counts": [10], "lost": [0.0]}),
+        ("half is lost", {"counts": [10, 5], "lost": [0.0, 0.5]}),
+        ("told once", {"counts": [10, 5, 5], "lost": [0.0, 0.5, 0.0]}),
+        ("servers return", {"counts": [5, 10], "lost": [0.0, 0.0]}),
+        ("all are lost", {"counts": [10, 0], "lost": [0.0, 1.0]}),
+        (
+            "one comes and goes",
+            {"counts": [10, 5, 10, 5, 10, 5], "lost": [0.0, 0.5, 0.0, 0.0, 0.0, 0.0]},
+        ),
+        (
+            "lost again after it was back",
+            {"counts": [10, 5, 10, 10, 10, 10, 10, 5], "lost": [0, 0.5, *[0] * 5, 0.5]},
+        ),
     ]
 
     def test_lost(self):
         slots = LostSlots()
-        for count in self.counts:
-            lost = slots.update(count)
+        lost = [slots.update(count, now * 1.0) for now, count in enumerate(self.counts)]
         self.assertEqual(self.lost, lost)
 
 
