Take in the beats of a node that started with an earlier clock

Cause (found in reading): incarnations are wall times, so a node that was killed and started after its clock had been set back was ignored by all others and named by none of their directories. Change: a beat of another incarnation counts once the known one has been silent for 1 s, longer than a datagram is under way. The new test fails before. Ruled out: taking the incarnation from the store, which may be away at the start.

--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -18,6 +18,8 @@
 # sends 10 KB/s at the most.
 MOST_NEAR = 18
 MOST_FAR = 4
+# A datagram of an earlier process arrives at most this late: several round trips.
+DATAGRAM_LIFETIME_S = 1.0
 # A node that was never heard is given this time after its entry was seen.
 FIRST_WORD_S = 3.0
 
@@ -85,8 +87,7 @@
     def take_beat(self, beat: Beat, now: float) -> bool:
         """Take in a beat; return False for one that is older than a known one."""
         known = self.beats.get(beat.name)
-        order = (beat.incarnation, beat.count)
-        if known is not None and order <= (known.incarnation, known.count):
+        if known is not None and not self._is_newer(beat, known, now):
             return False
         if known is None or known.member != beat.member:
             self.groups = None
@@ -94,6 +95,14 @@
         self.heard[beat.name] = now
         return True
 
+    def _is_newer(self, beat: Beat, known: Beat, now: float) -> bool:
+        order = (beat.incarnation, beat.count)
+        if order > (known.incarnation, known.count):
+            return True
+        # A node whose clock was set back before its start has a smaller incarnation.
+        is_other = beat.incarnation != known.incarnation
+        return is_other and now - self.heard[beat.name] > DATAGRAM_LIFETIME_S
+
     def _others(self) -> list[Member]:
         found = {beat.name: beat.member for beat in self.beats.values()}
         for name, member in self.listed.items():
--- a/ebonybend/node/tests/test_members.py
+++ b/ebonybend/node/tests/test_members.py
@@ -4,6 +4,7 @@
 from ebonybend.codec import pack
 from ebonybend.node.members import (
     BEAT_PERIOD_S,
+    DATAGRAM_LIFETIME_S,
     MOST_FAR,
     MOST_NEAR,
     SILENT_AFTER_S,
@@ -91,3 +92,12 @@
         found = members(7, 3)
         self.assertTrue(found.take_beat(beat(member(3, 3), count=2), 10.0))
         self.assertFalse(found.take_beat(beat(member(3, 3), count=1), 11.0))
+
+    def test_restart_after_the_clock_was_set_back(self):
+        found = members(7, 3)
+        other = member(3, 3)
+        found.take_beat(beat(other, incarnation=9000, count=5), 10.0)
+        late = beat(other, incarnation=5000, count=1)
+        self.assertFalse(found.take_beat(late, 10.0 + DATAGRAM_LIFETIME_S))
+        self.assertTrue(found.take_beat(late, 10.1 + DATAGRAM_LIFETIME_S))
+        self.assertIn(other, found.usable(12.0, True))
