Leave out a region that nothing reaches

At most half of a region's servers were left out, also when no connection came about to any, so requests for its objects waited on dead connections until the end. Ruled out: refusals (0 to 3 in 2 s). Change: servers that nothing reaches are left out however many they are, unless there are no others. Failing answers keep the bound of a half, since they also come from grey networks. The new test of placement fails before.

--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -182,7 +182,11 @@
 
 
 def without_ejected(states: list[ServerState], now: float) -> list[ServerState]:
-    """Leave ejected servers out, unless too many of a region's would be."""
+    """Leave ejected servers out, unless too many of a region's would be.
+
+    All servers of a region may be out of reach, if there are others.
+    """
+    states = [s for s in states if not s.is_unreachable(now)] or states
     by_region: dict[str, list[ServerState]] = {}
     for state in states:
         by_region.setdefault(state.server.region, []).append(state)
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -40,6 +40,8 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = float("-inf")
+    # Whether no connection came about when it was left out last.
+    unreached: bool = False
     cold_until: float = float("-inf")
     pacer: ColdPacer = field(factory=ColdPacer)
 
@@ -60,6 +62,10 @@
         """
         return now < self.ejected_until or (self.ejections > 0 and self.in_flight > 0)
 
+    def is_unreachable(self, now: float) -> bool:
+        """Tell whether the server is left out because nothing reaches it."""
+        return self.unreached and self.is_ejected(now)
+
     def report(self, running: int, waiting: int, now: float) -> None:
         """Take in the load that an answer reports."""
         self.others = max(running + waiting - self.in_flight, 0)
@@ -69,6 +75,7 @@
         """Take in a whole answer."""
         self.failures = 0
         self.ejections = 0
+        self.unreached = False
         if self.service_s is None:
             self.service_s = seconds
         else:
@@ -91,6 +98,7 @@
 
     def unreachable(self, now: float, refused: bool) -> None:
         """Take in that no connection came about."""
+        self.unreached = True
         self._eject(now, REFUSED_PAUSE_S if refused else FIRST_EJECTION_S)
 
     def _eject(self, now: float, first_s: float) -> None:
--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -7,6 +7,7 @@
     URGENT_FULL_AT,
     Placement,
     PlacementQuery,
+    capacity_by_region,
     rank,
 )
 from ebonybend.steering.server_state import ServerTable
@@ -223,6 +224,24 @@
         found = placement(server("far", region="montego"))
         self.assertEqual("far", found.choose(QUERY, 0.0).server.name)
 
+    def test_region_out_of_reach_gets_nothing(self):
+        """Load pattern: a region is cut off, and its servers fail one by one."""
+        near = [f"s{i}" for i in range(4)]
+        found = placement(*map(server, near), server("far", region="montego"))
+        for name in near:
+            found.table.states[name].unreachable(0.0, False)
+        self.assertEqual("far", found.choose(QUERY, 0.1).server.name)
+        self.assertEqual(
+            {"montego": SLOTS}, capacity_by_region(found.table, "history", 0.1)
+        )
+
+    def test_nothing_is_in_reach(self):
+        """Load pattern: the node itself is cut off, so no server is at fault."""
+        found = placement(server("s0"), server("s1"))
+        for state in found.table.states.values():
+            state.unreachable(0.0, False)
+        self.assertIsNotNone(found.choose(QUERY, 0.1))
+
     def test_an_idle_far_server_helps_a_full_region(self):
         found = placement(server("near"), server("far", region="montego"))
         found.table.states["near"].in_flight = SLOTS * 3
