--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -12,6 +12,7 @@
 from ebonybend.node.settings import NodeSettings, SharedBounds
 from ebonybend.node.tests.beat_double import beat
 from ebonybend.platform.documents import PlatformDocuments
+from ebonybend.platform.tests.server_entry import server_entry
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
 
@@ -33,12 +34,6 @@
 )
 
 
-def server(address):
-    info = {"Service": "s", "Zone": "a-1", "MaxConcurrency": 4}
-    status = {"State": "ready", "WarmupLeftMs": 0}
-    return {"Addr": address, "born": 1, "Info": info, "Status": status}
-
-
 class World:
     """A node that follows a store, without ports."""
 
@@ -48,8 +43,8 @@
         self.client = StoreClient(self.store)
         self.servers = ServerTable()
         self.put("config", "main", {"Version": 1})
-        self.put("servers", "s1", server("10.3.0.1:80"))
-        self.put("servers", "s2", server("10.3.0.2:80"))
+        self.put("servers", "s1", server_entry("10.3.0.1:80"))
+        self.put("servers", "s2", server_entry("10.3.0.2:80"))
         self.followed = FollowedState(
             self.client,
             PlatformDocuments(),
@@ -106,7 +101,7 @@
     def test_only_changed_entries_are_decoded(self):
         world = World()
         documents = world.followed.documents = CountedDocuments()
-        world.put("servers", "s2", server("10.3.0.9:80"))
+        world.put("servers", "s2", server_entry("10.3.0.9:80"))
         world.run(2.0)
         self.assertEqual(1, documents.decoded)
         self.assertEqual("10.3.0.9:80", world.servers.states["s2"].server.address)
@@ -131,7 +126,7 @@
     def test_return(self):
         world = World()
         world.client.down = True
-        world.put("servers", "s1", server("10.3.0.1:80"), deleted=True)
+        world.put("servers", "s1", server_entry("10.3.0.1:80"), deleted=True)
         world.cut(8.0)
         world.return_to_store()
         self.assertIn("s1", world.servers.states)
@@ -144,7 +139,7 @@
     def test_nothing_missing_is_used_once_the_node_counts_as_settled(self):
         world = World()
         world.client.down = True
-        world.put("servers", "s1", server("10.3.0.1:80"), deleted=True)
+        world.put("servers", "s1", server_entry("10.3.0.1:80"), deleted=True)
         world.cut(8.0)
         world.run(SETTLE_S)
         self.assertEqual(["s2"], list(world.servers.states))
