Read pipelined requests in time, bound answers, and keep what a stop has accepted

Answers of servers had no limit: one server could take all memory of a node. An answer without a request id was believed on a connection in use again. A second SIGTERM cut every request; connections waiting in the kernel were reset when a port closed. Routes of kind 'download' were treated as not idempotent.

Change: arrival times by position in the stream; the output of a connection ends after the last answer while its input is read and discarded for 1 s; a limit on heads, on one answer and on the memory of all answers; an answer without id is believed only as the first of a connection; a stop waits for requests that are being received, accepts the connections in the kernel's queue and ignores further SIGTERMs.

--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server with request limits, whose error answers all carry an ErrorKind."""
 
+from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from typing import Any, Protocol
@@ -17,6 +18,12 @@
 from ebonybend.logs import get_logger
 
 DEFAULT_RETRY_AFTER_MS = 100
+# Time for which a connection whose output has ended still reads and discards input. A
+# close with unread input would reset the connection, and the client could lose the
+# last answer.
+LINGER_S = 1.0
+# Time that a new connection has for its first request before it counts as idle.
+FIRST_REQUEST_S = 1.0
 
 
 @frozen
@@ -42,6 +49,9 @@
     query: Mapping[bytes, list[bytes]]
     body: bytes
     raw: Any
+    # Time at which the first byte arrived, on the reactor's clock. A pipelined request
+    # may be processed much later.
+    received_at: float | None = None
 
     def header(self, name: str) -> str | None:
         """Return a header's value, or None if it is missing."""
@@ -159,8 +169,8 @@
         super().handleContentChunk(data)
 
     def process(self) -> None:
-        self.channel.finish_receiving()
-        if self.channel.refused:
+        self.received_at = self.channel.finish_receiving()
+        if self.channel.ended:
             return
         self.client_disconnected = False
         self.notifyFinish().addErrback(self._handle_client_disconnect)
@@ -190,6 +200,7 @@
                 self.args,
                 self.content.read(),
                 self,
+                self.received_at,
             )
             answer = await site.handler(incoming)
         except SteeringError as error:
@@ -241,17 +252,51 @@
         self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
         if self.channel.site.closing:
             self.responseHeaders.setRawHeaders("Connection", ["close"])
+            self.channel.ends_after_answer = True
+
+
+class ArrivalTimes:
+    """When the bytes of a stream arrived."""
+
+    def __init__(self) -> None:
+        self.size = 0
+        # Size of the stream after each chunk, and the time at which it arrived.
+        self.chunks: deque[tuple[int, float]] = deque()
+
+    def record(self, size: int, now: float) -> None:
+        """Record a chunk."""
+        self.size += size
+        self.chunks.append((self.size, now))
+
+    def time_at(self, offset: int) -> float:
+        """Return when a byte arrived, and forget the chunks before it."""
+        while len(self.chunks) > 1 and self.chunks[0][0] <= offset:
+            self.chunks.popleft()
+        return self.chunks[0][1]
 
 
 class _Channel(HTTPChannel):
-    """A connection that limits the size and the receive time of each request."""
+    """A connection that limits the size and the receive time of each request.
+
+    Pipelined requests are handled one after the other.
+    """
 
-    refused = False
+    # Whether the last answer is written; later input is discarded.
+    ended = False
+    # Whether the next answer announces the end of the connection.
+    ends_after_answer = False
     receive_timer: Any = None
+    linger_timer: Any = None
     header_bytes = 0
+    # Position of the current request's first byte in the received stream.
+    request_offset = 0
+    # Whether buffered input is parsed, which was received before.
+    replaying = False
 
     def connectionMade(self) -> None:
         super().connectionMade()
+        self.arrivals = ArrivalTimes()
+        self.connected_at = self.site.reactor.seconds()
         self.site.connections += 1
         self.site.channels.add(self)
 
@@ -259,12 +304,17 @@
         self.site.connections -= 1
         self.site.channels.discard(self)
         self._stop_timer()
+        if self.linger_timer is not None and self.linger_timer.active():
+            self.linger_timer.cancel()
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.refused:
+        if self.ended:
             return
-        if self.receive_timer is None:
+        if not self.replaying:
+            self.arrivals.record(len(data), self.site.reactor.seconds())
+        # Input behind a request that is being handled isn't a request yet.
+        if self.receive_timer is None and not self._handlingRequest:
             self.receive_timer = self.site.reactor.callLater(
                 self.site.limits.receive_timeout_s, self._refuse_slow_client
             )
@@ -277,7 +327,13 @@
             timer.cancel()
         super().allHeadersReceived()
 
+    def rawDataReceived(self, data: bytes) -> None:
+        if not self.ended:
+            super().rawDataReceived(data)
+
     def lineReceived(self, line: bytes) -> None:
+        if self.ended:
+            return
         self.header_bytes += len(line)
         if self.header_bytes > self.site.limits.max_header_bytes:
             limit = self.site.limits.max_header_bytes
@@ -311,20 +367,54 @@
             self.receive_timer.cancel()
         self.receive_timer = None
 
-    def finish_receiving(self) -> None:
-        """End the receipt of a request: stop its timer and reset the header count."""
+    def finish_receiving(self) -> float:
+        """Prepare to receive the next request; return when this one began to arrive."""
         self._stop_timer()
         self.header_bytes = 0
+        received_at = self.arrivals.time_at(self.request_offset)
+        unparsed = len(self._buffer) + sum(map(len, self._dataBuffer))
+        self.request_offset = self.arrivals.size - unparsed
+        return received_at
+
+    def requestDone(self, request: Any) -> None:
+        """Continue with the next pipelined request, or end the connection."""
+        if self.ends_after_answer:
+            # The client sends the requests behind this answer again.
+            self._dataBuffer.clear()
+            self.requests.remove(request)
+            self.end_output()
+            return
+        was_replaying, self.replaying = self.replaying, True
+        try:
+            super().requestDone(request)
+        finally:
+            self.replaying = was_replaying
 
     def refuse(self, kind: ErrorKind, message: str) -> None:
         """Answer with an error kind and close the connection."""
-        if self.refused:
+        if self.ended:
             return
-        self.refused = True
         self._stop_timer()
         if self.transport is not None:
             self.transport.write(error_answer_bytes(kind, message))
-            self.transport.loseConnection()
+            self.end_output()
+
+    def end_output(self) -> None:
+        """Close the connection in the direction to the client; discard its input."""
+        self.ended = True
+        self._networkProducer.unregisterProducer()
+        self._networkProducer.resumeProducing()
+        self.transport.loseWriteConnection()
+        self.linger_timer = self.site.reactor.callLater(LINGER_S, self._end_linger)
+
+    def is_receiving(self) -> bool:
+        """Return whether a request is being received, or the first one is awaited."""
+        if self.ended or self.arrivals.size:
+            return not self.ended and self.receive_timer is not None
+        return self.site.reactor.seconds() - self.connected_at < FIRST_REQUEST_S
+
+    def _end_linger(self) -> None:
+        self.transport.abortConnection()
 
 
 class _RefusedConnection(ConnectionProtocol):
@@ -373,10 +463,14 @@
         channel.MAX_LENGTH = max(channel.MAX_LENGTH, self.limits.max_header_bytes)
         return channel
 
+    def unfinished(self) -> int:
+        """Return the number of requests that are being received or handled."""
+        return self.running + sum(channel.is_receiving() for channel in self.channels)
+
     def close_idle(self) -> None:
         """Close each connection that has no request in progress."""
         for channel in list(self.channels):
-            if not channel.requests and channel.receive_timer is None:
+            if not (channel.requests or channel.is_receiving() or channel.ended):
                 channel.loseConnection()
 
     def close_connections(self) -> None:
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -14,8 +14,12 @@
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 
+from ebonybend.node.answer_memory import AnswerMemory
+
 # Late answers to earlier requests that are skipped before the connection is closed.
 MAX_SKIPPED_ANSWERS = 2
+# Limit on the head of an answer, together with skipped and interim answers before it.
+MAX_HEAD_BYTES = 64 << 10
 # A request is lost if the server's kernel doesn't acknowledge it within this time: long
 # enough for three transmissions on the longest path, and below most client deadlines.
 ACK_TIMEOUT_MS = 1000
@@ -33,6 +37,8 @@
     UNACKNOWLEDGED = "silent"
     # The received bytes are not an answer to this request.
     MALFORMED = "garbled"
+    # The answer exceeds the limit on its head or on the memory of answers.
+    TOO_LARGE = "too large"
     # This node closed the connection.
     ABORTED = "aborted"
 
@@ -45,6 +51,10 @@
         self.loss = loss
 
 
+class _AnswerTooLarge(Exception):
+    """No more bytes of an answer may be stored."""
+
+
 @frozen
 class BackendAnswer:
     """A complete answer of a backend server."""
@@ -81,15 +91,22 @@
 class _BodyCollector(Protocol):
     """Collect the body of an answer."""
 
-    def __init__(self, on_end: Callable[[bytes, Failure], None]):
+    def __init__(
+        self,
+        reserve: Callable[[int], None],
+        on_end: Callable[[bytes, Failure], None],
+    ):
+        self.reserve = reserve
         self.on_end = on_end
-        self.chunks: list[bytes] = []
+        # One buffer, since a body may arrive in chunks of one byte.
+        self.body = bytearray()
 
     def dataReceived(self, data: bytes) -> None:
-        self.chunks.append(data)
+        self.reserve(len(data))
+        self.body += data
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.on_end(b"".join(self.chunks), reason)
+        self.on_end(bytes(self.body), reason)
 
 
 class BackendConnection(Protocol):
@@ -100,8 +117,14 @@
         request_id_header: bytes,
         on_idle: Callable[[Any], None],
         clock: Callable[[], float],
+        memory: AnswerMemory | None = None,
     ):
         self.request_id_header = request_id_header
+        self.memory = memory or AnswerMemory()
+        # Memory reserved for the answer to the current request.
+        self.reserved = 0
+        self.head_bytes = 0
+        self.is_head_complete = False
         self.clock = clock
         self.sent_at = 0.0
         # Whether any byte arrived since the request was sent.
@@ -133,6 +156,7 @@
         self.requests += 1
         self.sent_at = self.clock()
         self.has_received = False
+        self.head_bytes = 0
         self.waiting = Deferred(lambda _: self._fail(LossReason.ABORTED))
         self._expect_answer()
         self.transport.write(data)
@@ -149,6 +173,7 @@
         parser.makeConnection(_NoFlowControl())
         parser._responseDeferred.addCallbacks(self._on_head, lambda _: None)
         self.parser = parser
+        self.is_head_complete = False
         self.unparsed = b""
 
     def _on_parsed(self, unparsed: bytes) -> None:
@@ -159,6 +184,7 @@
 
     def _on_head(self, response: Any) -> None:
         parser = self.parser
+        self.is_head_complete = True
 
         def on_end(body: bytes, reason: Failure) -> None:
             answer = BackendAnswer(response.code, response.headers, body)
@@ -167,7 +193,19 @@
             elif reason.check(PotentialDataLoss):
                 self.unframed_answer = answer
 
-        response.deliverBody(_BodyCollector(on_end))
+        response.deliverBody(_BodyCollector(self._reserve, on_end))
+
+    def _reserve(self, size: int) -> None:
+        if not self.memory.try_reserve(self.reserved, size):
+            raise _AnswerTooLarge
+        self.reserved += size
+
+    def _end_request(self) -> Deferred[BackendAnswer] | None:
+        """Release the answer's memory; return the result that waits for the answer."""
+        self.memory.release(self.reserved)
+        self.reserved = 0
+        waiting, self.waiting = self.waiting, None
+        return waiting
 
     def dataReceived(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is waiting."""
@@ -181,10 +219,18 @@
         parser = self.parser
         try:
             parser.dataReceived(data)
+        except _AnswerTooLarge:
+            self._fail(LossReason.TOO_LARGE)
+            return
         except Exception:
             # The parser raises errors of several modules for malformed bytes.
             self._fail(LossReason.MALFORMED)
             return
+        if not self.is_head_complete:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                self._fail(LossReason.TOO_LARGE)
+                return
         if self.parser is not parser and self.waiting is not None and self.unparsed:
             unparsed, self.unparsed = self.unparsed, b""
             self._parse(unparsed)
@@ -194,6 +240,10 @@
         if self.waiting is None:
             return
         request_ids = answer.headers.getRawHeaders(self.request_id_header)
+        if request_ids is None and self.requests > 1:
+            # It may be a second answer to an earlier request.
+            self._fail(LossReason.MALFORMED)
+            return
         if request_ids is not None and request_ids != [self.request_id]:
             self.usable = False
             self.skipped_answers += 1
@@ -206,7 +256,7 @@
             return
         closes = _has_token(parser.connHeaders, b"close")
         self.keep_alive_s = _keep_alive_s(parser.connHeaders)
-        waiting, self.waiting = self.waiting, None
+        waiting = self._end_request()
         if closes or self.unparsed or not self.usable:
             self.close()
         else:
@@ -214,7 +264,7 @@
         waiting.callback(answer)
 
     def _fail(self, loss: LossReason) -> None:
-        waiting, self.waiting = self.waiting, None
+        waiting = self._end_request()
         self.close()
         if waiting is not None:
             waiting.errback(AnswerNotReceived(loss))
@@ -233,7 +283,7 @@
             and answer.headers.getRawHeaders(self.request_id_header)
             == [self.request_id]
         ):
-            waiting, self.waiting = self.waiting, None
+            waiting = self._end_request()
             waiting.callback(answer)
             return
         if self.waiting is not None:
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -12,6 +12,7 @@
 )
 from twisted.internet.protocol import Factory
 
+from ebonybend.node.answer_memory import AnswerMemory
 from ebonybend.node.backend_connection import ACK_TIMEOUT_MS, BackendConnection
 from ebonybend.sockets import enable_dead_peer_detection
 from ebonybend.world import BackendServer
@@ -52,9 +53,15 @@
 class BackendPool:
     """Idle connections by server; the most recently used is acquired first."""
 
-    def __init__(self, reactor: Any, request_id_header: bytes):
+    def __init__(
+        self,
+        reactor: Any,
+        request_id_header: bytes,
+        memory: AnswerMemory | None = None,
+    ):
         self.reactor = reactor
         self.request_id_header = request_id_header
+        self.memory = memory or AnswerMemory()
         self.idle: dict[ProcessKey, list[BackendConnection]] = {}
         self.connections_opened = 0
 
@@ -82,6 +89,7 @@
             self.request_id_header,
             self._release_callback(process_key(server)),
             self.reactor.seconds,
+            self.memory,
         )
         connecting: Deferred[BackendConnection] = endpoint.connect(factory)
         try:
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -49,7 +49,8 @@
 
     async def handle(self, incoming: IncomingRequest) -> OutgoingAnswer:
         """Answer one request."""
-        arrived_at = self.clock()
+        received_at = incoming.received_at
+        arrived_at = self.clock() if received_at is None else received_at
         client_headers = self.wire.read_client_headers(incoming.raw.requestHeaders)
         request: ClientRequest | None = None
         try:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -12,6 +12,7 @@
 from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.listening import listen
 from ebonybend.logs import NonBlockingLogFile, get_logger
+from ebonybend.node.answer_memory import answer_memory
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import HeartbeatProtocol
 from ebonybend.node.callers import ClientPort
@@ -74,7 +75,9 @@
         self.metrics = NodeMetrics()
         self.routing = RoutingState()
         self.servers = ServerTable()
-        self.pool = BackendPool(reactor, wire.request_id_header)
+        self.pool = BackendPool(
+            reactor, wire.request_id_header, answer_memory(settings.memory_mb)
+        )
         self.request_log = RequestLog(reactor.seconds, log_file)
         self.own = Member(
             settings.name,
@@ -119,7 +122,7 @@
             settings.bounds.grace_s,
             self.announce_stop,
             self.close_ports,
-            lambda: self.client_site.running,
+            lambda: self.client_site.unfinished(),
             self.shut_down,
         )
 
@@ -259,8 +262,8 @@
             port, self.heartbeats, interface=host
         )
         loop = get_event_loop()
-        for number in (SIGTERM, SIGINT):
-            loop.add_signal_handler(number, self.stop.begin)
+        loop.add_signal_handler(SIGTERM, self.stop.begin)
+        loop.add_signal_handler(SIGINT, self.stop.begin_or_abort)
         loop.add_signal_handler(SIGHUP, self.on_reload)
         self.watched_state.start()
         entry = OwnEntryWriter(self.store, self.documents, self.own, self.random)
@@ -306,7 +309,10 @@
     def close_ports(self) -> None:
         """Close the client and directory ports, and the idle client connections."""
         for address in (self.settings.callers_address, self.settings.directory_address):
-            self.ports[address].stopListening()
+            port = self.ports[address]
+            # Accepts the waiting connections, which the close would reset.
+            port.doRead()
+            port.stopListening()
         self.client_site.close_idle()
 
     def shut_down(self) -> None:
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -25,25 +25,33 @@
         grace_s: float,
         announce: Callable[[], None],
         close_ports: Callable[[], None],
-        running: Callable[[], int],
+        unfinished: Callable[[], int],
         shut_down: Callable[[], None],
     ):
         self.reactor = reactor
         self.grace_s = grace_s
         self.announce = announce
         self.close_ports = close_ports
-        self.running = running
+        self.unfinished = unfinished
         self.shut_down = shut_down
         self.stopping = False
 
-    def begin(self) -> None:
+    def begin_or_abort(self) -> None:
         """Start the stop; a second call exits at once."""
         if self.stopping:
-            get_logger().warning("immediate_stop", running=self.running())
+            get_logger().warning("immediate_stop", running=self.unfinished())
             self.shut_down()
             return
+        self.begin()
+
+    def begin(self) -> None:
+        """Start the stop unless it has begun."""
+        if self.stopping:
+            return
         self.stopping = True
-        get_logger().info("stop_begins", running=self.running(), grace_s=self.grace_s)
+        get_logger().info(
+            "stop_begins", running=self.unfinished(), grace_s=self.grace_s
+        )
         self.announce()
         Deferred.fromCoroutine(self._run()).addErrback(self._on_failure)
 
@@ -56,7 +64,7 @@
         await deferLater(self.reactor, self.grace_s * SERVING_FRACTION)
         self.close_ports()
         until = started + self.grace_s - END_MARGIN_S
-        while self.running() and self.reactor.seconds() < until:
+        while self.unfinished() and self.reactor.seconds() < until:
             await deferLater(self.reactor, POLL_INTERVAL_S)
         # Time for the sockets to send the last answers.
         await deferLater(self.reactor, POLL_INTERVAL_S)
--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -4,8 +4,10 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from ebonybend.node.answer_memory import AnswerMemory
 from ebonybend.node.backend_connection import (
     ACK_TIMEOUT_MS,
+    MAX_HEAD_BYTES,
     AnswerNotReceived,
     BackendConnection,
     LossReason,
@@ -22,11 +24,11 @@
 class Exchange:
     """A connection with one request in flight."""
 
-    def __init__(self):
+    def __init__(self, memory=None):
         self.idle = []
         self.now = 0.0
         self.connection = BackendConnection(
-            b"Request-Id", self.idle.append, lambda: self.now
+            b"Request-Id", self.idle.append, lambda: self.now, memory
         )
         self.transport = StringTransport()
         self.transport.abortConnection = self.transport.loseConnection
@@ -160,6 +162,129 @@
         self.assertEqual(LossReason.ABORTED, exchange.results[0].value.loss)
 
 
+NO_ID = OK + b"Content-Length: 4\r\n\r\nnone"
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class SecondAnswerTest(TestWithScenarios, TestCase):
+    """Guards against a second answer, sent late, that answers the next request."""
+
+    scenarios = [
+        ("the earlier id", {"parts": [COMPLETE, OTHER], "body": b"other"}),
+        (
+            "the earlier id, in pieces around the answer",
+            {"parts": [COMPLETE[:20], COMPLETE[20:] + OTHER], "body": b"other"},
+        ),
+        (
+            "the earlier id, without length",
+            {
+                "parts": [OK + ID + b"\r\nwhole", DONE],
+                "loss": LossReason.CLOSED,
+            },
+        ),
+        ("no id", {"parts": [NO_ID, OTHER], "loss": LossReason.MALFORMED}),
+        ("no id, not run", {"parts": [NOT_RUN, OTHER], "loss": LossReason.MALFORMED}),
+        (
+            "no id, without length",
+            {"parts": [OK + b"\r\nwhole", DONE], "loss": LossReason.CLOSED},
+        ),
+    ]
+    body = None
+    loss = None
+
+    def test_next_request_gets_its_own_answer(self):
+        exchange = Exchange()
+        exchange.connection.dataReceived(COMPLETE)
+        exchange.send(b"b2")
+        for part in self.parts:
+            if isinstance(part, Failure):
+                exchange.connection.connectionLost(part)
+            else:
+                exchange.connection.dataReceived(part)
+        self.assertEqual(2, len(exchange.results))
+        if self.loss is None:
+            self.assertEqual(self.body, exchange.results[1].body)
+        else:
+            self.assertEqual(self.loss, exchange.results[1].value.loss)
+        self.assertFalse(exchange.connection.usable)
+
+    def test_first_answer_of_a_connection_needs_no_id(self):
+        exchange = Exchange()
+        exchange.connection.dataReceived(NOT_RUN)
+        self.assertEqual(503, exchange.results[0].status)
+
+
+MEMORY_BYTES = 200_000
+PIECE = 1000
+
+
+class EndlessAnswerTest(TestWithScenarios, TestCase):
+    """Guards against answers that take memory until the process is killed."""
+
+    scenarios = [
+        ("one line", {"head": OK + b"X: ", "piece": b"x" * PIECE}),
+        ("lines", {"head": OK, "piece": b"X: y\r\n" * (PIECE // 6)}),
+        ("status line", {"head": b"HTTP/1.1 200 ", "piece": b"x" * PIECE}),
+        (
+            "interim answers",
+            {"head": b"", "piece": b"HTTP/1.1 100 Continue\r\n\r\n" * (PIECE // 25)},
+        ),
+        (
+            "chunks",
+            {
+                "head": OK + ID + b"Transfer-Encoding: chunked\r\n\r\n",
+                "piece": b"3e8\r\n" + b"x" * PIECE + b"\r\n",
+            },
+        ),
+        (
+            "chunks of one byte",
+            {
+                "head": OK + ID + b"Transfer-Encoding: chunked\r\n\r\n",
+                "piece": b"1\r\nx\r\n" * (PIECE // 6),
+            },
+        ),
+        ("no length", {"head": OK + ID + b"\r\n", "piece": b"x" * PIECE}),
+        (
+            "a length over the limit",
+            {
+                "head": OK + ID + b"Content-Length: 99999999\r\n\r\n",
+                "piece": b"x" * PIECE,
+            },
+        ),
+        (
+            "an answer to another request",
+            {
+                "head": OK + b"Request-Id: b2\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "piece": b"3e8\r\n" + b"x" * PIECE + b"\r\n",
+            },
+        ),
+    ]
+
+    def test_connection_is_closed_within_the_limit(self):
+        memory = AnswerMemory(MEMORY_BYTES)
+        exchange = Exchange(memory)
+        exchange.connection.dataReceived(self.head)
+        most_bytes = 6 * MEMORY_BYTES + MAX_HEAD_BYTES
+        sent = 0
+        while not exchange.results and sent < most_bytes:
+            exchange.connection.dataReceived(self.piece)
+            sent += len(self.piece)
+        self.assertEqual(1, len(exchange.results), f"open after {sent} bytes")
+        self.assertEqual(LossReason.TOO_LARGE, exchange.results[0].value.loss)
+        self.assertTrue(exchange.transport.disconnecting)
+        self.assertEqual(0, memory.reserved)
+
+    def test_other_answers_keep_their_memory(self):
+        memory = AnswerMemory(MEMORY_BYTES)
+        endless, other = Exchange(memory), Exchange(memory)
+        endless.connection.dataReceived(self.head)
+        while not endless.results:
+            endless.connection.dataReceived(self.piece)
+        other.connection.dataReceived(COMPLETE)
+        self.assertEqual(b"whole", other.results[0].body)
+        self.assertEqual(0, memory.reserved)
+
+
 class UnacknowledgedTest(TestWithScenarios, TestCase):
     """Guards against requests that wait until the deadline for a dead server."""
 
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -26,7 +26,8 @@
 CHECKPOINT_KIND = "ebonybend-kept"
 
 MS_PER_S = 1000.0
-IDEMPOTENT_KIND = "safe"
+# Downloads have large answers; repeating one is as harmless as for other reads.
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 LIFE_STATES = {"ready": LifeState.LIVE, "draining": LifeState.LEAVING}
 
 
@@ -133,7 +134,7 @@
         name=path.Name,
         host=host.lower(),
         prefix=path.PathPrefix,
-        idempotent=path.Kind == IDEMPOTENT_KIND,
+        idempotent=path.Kind in IDEMPOTENT_KINDS,
         parts=parts or (RoutePart(path.Service, 1.0),),
         max_sends=max(path.MaxAttempts, 1),
         timeout_s=path.TimeoutMs / MS_PER_S,
--- a/ebonybend/tests/test_http_server.py
+++ b/ebonybend/tests/test_http_server.py
@@ -34,6 +34,7 @@
         protocol = self.site.buildProtocol(None)
         transport = StringTransport()
         transport.abortConnection = transport.loseConnection
+        transport.loseWriteConnection = transport.loseConnection
         protocol.makeConnection(transport)
         return protocol, transport
 
