Read the store's changes from two nodes of each region

Watches of 25 s outlived the 20 s history of the store, so that each ended in a 410 and a new list.

Change: the two nodes of a region that rank first watch the store and serve what they read to the others, who compare versions with those in pulses over UDP and read the changes over HTTP. A pulse is sent only after the store has answered, so that a relay that is cut off delays a change by at most 1.3 s; a node without two relays watches the store itself. A node that does not reach the store reads from any relay. A lagging watch is asked again at once in place of a new list. Regions below five nodes have no relays.

Ruled out: long polls between nodes (a paused relay answers nothing and is not noticed), stale watches of the store (seconds old, bounds are 2.5 s).

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -13,20 +13,20 @@
 from ebonybend.steering.lapsed import ExpiredServers
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.store.client import ObjectStore, StoredObject
-from ebonybend.store.watcher import Watcher
+from ebonybend.store.watcher import OnChange, Watcher
 from ebonybend.world import BackendServer
 
 # Added to the retention time of expired servers before the list is evaluated again.
 EXPIRY_MARGIN_S = 0.05
 # Index of the servers' watcher.
 SERVERS_INDEX = 1
-# Changes within this time of one another are read in one call.
-BATCH_DELAY_S = 0.4
-# The same for the list of nodes, whose changes heartbeats report sooner.
-MEMBERS_BATCH_DELAY_S = 1.0
 # Long, because each answer without a change costs a call; a dead watch is detected by
 # keep-alive probes and by other nodes' heartbeats.
-WATCH_TIMEOUT_MS = 25_000
+MAX_WATCH_S = 25.0
+# Fraction of the store's history after which a watch ends, so that the next one resumes
+# from a version that the store still has.
+HISTORY_FRACTION = 0.8
+MS_PER_S = 1000
 # Bounds the delay until a recovered store is noticed; changes must take effect within
 # 2.5 s.
 MAX_BACKOFF_S = 0.8
@@ -51,6 +51,8 @@
         settings: Callable[[], NodeSettings],
         on_routing: Callable[[], None],
         on_server_list: Callable[[Mapping[str, BackendServer]], None],
+        on_change: Callable[[], None] = _do_nothing,
+        is_following: Callable[[], bool] = lambda: False,
     ):
         self.documents = documents
         self.reactor = reactor
@@ -60,44 +62,43 @@
         self.settings = settings
         self.on_routing = on_routing
         self.on_server_list = on_server_list
+        # Called after each change that was read.
+        self.on_change = on_change
+        # Returns whether changes are read from relays and not from the store.
+        self.is_following = is_following
         self.expired_servers = ExpiredServers()
         self.lag_detector = LagDetector()
         # Version of each server's entry, and the decoded server.
         self.decoded_servers: dict[str, tuple[int, BackendServer | None]] = {}
+        watch_s = min(MAX_WATCH_S, HISTORY_FRACTION * settings().store_history_s)
         self.watchers = [
             Watcher(
                 store,
                 kind,
                 reactor,
                 random,
-                on_change,
-                batch_delay_s,
+                self._notifying(apply),
                 MAX_BACKOFF_S,
-                WATCH_TIMEOUT_MS,
+                int(watch_s * MS_PER_S),
                 on_recovery,
             )
-            for kind, on_change, batch_delay_s, on_recovery in (
-                (documents.config_kind, self.on_config, BATCH_DELAY_S, _do_nothing),
-                (
-                    documents.servers_kind,
-                    self.on_servers,
-                    BATCH_DELAY_S,
-                    self.on_recovery,
-                ),
-                (
-                    documents.evacuations_kind,
-                    self.on_evacuations,
-                    BATCH_DELAY_S,
-                    _do_nothing,
-                ),
-                (
-                    documents.members_kind,
-                    self.on_members,
-                    MEMBERS_BATCH_DELAY_S,
-                    _do_nothing,
-                ),
+            for kind, apply, on_recovery in (
+                (documents.config_kind, self.on_config, _do_nothing),
+                (documents.servers_kind, self.on_servers, self.on_recovery),
+                (documents.evacuations_kind, self.on_evacuations, _do_nothing),
+                (documents.members_kind, self.on_members, _do_nothing),
             )
         ]
+        self.watchers_by_kind = {watcher.kind: watcher for watcher in self.watchers}
+
+    def _notifying(self, apply: OnChange) -> OnChange:
+        def apply_and_notify(
+            kind: str, version: int, objects: Mapping[str, StoredObject]
+        ) -> None:
+            apply(kind, version, objects)
+            self.on_change()
+
+        return apply_and_notify
 
     def start(self) -> None:
         """Watch the store until stopped."""
@@ -122,9 +123,22 @@
         return {watcher.kind: watcher.newest_version for watcher in self.watchers}
 
     def store_contact_s(self) -> float:
-        """Return for how long the watch on servers has been answered; 0 if it fails."""
+        """Return for how long the store has answered the watch on servers.
+
+        It is 0 if the watch fails or if changes are read from relays.
+        """
         since = self.watchers[SERVERS_INDEX].available_since
-        return 0.0 if since is None else self.reactor.seconds() - since
+        if since is None or self.is_following():
+            return 0.0
+        return self.reactor.seconds() - since
+
+    def versions_to_relay(self) -> dict[str, int] | None:
+        """Return the versions read from the store; None if this node is no relay."""
+        if not self.is_synchronised() or self.is_following():
+            return None
+        versions = {w.kind: w.version for w in self.watchers if not w.failing}
+        known = {kind: v for kind, v in versions.items() if v is not None}
+        return known if len(known) == len(self.watchers) else None
 
     def apply_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
         """Compare the versions known here with those in a heartbeat.
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -9,6 +9,7 @@
 
 from ebonybend.addresses import split_address
 from ebonybend.errors import SteeringError
+from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.listening import listen
 from ebonybend.logs import NonBlockingLogFile, get_logger
@@ -25,22 +26,33 @@
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.ports import Directory, metrics_router, readiness_router
+from ebonybend.node.relaying import (
+    PING_TIMEOUT_S,
+    NodeStore,
+    PulseProtocol,
+    RelayClient,
+    RelayedStore,
+    relay_address,
+    relay_router,
+)
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.placement import Placement
+from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
-from ebonybend.store.client import ObjectStore
 from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks
 from ebonybend.world import BackendServer
 
 MS_PER_S = 1000
 CLEANUP_PERIOD_S = 1.0
+# Changes within this time of one another are read from the store in one call.
+BATCH_DELAY_S = 0.4
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
 # Descriptors reserved for the store, other nodes, files and backend servers.
@@ -56,7 +68,7 @@
         self,
         reactor: Any,
         settings: NodeSettings,
-        store: ObjectStore,
+        store: NodeStore,
         wire: WireFormat,
         documents: Documents,
         metrics_port: int,
@@ -91,8 +103,16 @@
         self.heartbeat_count = 0
         self.crash_detector = CrashDetector(ReactorClock(reactor))
         self.forwarder = self._build_forwarder()
-        self.watched_state = WatchedState(
+        self.relays = Relays(settings.name)
+        self.relayed_store = RelayedStore(
             store,
+            self.relays,
+            RelayClient(HttpClient(reactor, detect_dead_peers=True)).fetch,
+            reactor,
+            BATCH_DELAY_S,
+        )
+        self.watched_state = WatchedState(
+            self.relayed_store,
             documents,
             reactor,
             self.random,
@@ -102,6 +122,17 @@
             lambda: self.settings,
             self.on_routing,
             self.on_servers,
+            lambda: self.pulses.send(),
+            self.relayed_store.is_following,
+        )
+        self.pulses = PulseProtocol(
+            self.members,
+            self.relays,
+            relay_address(self.own.peer_address),
+            self.versions_to_relay,
+            self.ping_store,
+            reactor.seconds,
+            self.relayed_store.wake,
         )
         self.checkpoints = CheckpointManager(
             store,
@@ -188,8 +219,21 @@
                 metrics_router(self.metrics, self.refresh_metrics)
             ),
         }
+        relay_handler = relay_router(lambda: self.watched_state.watchers_by_kind)
+        self.sites[self.pulses.address] = self._site(relay_handler)
         self.ports: dict[str, Any] = {}
 
+    async def ping_store(self) -> bool:
+        """Return whether the store answers at once."""
+        kind = self.documents.members_kind
+        return await self.store.ping(kind, self.own.name, PING_TIMEOUT_S)
+
+    def versions_to_relay(self) -> dict[str, int] | None:
+        """Return the versions for a pulse; None if this node is no relay."""
+        if self.stop.stopping:
+            return None
+        return self.watched_state.versions_to_relay()
+
     def _site(self, handler: Any) -> HttpSite:
         return HttpSite(self.reactor, handler, HttpLimits(max_connections=500))
 
@@ -257,10 +301,12 @@
         """Open the ports, watch the store and start the periodic tasks."""
         for address, site in self.sites.items():
             self.ports[address] = listen(self.reactor, "listen", address, site)
-        host, port = split_address(self.own.peer_address)
-        self.ports[self.own.peer_address] = self.reactor.listenUDP(
-            port, self.heartbeats, interface=host
-        )
+        for address, protocol in (
+            (self.own.peer_address, self.heartbeats),
+            (self.pulses.address, self.pulses),
+        ):
+            host, port = split_address(address)
+            self.reactor.listenUDP(port, protocol, interface=host)
         loop = get_event_loop()
         loop.add_signal_handler(SIGTERM, self.stop.begin)
         loop.add_signal_handler(SIGINT, self.stop.begin_or_abort)
@@ -270,6 +316,7 @@
         self.tasks.start(entry.write(self.tasks))
         self.tasks.start(self.checkpoints.restore(self.tasks))
         self.tasks.repeat(HEARTBEAT_PERIOD_S, self._send_heartbeat)
+        self.tasks.repeat(PULSE_PERIOD_S, self.pulses.send_if_in_contact)
         self.tasks.repeat(WRITE_PERIOD_S, self.checkpoints.write)
         self.tasks.repeat(CLEANUP_PERIOD_S, self._clean_up)
         self.tasks.repeat(RELOAD_PERIOD_S, self._reload)
--- /dev/null
+++ b/ebonybend/node/tests/test_relaying.py
@@ -0,0 +1,235 @@
+from random import Random
+
+from returns.result import Failure, Success
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.task import Clock, deferLater
+
+from ebonybend.node.members import Member, Members
+from ebonybend.node.relaying import STORE_RETRY_S, PulseProtocol, RelayedStore
+from ebonybend.steering.relays import PULSE_PERIOD_S, PULSE_TIMEOUT_S, Relays
+from ebonybend.store.client import StoreFailure, StoreFailureKind
+from ebonybend.store.tests.memory_store import CALL_S, MemoryStore, StoreClient
+from ebonybend.store.watcher import Watcher
+from ebonybend.tasks import Tasks
+
+KIND = "servers"
+NODES = 12
+BATCH_DELAY_S = 0.4
+FETCH_S = 0.003
+DATAGRAM_S = 0.001
+# The bound on a change to be in force, with room for the calls themselves.
+IN_FORCE_S = 2.5
+STEP_S = 0.01
+
+
+class Datagrams:
+    """The datagrams of one node; they arrive after the delay of the network."""
+
+    def __init__(self, region, sender):
+        self.region = region
+        self.sender = sender
+
+    def write(self, data, address):
+        receiver = self.region.nodes[address[0]]
+        if not self.sender.silent and not receiver.silent:
+            self.region.clock.callLater(
+                DATAGRAM_S, receiver.pulses.datagramReceived, data, address
+            )
+
+
+class Node:
+    """A node that follows one kind of object."""
+
+    def __init__(self, region, name):
+        self.region = region
+        self.client = StoreClient(region.memory)
+        self.relays = Relays(name)
+        self.store = RelayedStore(
+            self.client, self.relays, region.fetch, region.clock, BATCH_DELAY_S
+        )
+        self.members = Members(region.member(name))
+        self.pulses = PulseProtocol(
+            self.members,
+            self.relays,
+            name,
+            self.versions,
+            self.ping,
+            region.clock.seconds,
+            self.store.wake,
+        )
+        self.pulses.transport = Datagrams(region, self)
+        self.watcher = Watcher(
+            self.store,
+            KIND,
+            region.clock,
+            Random(name),
+            lambda *_: self.pulses.send(),
+            max_backoff_s=0.8,
+            watch_timeout_ms=16_000,
+        )
+        self.tasks = Tasks(region.clock)
+        # Whether the process is killed or cut off from the other nodes.
+        self.silent = False
+        # Whether its changes can't be read, though it sends pulses.
+        self.refuses = False
+
+    def start(self):
+        members = {name: self.region.member(name) for name in self.region.nodes}
+        self.members.update_list(members, 0.0)
+        self.watcher.start()
+        self.tasks.repeat(PULSE_PERIOD_S, self.pulses.send_if_in_contact)
+
+    def versions(self):
+        if self.watcher.failing or self.watcher.version is None:
+            return None
+        return None if self.store.is_following() else {KIND: self.watcher.version}
+
+    async def ping(self):
+        await deferLater(self.region.clock, CALL_S)
+        return not self.client.down
+
+
+class Region:
+    """Nodes of one region and the store, in simulated time."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.memory = MemoryStore(self.clock)
+        self.memory.write(KIND, "first", b"1")
+        names = [f"10.0.0.{number}" for number in range(NODES)]
+        self.nodes = {name: Node(self, name) for name in names}
+        for node in self.nodes.values():
+            node.start()
+        self.run(5.0)
+
+    def member(self, name):
+        return Member(name, "a-1", "a", f"{name}:80", f"{name}:81", 1)
+
+    async def fetch(self, address, kind, since):
+        await deferLater(self.clock, FETCH_S)
+        node = self.nodes[address]
+        changes = None if node.silent else node.watcher.changes_since(since)
+        if changes is None or node.refuses:
+            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, "no answer"))
+        return Success(changes)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def relays(self):
+        return [node for node in self.nodes.values() if not node.store.is_following()]
+
+    def calls(self):
+        return sum(node.client.calls for node in self.nodes.values())
+
+    def change(self, name, deleted=False):
+        return self.memory.write(KIND, name, b"2", deleted)
+
+    def all_have(self, version):
+        return all(
+            node.watcher.version >= version
+            for node in self.nodes.values()
+            if not node.silent and not node.client.down
+        )
+
+
+def kill_relays(region):
+    for node in region.relays():
+        node.silent = True
+        node.watcher.stop()
+        node.tasks.stop()
+
+
+def cut_relays_from_store(region):
+    for node in region.relays():
+        node.client.down = True
+
+
+def cut_one_relay_from_store(region):
+    region.relays()[0].client.down = True
+
+
+def refuse_readers(region):
+    for node in region.relays():
+        node.refuses = True
+
+
+def cut_one_relay_from_nodes(region):
+    region.relays()[0].silent = True
+
+
+class FailedRelayTest(TestWithScenarios, TestCase):
+    """Guards against changes that arrive late because of a relay."""
+
+    scenarios = [
+        ("all well", {"fail": lambda region: None}),
+        ("relays killed", {"fail": kill_relays}),
+        ("relays cut off from the store", {"fail": cut_relays_from_store}),
+        ("one relay cut off from the store", {"fail": cut_one_relay_from_store}),
+        ("relays that serve no changes", {"fail": refuse_readers}),
+        ("one relay cut off from the nodes", {"fail": cut_one_relay_from_nodes}),
+    ]
+
+    def test_changes_are_in_force_in_time(self):
+        region = Region()
+        self.fail(region)
+        region.change("second")
+        version = region.change("first", deleted=True)
+        region.run(IN_FORCE_S)
+        self.assertTrue(region.all_have(version))
+        for node in region.nodes.values():
+            if not node.silent and not node.client.down:
+                self.assertEqual({"second"}, set(node.watcher.objects))
+
+
+class CutOffTest(TestCase):
+    """Guards against old state on a node that reaches its neighbours but no store."""
+
+    def test_changes_are_read_from_other_nodes(self):
+        region = Region()
+        cut_off = region.relays()
+        cut_relays_from_store(region)
+        region.run(6.0)
+        version = region.change("second")
+        region.run(STORE_RETRY_S)
+        for node in cut_off:
+            self.assertGreaterEqual(node.watcher.version, version)
+        self.assertTrue(all(node.store.is_following() for node in cut_off))
+
+    def test_nodes_that_only_repeat_others_are_no_relays(self):
+        region = Region()
+        cut_relays_from_store(region)
+        region.run(PULSE_TIMEOUT_S + PULSE_PERIOD_S)
+        for _ in range(40):
+            region.run(0.5)
+            reading = [node for node in region.relays() if not node.client.down]
+            self.assertGreaterEqual(len(reading), 2)
+
+
+class CallsTest(TestCase):
+    """Guards against calls to the store that grow as nodes x changes.
+
+    The pattern: the servers of a service start one after the other.
+    """
+
+    def test_changes_cost_calls_of_two_nodes_only(self):
+        region = Region()
+        self.assertEqual(2, len(region.relays()))
+        calls = region.calls()
+        for number in range(40):
+            version = region.change(f"s{number}")
+            region.run(0.25)
+        region.run(1.0)
+        self.assertTrue(region.all_have(version))
+        watches = 40 * 0.25 / BATCH_DELAY_S
+        self.assertLessEqual(region.calls() - calls, 2 * (watches + 2))
+
+    def test_new_relays_take_over(self):
+        region = Region()
+        lost = region.relays()
+        kill_relays(region)
+        region.run(2 * PULSE_TIMEOUT_S + PULSE_PERIOD_S)
+        remaining = [node for node in region.relays() if node not in lost]
+        self.assertEqual(2, len(remaining))
--- a/ebonybend/platform/settings.py
+++ b/ebonybend/platform/settings.py
@@ -50,6 +50,7 @@
         store_address=store["Addr"],
         store_reads_per_s=float(store.get("ReadsPerS", 100)),
         store_writes_per_s=float(store.get("WritesPerS", 10)),
+        store_history_s=float(store.get("HistoryS", 20)),
         regions=dict(fields.get("Zones", {})),
         bounds=decode_bounds(fields.get("Bounds", [])),
         memory_mb=int(limits.get("MemoryMb", 256)),
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -138,6 +138,14 @@
         answer = await self._call("GET", path, timeout=timeout)
         return answer.bind(_decode_changes)
 
+    async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
+        """Return whether the store answers a cheap call for an object in time."""
+        path = f"{_path(kind, name)}?AllowStale=1"
+        answer = await self._call("GET", path, timeout=timeout_s)
+        return isinstance(answer, Success) or (
+            answer.failure().kind is StoreFailureKind.NOT_FOUND
+        )
+
     async def _call(
         self, method: str, path: str, body: bytes = b"", timeout: float = CALL_TIMEOUT_S
     ) -> Result[bytes, StoreFailure]:
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.logs import get_logger
+from ebonybend.store.change_log import ChangeLog
 from ebonybend.store.client import (
     ObjectList,
     ObjectStore,
@@ -58,7 +59,6 @@
         timers: Timers,
         random: Random,
         on_change: OnChange,
-        batch_delay_s: float = 0.0,
         max_backoff_s: float = MAX_BACKOFF_S,
         watch_timeout_ms: int = WATCH_TIMEOUT_MS,
         on_recovery: Callable[[], None] = lambda: None,
@@ -67,19 +67,22 @@
         self.kind = kind
         self.timers = timers
         self.on_change = on_change
-        # Pause after a change, so that further changes are read in the same call.
-        self.batch_delay_s = batch_delay_s
         self.backoff = Backoff(random, max_backoff_s)
         self.watch_timeout_ms = watch_timeout_ms
         # Called when the platform answers after a failure, before changes are reported.
         self.on_recovery = on_recovery
         self.objects: dict[str, StoredObject] = {}
+        self.change_log = ChangeLog()
+        # Version of the last answer; stays known while the objects are listed again.
+        self.last_version = 0
         # Version from which the watch resumes; None until the first list.
         self.version: int | None = None
         # Newest version of an object of this kind, deleted ones included.
         self.newest_version = 0
         self.last_contact: float | None = None
         self.failing = False
+        # Whether the platform is asked for changes without waiting for one.
+        self.resyncing = False
         # Time since which all calls were answered; None while calls fail.
         self.available_since: float | None = None
         # Time at which the platform was last known to be unavailable.
@@ -101,11 +104,17 @@
             self.tasks = None
 
     def resync(self) -> None:
-        """List all objects again instead of waiting for a watch that may be dead."""
-        self.version = None
+        """Ask for changes at once instead of waiting for a watch that may be dead."""
+        self.resyncing = True
         if self.pending_step is not None:
             self.pending_step.cancel()
 
+    def changes_since(self, since: int) -> ObjectList | None:
+        """Return the objects changed since a version; None if they are not known."""
+        if self.version is None:
+            return None
+        return self.change_log.changes_since(since, self.version, self.objects)
+
     async def read(self) -> bool:
         """List the objects once; return whether the platform answered."""
         return self._apply(await self.store.list(self.kind), complete=True)
@@ -122,8 +131,6 @@
                 return
             if reached:
                 self.backoff.reset()
-                if self.batch_delay_s:
-                    await tasks.sleep(self.batch_delay_s)
             else:
                 await tasks.sleep(self.backoff.next())
 
@@ -134,7 +141,8 @@
         since = self.version
         # After a failure, an immediate answer shows that the platform has recovered; a
         # long poll would show it 10 s later.
-        timeout_ms = 0 if self.failing else self.watch_timeout_ms
+        is_urgent = self.failing or self.resyncing
+        timeout_ms = 0 if is_urgent else self.watch_timeout_ms
         answer = await self.store.watch(self.kind, since, timeout_ms)
         if isinstance(answer, Success) and answer.unwrap().version < since:
             # The platform lost its state or no longer has this version, so list all.
@@ -154,20 +162,31 @@
             self.failing = False
             get_logger().info("watch_returned", kind=self.kind, version=found.version)
             self.on_recovery()
+        self.resyncing = False
         if complete:
-            self.objects = {item.name: item for item in found.items}
+            self._replace_objects(found)
         changed = complete or bool(found.items)
         for item in found.items:
             self.newest_version = max(self.newest_version, item.version)
             if item.deleted:
                 self.objects.pop(item.name, None)
+                self.change_log.record_deletion(item.name, found.version)
             else:
                 self.objects[item.name] = item
-        self.version = found.version
+        self.version = self.last_version = found.version
         if changed:
             self.on_change(self.kind, found.version, self.objects)
         return True
 
+    def _replace_objects(self, found: ObjectList) -> None:
+        objects = {item.name: item for item in found.items}
+        if self.change_log.start is None or found.version < self.last_version:
+            self.change_log.restart(found.version)
+        else:
+            for name in self.objects.keys() - objects.keys():
+                self.change_log.record_deletion(name, found.version)
+        self.objects = objects
+
     def _record_failure(self, failure: StoreFailure) -> None:
         self.unavailable_at = self.call_started_at
         if not self.failing:
