Count cold objects in the demand of a region

Cause: demand was rate x time of warm objects, and 0 before the first answer.

Change: a route's demand uses the mean time of its answers, and its objective before the first one. Objects that moved return only below 0.4 of the slots, since they are cold there; they still leave above 0.7.

--- a/ebonybend/node/demand.py
+++ b/ebonybend/node/demand.py
@@ -10,6 +10,7 @@
     RegionShares,
     SlotLossDetector,
     even_demand,
+    next_target,
     target_shares,
 )
 from ebonybend.steering.server_state import ServerTable
@@ -53,7 +54,8 @@
     def record_request(self, route: Route, service: str) -> None:
         """Add a client request to the demand."""
         self.active_services.add(service)
-        seconds = self.times.warm_time_s(route.name)
+        # Until the first answer, a request is assumed to be on time.
+        seconds = self.times.mean_time_s(route.name) or route.objective_s
         meter = self.demand_meters.get(service)
         if meter is None:
             meter = self.demand_meters[service] = DemandMeter()
@@ -101,19 +103,24 @@
     ) -> None:
         """Move the traffic shares of one service toward its target."""
         capacity = capacity_by_region(self.table, service, now)
-        target = self._target(service, demand, capacity)
+        shares = self.shares.setdefault(service, RegionShares(self.region))
+        target = self._target(service, shares.shares, demand, capacity, in_use)
         slots = usable_slots(self.table, service, self.region, now)
         lost_fraction = self.slot_loss_detectors.setdefault(
             service, SlotLossDetector()
         ).update(slots, now)
-        shares = self.shares.setdefault(service, RegionShares(self.region))
         shares.move_toward(
             target, capacity, self.max_shift(), now, in_use, lost_fraction
         )
         self._log(service, shares.shares, demand, capacity)
 
     def _target(
-        self, service: str, demand: Mapping[str, float], capacity: Mapping[str, float]
+        self,
+        service: str,
+        current: Mapping[str, float],
+        demand: Mapping[str, float],
+        capacity: Mapping[str, float],
+        in_use: bool,
     ) -> Mapping[str, float]:
         """Return the target shares of a service."""
         restored_shares = self.restored_shares.get(service)
@@ -121,7 +128,10 @@
             return restored_shares
         if not any(demand.values()):
             demand = even_demand(self.all_regions(), capacity)
-        return target_shares(self.region, demand, capacity)
+        if not in_use:
+            # No object is warm, so none has to stay where it is.
+            return target_shares(self.region, demand, capacity)
+        return next_target(self.region, current, demand, capacity)
 
     def _log(
         self,
--- a/ebonybend/steering/regions.py
+++ b/ebonybend/steering/regions.py
@@ -12,6 +12,9 @@
 
 # Utilisation of a region's slots up to which its objects stay there.
 TARGET_UTILISATION = 0.7
+# Utilisation up to which objects return to the own region. They are cold there at
+# first, so they return only where there is clearly capacity.
+RETURN_UTILISATION = 0.4
 # Fraction of the allowed change that the shares use. The rest is left for requests that
 # change region because traffic or the nodes' views vary.
 STEP_FRACTION = 0.5
@@ -26,7 +29,10 @@
 
 
 def target_shares(
-    region: str, demand: Mapping[str, float], capacity: Mapping[str, float]
+    region: str,
+    demand: Mapping[str, float],
+    capacity: Mapping[str, float],
+    max_utilisation: float = TARGET_UTILISATION,
 ) -> dict[str, float]:
     """Return the fraction of a region's objects to assign to each region.
 
@@ -38,7 +44,7 @@
         return (
             {region: 1.0} if capacity.get(region, 0.0) > 0 else _by_capacity(capacity)
         )
-    utilisation = max(TARGET_UTILISATION, sum(demand.values()) / total_capacity)
+    utilisation = max(max_utilisation, sum(demand.values()) / total_capacity)
     excess = own_demand - utilisation * capacity.get(region, 0.0)
     if excess <= MIN_SHARE * own_demand:
         return {region: 1.0}
@@ -58,6 +64,24 @@
     return shares
 
 
+def next_target(
+    region: str,
+    current: Mapping[str, float],
+    demand: Mapping[str, float],
+    capacity: Mapping[str, float],
+) -> dict[str, float]:
+    """Return the target shares; objects that have moved return reluctantly."""
+    target = target_shares(region, demand, capacity)
+    own = current.get(region, 0.0)
+    if own >= target.get(region, 0.0):
+        return target
+    returned = target_shares(region, demand, capacity, RETURN_UTILISATION)
+    if own < returned.get(region, 0.0):
+        return returned
+    has_capacity = all(capacity.get(name, 0.0) > 0 for name in current)
+    return dict(current) if has_capacity else target
+
+
 def even_demand(
     regions: Collection[str], capacity: Mapping[str, float]
 ) -> dict[str, float]:
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -28,6 +28,8 @@
 
     warm_s: float | None = None
     cold_s: float | None = None
+    # Mean over warm and cold objects in the proportion of the requests.
+    mean_s: float | None = None
 
     def expected(self, warm: bool) -> float | None:
         """Return the expected service time; None before the first answer."""
@@ -36,7 +38,8 @@
         return self.cold_s if self.cold_s is not None else self.warm_s
 
     def add_sample(self, warm: bool, seconds: float) -> None:
-        """Update the mean with a service time that includes no queueing."""
+        """Update the means with a service time that includes no queueing."""
+        self.mean_s = _moving_average(self.mean_s, seconds)
         if warm:
             self.warm_s = _moving_average(self.warm_s, seconds)
         else:
@@ -91,6 +94,11 @@
         times = self.routes.get(route)
         return (times.warm_s if times else None) or 0.0
 
+    def mean_time_s(self, route: str) -> float | None:
+        """Return a route's mean service time; None before the first answer."""
+        times = self.routes.get(route)
+        return times.mean_s if times else None
+
     def record_answer_time(
         self, route: str, state: TrackedServer, key: bytes, seconds: float, queued: bool
     ) -> None:
--- a/ebonybend/steering/tests/test_regions.py
+++ b/ebonybend/steering/tests/test_regions.py
@@ -7,6 +7,7 @@
     RegionShares,
     SlotLossDetector,
     even_demand,
+    next_target,
     target_shares,
 )
 
@@ -124,6 +125,32 @@
         self.assertEqual({"m": 1.0}, target_shares("m", demand, capacity))
 
 
+class ReturnTest(TestWithScenarios, TestCase):
+    """Guards against objects that move back and forth and are cold each time.
+
+    Load pattern: a demand that swings around the capacity of a region.
+    """
+
+    scenarios = [
+        ("still too much", {"demand": 14, "own": 0.4, "expected": 0.4}),
+        ("somewhat less", {"demand": 9, "own": 0.5, "expected": 0.5}),
+        ("clearly less", {"demand": 5, "own": 0.5, "expected": 0.8}),
+        ("very little", {"demand": 3, "own": 0.5, "expected": 1.0}),
+        ("much more", {"demand": 28, "own": 0.5, "expected": 0.25}),
+    ]
+
+    def test_target(self):
+        current = {"k": self.own, "m": 1 - self.own}
+        demand, capacity = {"k": self.demand}, {"k": 10, "m": 90}
+        target = next_target("k", current, demand, capacity)
+        self.assertAlmostEqual(self.expected, target["k"], 6)
+
+    def test_objects_leave_a_region_without_capacity(self):
+        current = {"k": 0.5, "m": 0.5}
+        target = next_target("k", current, {"k": 9}, {"k": 10, "n": 90})
+        self.assertNotIn("m", target)
+
+
 class SlotLossDetectorTest(TestWithScenarios, TestCase):
     """Guards against a region that keeps the load of servers that it lost."""
 
