Share the evidence against servers, and count time that a machine was suspended

Load reports were forgotten after 0.4 s, also where a request takes 1.3 s. The loop's clock stood still while a machine was suspended, so that kept connections, deadlines and budgets of before looked fresh. A restarted process had its node's part of the retry slack a second time, and 78 nodes together sent a cold server up to 39 requests a second, above its limit.

Change: a wait of several times the expected time counts as several failures; heartbeats name the servers that a node ejected, and two such reports, or one and an own failure, eject a server that has not lately answered; a load report counts for two service times; the loop and SystemClock use CLOCK_BOOTTIME; slack is used one window after the start; the nodes' requests to a cold server start at different phases, without a lowest rate.

Tests: SilenceTest, ReportTest, SharedEvidenceTest, LoadTest, RestartTest and ColdPacerTest with 300 nodes.

--- a/ebonybend/clock.py
+++ b/ebonybend/clock.py
@@ -1,6 +1,6 @@
 """Sources of monotonic time, so that tests can pass in their own."""
 
-from time import monotonic
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Protocol
 
 
@@ -13,11 +13,11 @@
 
 
 class SystemClock:
-    """The machine's monotonic clock."""
+    """The machine's monotonic clock, which counts the time of suspensions."""
 
     def monotonic(self) -> float:
         """Return the monotonic time in seconds."""
-        return monotonic()
+        return clock_gettime(CLOCK_BOOTTIME)
 
 
 class ManualClock:
--- a/ebonybend/loop.py
+++ b/ebonybend/loop.py
@@ -1,7 +1,8 @@
 """Twisted reactor on an asyncio loop, with lower cost per timer and per write."""
 
-from asyncio import AbstractEventLoop, new_event_loop, set_event_loop
+from asyncio import AbstractEventLoop, SelectorEventLoop, set_event_loop
 from collections.abc import Callable
+from time import CLOCK_BOOTTIME, clock_gettime
 from typing import Any
 
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
@@ -12,6 +13,17 @@
 from zope.interface import implementer
 
 
+class BootTimeLoop(SelectorEventLoop):
+    """An asyncio loop whose clock counts the time for which the machine is suspended.
+
+    After a suspension, deadlines and lifetimes that ended meanwhile have passed.
+    """
+
+    def time(self) -> float:
+        """Return the time since the machine was started, in seconds."""
+        return clock_gettime(CLOCK_BOOTTIME)
+
+
 @implementer(IDelayedCall)
 class LoopTimer:
     """A Twisted delayed call that is one timer of the asyncio loop."""
@@ -137,6 +149,6 @@
 
 def install_reactor() -> None:
     """Install the reactor on a new asyncio loop, which grpc.aio uses too."""
-    loop = new_event_loop()
+    loop = BootTimeLoop()
     set_event_loop(loop)
     installReactor(LoopReactor(loop))
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -147,6 +147,18 @@
         tracked.record_failure(self._now())
         self._log_ejection(tracked, previous_ejected_until, reason)
 
+    def _record_silence(
+        self, request: ClientRequest, tracked: TrackedServer, sent_at: float
+    ) -> None:
+        expected_s = self.times.expected(
+            request.route.name, tracked, request.object_key
+        )
+        previous_ejected_until = tracked.ejected_until
+        tracked.record_silence(
+            self._now(), sent_at, max(expected_s, request.route.objective_s)
+        )
+        self._log_ejection(tracked, previous_ejected_until, "no answer in time")
+
     def _record_unreachable(
         self, tracked: TrackedServer, refused: bool, reason: str
     ) -> None:
@@ -268,8 +280,8 @@
             answer = await self._await_answer(
                 connection.send(request.method, request.request_id, data), request
             )
-        except SteeringError as error:
-            self._record_failure(tracked, error.message)
+        except SteeringError:
+            self._record_silence(request, tracked, started)
             raise
         finally:
             tracked.in_flight -= 1
@@ -295,7 +307,7 @@
             self._record_failure(tracked, f"answered {answer.status}")
         else:
             seconds = max(now - started - (tracked.round_trip_s or 0.0), 0.001)
-            tracked.record_success(seconds)
+            tracked.record_success(seconds, now)
             if self.crash_detector.has_suspects():
                 self.crash_detector.registry.record_success(_fingerprint(request))
             waited = request.load >= tracked.server.slots
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -59,6 +59,8 @@
     # Requests suspected of crashing servers.
     suspects: tuple[SuspectView, ...]
     member: Member
+    # Servers that the node ejected after its own requests failed.
+    ejected: tuple[str, ...] = ()
 
 
 class Members:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -53,6 +53,8 @@
 CLEANUP_PERIOD_S = 1.0
 # Changes within this time of one another are read from the store in one call.
 BATCH_DELAY_S = 0.4
+# Bounds the size of a heartbeat.
+MAX_REPORTED_SERVERS = 16
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
 # Descriptors reserved for the store, other nodes, files and backend servers.
@@ -83,10 +85,11 @@
         self.metrics_port = metrics_port
         self.reload = reload
         self.random = Random()
+        self.started_at = reactor.seconds()
         self.tasks = Tasks(reactor)
         self.metrics = NodeMetrics()
         self.routing = RoutingState()
-        self.servers = ServerTable()
+        self.servers = ServerTable(self.random.random)
         self.pool = BackendPool(
             reactor, wire.request_id_header, answer_memory(settings.memory_mb)
         )
@@ -171,7 +174,7 @@
         return Forwarder(
             self.reactor,
             self.pool,
-            Placement(self.servers, self.times),
+            Placement(self.servers, self.times, self.members.node_count),
             self.regions,
             self.wire,
             self.new_retry_window,
@@ -184,7 +187,10 @@
         """Return a new retry budget for one service."""
         bounds = self.settings.bounds
         return RetryWindow(
-            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            self.started_at + bounds.retry_window_s,
         )
 
     def _build_sites(self) -> None:
@@ -269,12 +275,18 @@
             newest=self.watched_state.newest_versions(),
             followed_s=self.watched_state.store_contact_s(),
             member=self.own,
+            ejected=self.servers.ejected_servers(
+                self.reactor.seconds(), MAX_REPORTED_SERVERS
+            ),
         )
 
     def on_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
-        """Apply the suspects and the versions that another node reports."""
+        """Apply the suspects, servers and versions that another node reports."""
         if heartbeat.suspects:
             self.crash_detector.registry.merge(*heartbeat.suspects)
+        self.servers.record_reports(
+            heartbeat.name, heartbeat.ejected, self.reactor.seconds()
+        )
         self.watched_state.apply_heartbeat(heartbeat)
 
     def on_routing(self) -> None:
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -1,6 +1,6 @@
 """Choose the backend server of a request by object affinity and load."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
@@ -64,9 +64,16 @@
 class Placement:
     """Choose servers without exceeding the load limit of any."""
 
-    def __init__(self, table: ServerTable, times: ServiceTimes):
+    def __init__(
+        self,
+        table: ServerTable,
+        times: ServiceTimes,
+        node_count: Callable[[], int] = lambda: 1,
+    ):
         self.table = table
         self.times = times
+        # Returns the number of nodes that share the limits.
+        self.node_count = node_count
 
     def choose(self, query: PlacementQuery, now: float) -> TrackedServer | None:
         """Return the server to send the request to, or None if none has capacity."""
@@ -119,10 +126,15 @@
             for state in self.table.usable(query.service.name)
             if state.server.name not in query.excluded
             and (not home_regions or state.server.region in home_regions)
-            and not (state.is_cold(now) and not state.pacer.ready(now))
+            and not (state.is_cold(now) and not self._may_warm_up(state, query, now))
         ]
         return without_ejected(usable, now)
 
+    def _may_warm_up(
+        self, state: TrackedServer, query: PlacementQuery, now: float
+    ) -> bool:
+        return state.pacer.ready(now, query.service.cold_rate, self.node_count())
+
     def _by_preference(
         self, states: list[TrackedServer], query: PlacementQuery, now: float
     ) -> list[TrackedServer]:
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -1,6 +1,6 @@
 """Track load, latency and failures of backend servers from the list and answers."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field
 
@@ -9,11 +9,21 @@
 
 # Weight of a new sample in a moving average, which spans about the last ten answers.
 GAIN = 0.2
-# The weight of a reported load falls to zero over this time: that of about two requests
-# to warm objects, after which the counted requests have finished.
+# The weight of a reported load falls to zero over this number of mean service times,
+# after which the counted requests have finished, but not over less than this time.
+LOAD_LIFETIME_REQUESTS = 2.0
 LOAD_LIFETIME_S = 0.4
 # Consecutive failures after which a server is ejected for a time.
 FAILURES_TO_EJECT = 3
+# A request without an answer counts as one failure for each time that it waited this
+# many times as long as expected.
+SILENCE_FACTOR = 2.0
+# Nodes that have to report a server before a node without own evidence ejects it, and
+# the time for which a report counts.
+REPORTS_TO_EJECT = 2
+REPORT_LIFETIME_S = 3.0
+# Time for which an own answer refutes the reports of other nodes.
+ANSWER_LIFETIME_S = 1.0
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
 # First ejection time of a server that refuses connections.
@@ -42,13 +52,19 @@
     ejected_until: float = float("-inf")
     # Whether the server couldn't be reached since its last complete answer.
     ejected_unreachable: bool = False
+    # Whether the last ejection followed from this node's own requests.
+    ejected_by_own_evidence: bool = False
+    answered_at: float = float("-inf")
+    # Time at which other nodes last reported that they ejected the server.
+    reports: dict[str, float] = field(factory=dict)
     cold_until: float = float("-inf")
     pacer: ColdPacer = field(factory=ColdPacer)
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server."""
         age = now - self.reported_at
-        weight = max(0.0, 1.0 - age / LOAD_LIFETIME_S)
+        lifetime_s = LOAD_LIFETIME_REQUESTS * (self.service_s or 0.0)
+        weight = max(0.0, 1.0 - age / max(lifetime_s, LOAD_LIFETIME_S))
         return self.in_flight + self.others_in_flight * weight
 
     def is_cold(self, now: float) -> bool:
@@ -71,8 +87,10 @@
         self.others_in_flight = max(running + waiting - self.in_flight, 0)
         self.reported_at = now
 
-    def record_success(self, seconds: float) -> None:
+    def record_success(self, seconds: float, now: float = float("-inf")) -> None:
         """Record a complete answer and the seconds that it took on the server."""
+        self.answered_at = now
+        self.reports.clear()
         self.failures = 0
         self.ejections = 0
         self.ejected_unreachable = False
@@ -83,7 +101,34 @@
 
     def record_failure(self, now: float) -> None:
         """Record a lost answer or a server error; eject the server after several."""
-        self.failures += 1
+        self._add_failures(1, now)
+
+    def record_silence(self, now: float, sent_at: float, expected_s: float) -> None:
+        """Record a request without an answer.
+
+        If nothing else was answered meanwhile, a wait of several times the expected
+        seconds counts as several failures.
+        """
+        waits = (now - sent_at) / (SILENCE_FACTOR * expected_s) if expected_s else 1
+        self._add_failures(1 if self.answered_at > sent_at else max(int(waits), 1), now)
+
+    def record_report(self, node: str, now: float) -> None:
+        """Record that another node ejected the server; eject it after several.
+
+        One report is enough after an own failure. Reports don't count against a server
+        that lately answered this node.
+        """
+        self.reports[node] = now
+        # An ejected server is tried by this node's own requests.
+        if now - self.answered_at < ANSWER_LIFETIME_S or self.ejections:
+            return
+        reports = sum(now - at < REPORT_LIFETIME_S for at in self.reports.values())
+        if reports + min(self.failures, 1) >= REPORTS_TO_EJECT:
+            self._eject(now, FIRST_EJECTION_S)
+            self.ejected_by_own_evidence = False
+
+    def _add_failures(self, count: int, now: float) -> None:
+        self.failures += count
         if self.failures >= FAILURES_TO_EJECT or self.ejections > 0:
             self._eject(now, FIRST_EJECTION_S)
 
@@ -103,6 +148,7 @@
 
     def _eject(self, now: float, first_s: float) -> None:
         self.failures = 0
+        self.ejected_by_own_evidence = True
         duration_s = min(first_s * 2**self.ejections, MAX_EJECTION_S)
         self.ejections = min(self.ejections + 1, 10)
         self.ejected_until = now + duration_s
@@ -111,7 +157,9 @@
 class ServerTable:
     """All listed backend servers, by name and by service."""
 
-    def __init__(self) -> None:
+    def __init__(self, new_phase: Callable[[], float] = lambda: 0.0) -> None:
+        # Returns the phase of a new server's pacer.
+        self.new_phase = new_phase
         self.states: dict[str, TrackedServer] = {}
         self.by_service: dict[str, list[TrackedServer]] = {}
         # Failure domains whose servers get no requests.
@@ -123,7 +171,7 @@
         for name, server in servers.items():
             state = self.states.get(name)
             if state is None or _restarted(state.server, server):
-                state = TrackedServer(server)
+                state = TrackedServer(server, pacer=ColdPacer(self.new_phase()))
             if server != state.server or state.cold_until == float("-inf"):
                 # An entry states the warm-up time that remained when it was written,
                 # so an unchanged entry must not extend the warm-up.
@@ -135,6 +183,27 @@
         for state in states.values():
             self.by_service.setdefault(state.server.service, []).append(state)
 
+    def ejected_servers(self, now: float, max_count: int) -> tuple[str, ...]:
+        """Return the servers that this node ejected by its own evidence, latest first.
+
+        A server that is tried again after its ejection is included until it answers.
+        """
+        found = [
+            (state.ejected_until, name)
+            for name, state in self.states.items()
+            if state.ejections
+            and state.ejected_by_own_evidence
+            and now < state.ejected_until + REPORT_LIFETIME_S
+        ]
+        return tuple(name for _, name in sorted(found, reverse=True)[:max_count])
+
+    def record_reports(self, node: str, names: Iterable[str], now: float) -> None:
+        """Record the servers that another node ejected."""
+        for name in names:
+            state = self.states.get(name)
+            if state is not None:
+                state.record_report(node, now)
+
     def set_evacuated(
         self, domains: Iterable[str], cold_s: Mapping[str, float], now: float
     ) -> None:
@@ -146,6 +215,7 @@
             if state.server.failure_domain in reinstated:
                 until = now + cold_s.get(state.server.service, 0.0)
                 state.cold_until = max(state.cold_until, until)
+                state.pacer = ColdPacer(self.new_phase())
 
     def usable(self, service: str) -> list[TrackedServer]:
         """Return the servers of a service to which requests may be sent."""
--- a/ebonybend/steering/tests/test_server_state.py
+++ b/ebonybend/steering/tests/test_server_state.py
@@ -5,6 +5,8 @@
     FAILURES_TO_EJECT,
     FIRST_EJECTION_S,
     LOAD_LIFETIME_S,
+    REPORT_LIFETIME_S,
+    ServerTable,
     TrackedServer,
 )
 from ebonybend.world import BackendServer
@@ -58,6 +60,105 @@
         self.assertEqual(self.ejected, state.is_ejected(now))
 
 
+class SilenceTest(TestWithScenarios, TestCase):
+    """Guards against a server that takes requests and never answers.
+
+    Load pattern: 24 nodes, each of which sends such a server a request in 5 s.
+    """
+
+    scenarios = [
+        ("a short wait", {"waited_s": 0.9, "ejected": False}),
+        ("several times as long as expected", {"waited_s": 3.1, "ejected": True}),
+        (
+            "another request was answered meanwhile",
+            {"waited_s": 3.1, "answered_after_s": 1.0, "ejected": False},
+        ),
+        (
+            "another request was answered before",
+            {"waited_s": 3.1, "answered_after_s": -0.1, "ejected": True},
+        ),
+    ]
+    answered_after_s = None
+
+    def test_ejected_after_one_request(self):
+        state = TrackedServer(SERVER)
+        sent_at = 10.0
+        if self.answered_after_s is not None:
+            state.record_success(0.5, sent_at + self.answered_after_s)
+        now = sent_at + self.waited_s
+        state.record_silence(now, sent_at, 0.5)
+        self.assertEqual(self.ejected, state.is_ejected(now))
+
+
+class ReportTest(TestWithScenarios, TestCase):
+    """Guards against learning of a bad server anew on each node, and against nodes that
+    make all others eject a good one.
+    """
+
+    scenarios = [
+        ("one node", {"nodes": ("n1",), "ejected": False}),
+        ("one node twice", {"nodes": ("n1", "n1"), "ejected": False}),
+        ("two nodes", {"nodes": ("n1", "n2"), "ejected": True}),
+        (
+            "one node and an own failure",
+            {"nodes": ("n1",), "fails": 1, "ejected": True},
+        ),
+        (
+            "two nodes, long apart",
+            {"nodes": ("n1", "n2"), "gap_s": REPORT_LIFETIME_S, "ejected": False},
+        ),
+        (
+            "two nodes, but it answers this one",
+            {"nodes": ("n1", "n2"), "answers": True, "ejected": False},
+        ),
+    ]
+    fails = 0
+    gap_s = 0.1
+    answers = False
+
+    def test_ejected(self):
+        state = TrackedServer(SERVER)
+        now = 10.0
+        for _ in range(self.fails):
+            state.record_failure(now)
+        for node in self.nodes:
+            now += self.gap_s
+            if self.answers:
+                state.record_success(0.1, now)
+            state.record_report(node, now)
+        self.assertEqual(self.ejected, state.is_ejected(now))
+
+
+class SharedEvidenceTest(TestCase):
+    """Guards against reports that keep a recovered server ejected."""
+
+    def test_reports_are_not_passed_on(self):
+        table = ServerTable()
+        table.update({SERVER.name: SERVER}, 0.0)
+        for node in ("n1", "n2"):
+            table.record_reports(node, [SERVER.name, "unknown"], 1.0)
+        state = table.states[SERVER.name]
+        self.assertTrue(state.is_ejected(1.0))
+        self.assertEqual((), table.ejected_servers(1.0, 9))
+        # After its time the server is tried, whatever the others still report.
+        now = 1.0 + FIRST_EJECTION_S
+        table.record_reports("n1", [SERVER.name], now)
+        table.record_reports("n2", [SERVER.name], now)
+        self.assertFalse(state.is_ejected(now))
+        state.record_success(0.1, now)
+        self.assertEqual({}, state.reports)
+
+    def test_own_evidence_is_reported_until_an_answer(self):
+        table = ServerTable()
+        table.update({SERVER.name: SERVER}, 0.0)
+        state = table.states[SERVER.name]
+        state.record_unreachable(0.0, False)
+        self.assertEqual((SERVER.name,), table.ejected_servers(1.5, 9))
+        self.assertEqual((), table.ejected_servers(1.5, 0))
+        state.record_success(0.1, 1.6)
+        self.assertEqual((), table.ejected_servers(1.7, 9))
+
+
 class LoadTest(TestWithScenarios, TestCase):
     """Guards against refusals because of requests that have finished long ago.
 
@@ -68,9 +169,12 @@
         ("just reported", {"age_s": 0.0, "load": 9.0}),
         ("half as old", {"age_s": LOAD_LIFETIME_S / 2, "load": 5.0}),
         ("old", {"age_s": LOAD_LIFETIME_S, "load": 1.0}),
+        ("long requests", {"age_s": 1.0, "service_s": 1.0, "load": 5.0}),
+        ("long requests, old", {"age_s": 2.0, "service_s": 1.0, "load": 1.0}),
     ]
+    service_s = None
 
     def test_load(self):
-        state = TrackedServer(SERVER, in_flight=1)
+        state = TrackedServer(SERVER, in_flight=1, service_s=self.service_s)
         state.record_load(running=4, waiting=5, now=10.0)
         self.assertAlmostEqual(self.load, state.load(10.0 + self.age_s))
--- a/ebonybend/steering/tests/test_shared_rates.py
+++ b/ebonybend/steering/tests/test_shared_rates.py
@@ -1,3 +1,5 @@
+from random import Random
+
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
@@ -41,21 +43,46 @@
         self.assertGreater(largest, 0)
 
 
-class ColdPacerTest(TestCase):
-    """Guards against a cold server that gets a higher rate than it can handle."""
+class RestartTest(TestCase):
+    """Guards against a restarted process that uses its node's part a second time."""
+
+    def test_restarted_nodes_stay_within_the_limit(self):
+        ratio, slack, window_s = 0.2, 56, 10.0
+        retried = 0
+        for start in (0.0, 1.0, 2.0, 3.0):
+            slack_from = start + window_s if start else float("-inf")
+            windows = [
+                RetryWindow(ratio, slack, window_s, slack_from) for _ in range(NODES)
+            ]
+            for window in windows:
+                while window.try_acquire(start, NODES):
+                    retried += 1
+        self.assertLessEqual(retried, slack)
+        self.assertTrue(windows[0].try_acquire(3.0 + window_s, NODES))
+
+
+class ColdPacerTest(TestWithScenarios, TestCase):
+    """Guards against a cold server that gets a higher rate than it can handle.
+
+    Load pattern: a server that joins at the peak, when all nodes want to use it.
+    """
+
+    scenarios = [("few nodes", {"nodes": 7}), ("many nodes", {"nodes": 300})]
 
     def test_rate_of_all_nodes(self):
         rate, factor, slack = 16.0, 1.5, 5.0
-        pacers = [ColdPacer() for _ in range(NODES)]
+        random = Random(1)
+        pacers = [ColdPacer(random.random()) for _ in range(self.nodes)]
         sent = []
-        for step in range(3000):
-            now = step * 0.001
+        for step in range(1500):
+            now = step * 0.002
             for pacer in pacers:
-                if pacer.ready(now):
-                    pacer.record_send(now, rate, NODES)
+                if pacer.ready(now, rate, self.nodes):
+                    pacer.record_send(now, rate, self.nodes)
                     sent.append(now)
         largest = max(sum(start <= at < start + 1.0 for at in sent) for start in sent)
         self.assertLessEqual(largest, rate * factor + slack)
+        self.assertGreater(len(sent), rate * 3.0 / 2)
 
 
 def route(name, prefix, **parts):
