List nodes to clients by the rate of their links

Cause: on Lothian grown 23 of 35 nodes have a link of 5.5 to 6.5 Mbit/s and 12 one of 100 Mbit/s, but each was listed alike.

Change: a node's entry tells the rate of its link; a directory answer lists a node with a probability in proportion to it, at least 0.15; rates above 50 Mbit/s count alike. A unit test of the stop of a node under load is added.

--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -36,6 +36,8 @@
     peer_address: str
     # Unix time of the start in milliseconds; a later process has a larger value.
     incarnation: int
+    # Rate of the machine's link; 0 if unknown.
+    link_mbps: float = 0.0
 
 
 @frozen(kw_only=True)
--- a/ebonybend/node/ports.py
+++ b/ebonybend/node/ports.py
@@ -1,12 +1,14 @@
 """Handlers of the directory port, the readiness port and the metrics port."""
 
 from collections.abc import Callable
+from random import Random
 
 from ebonybend.http_router import Router
 from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.node.members import Members, members_in_region
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.wire import WireFormat
+from ebonybend.steering.listing import nodes_to_list
 
 # Time for which clients cache a directory answer. Some cache it three times as long,
 # and all must drop a stopping node within its grace time.
@@ -26,11 +28,13 @@
         own_ready: Callable[[], bool],
         clock: Callable[[], float],
         max_lifetime_s: float,
+        random: Random,
     ):
         self.members = members
         self.wire = wire
         self.own_ready = own_ready
         self.clock = clock
+        self.random = random
         self.lifetime_s = min(LOOKUP_LIFETIME_S, max_lifetime_s)
         self.router = Router()
         self.router.add("GET", wire.lookup_path, self.lookup)
@@ -39,10 +43,11 @@
         """Return the addresses of the ready nodes in the client's region."""
         domain, region = self.wire.read_lookup(incoming.query)
         candidates = self.members.ready_members(self.clock(), self.own_ready())
-        chosen = members_in_region(candidates, domain, region)[:MAX_ADDRESSES]
-        if not chosen:
+        members = members_in_region(candidates, domain, region)
+        if not members:
             return OutgoingAnswer(503, b"no node is ready\n")
-        addresses = [member.callers_address for member in chosen]
+        links_mbps = {member.callers_address: member.link_mbps for member in members}
+        addresses = nodes_to_list(links_mbps, self.random)[:MAX_ADDRESSES]
         body = self.wire.encode_lookup(addresses, self.lifetime_s)
         return OutgoingAnswer(200, body, JSON)
 
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -101,6 +101,7 @@
             settings.callers_address,
             f"{settings.ip}:{settings.peer_port}",
             int(time() * MS_PER_S),
+            settings.link_mbps,
         )
         self.members = Members(self.own)
         self.heartbeat_count = 0
@@ -210,6 +211,7 @@
             self.is_ready,
             self.reactor.seconds,
             settings.bounds.max_lookup_s,
+            self.random,
         )
         self.client_site = HttpSite(
             self.reactor, client_port.handle, self._http_limits()
--- a/ebonybend/node/settings.py
+++ b/ebonybend/node/settings.py
@@ -50,4 +50,6 @@
     regions: Mapping[str, str] = field(factory=dict)
     bounds: SharedBounds = SharedBounds()
     memory_mb: int = 256
+    # Rate of the machine's link; 0 if unknown.
+    link_mbps: float = 0.0
     max_descriptors: int = 1024
--- /dev/null
+++ b/ebonybend/node/tests/test_stop.py
@@ -0,0 +1,76 @@
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from ebonybend.node.stop import SERVING_FRACTION, NodeStop
+
+GRACE_S = 6.0
+STEP_S = 0.01
+
+
+class StoppingNode:
+    """A node's stop, with the number of its unfinished requests over time."""
+
+    def __init__(self, unfinished):
+        self.clock = Clock()
+        self.events = []
+        self.unfinished = unfinished
+        self.stop = NodeStop(
+            self.clock,
+            GRACE_S,
+            lambda: self.record("announced"),
+            lambda: self.record("ports closed"),
+            lambda: self.unfinished(self.clock.seconds()),
+            lambda: self.record("ended"),
+        )
+
+    def record(self, event):
+        self.events.append((event, round(self.clock.seconds(), 1)))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+
+class StopTest(TestWithScenarios, TestCase):
+    """Guards against a planned stop that cuts off requests that were accepted.
+
+    Load pattern: callers that go on sending, on connections that they know.
+    """
+
+    scenarios = [
+        ("nothing to finish", {"until_s": 0.0, "ended_s": 3.7}),
+        ("a request accepted at the end of serving", {"until_s": 5.0, "ended_s": 5.1}),
+        ("a request without end", {"until_s": 99.0, "ended_s": 5.8}),
+        ("a second SIGTERM", {"until_s": 5.0, "again_s": 1.0, "ended_s": 5.1}),
+        (
+            "a second SIGTERM after the ports are closed",
+            {"until_s": 5.0, "again_s": 4.0, "ended_s": 5.1},
+        ),
+    ]
+    again_s = None
+
+    def test_ends_after_the_last_request(self):
+        node = StoppingNode(lambda now: int(now < self.until_s))
+        node.stop.begin()
+        if self.again_s is not None:
+            node.run(self.again_s)
+            node.stop.begin()
+        node.run(GRACE_S - node.clock.seconds())
+        names = [name for name, _ in node.events]
+        self.assertEqual(["announced", "ports closed", "ended"], names)
+        times = dict(node.events)
+        self.assertAlmostEqual(GRACE_S * SERVING_FRACTION, times["ports closed"], 1)
+        self.assertAlmostEqual(self.ended_s, times["ended"], delta=0.11)
+        self.assertLess(times["ended"], GRACE_S)
+
+
+class AbortTest(TestCase):
+    """Guards against an operator who can't end a process that hangs."""
+
+    def test_second_interrupt_ends_at_once(self):
+        node = StoppingNode(lambda now: 1)
+        node.stop.begin_or_abort()
+        node.run(1.0)
+        node.stop.begin_or_abort()
+        self.assertEqual(("ended", 1.0), node.events[-1])
--- a/ebonybend/platform/settings.py
+++ b/ebonybend/platform/settings.py
@@ -54,6 +54,7 @@
         regions=dict(fields.get("Zones", {})),
         bounds=decode_bounds(fields.get("Bounds", [])),
         memory_mb=int(limits.get("MemoryMb", 256)),
+        link_mbps=float(limits.get("LinkMbps", 0)),
         max_descriptors=int(limits.get("MaxFds", 1024)),
     )
 
