Test a node's stop under load, and check that it has two ports for other nodes

Cause: the stop was tested with one request only, and the ports of relays took the port after the first internal one without a check that it belongs to the node.

--- a/bench/tests/test_platform_node.py
+++ b/bench/tests/test_platform_node.py
@@ -5,10 +5,12 @@
 import signal
 import subprocess
 import sys
+from collections import Counter
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
-from socket import socket
+from socket import create_connection, socket
 from tempfile import TemporaryDirectory
+from threading import Event, Thread
 from time import monotonic, sleep
 
 from testtools import TestCase
@@ -27,7 +29,7 @@
 Ip = "127.0.0.1"
 Zone = "kingston-a"
 Region = "kingston"
-InternalPorts = [{ports[0]}, {ports[0]}]
+InternalPorts = [{ports[0]}, {ports[5]}]
 Bounds = ["GraceS={grace}"]
 [Zones]
 kingston-a = "kingston"
@@ -51,6 +53,18 @@
     return ports
 
 
+def adjacent_free_ports():
+    """Return two adjacent ports that nothing listens on."""
+    while True:
+        (port,) = free_ports(1)
+        with socket() as adjacent:
+            try:
+                adjacent.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+        return [port, port + 1]
+
+
 def config_object(version, service="history", prefix="/a/"):
     path = {
         "Name": f"r{prefix}",
@@ -71,6 +85,14 @@
     return {"Addr": address, "born": 1, "Info": info, "Status": status}
 
 
+def raw_request(name, port):
+    """Return a request as bytes."""
+    return (
+        f"POST /a/{name} HTTP/1.1\r\nHost: h.example:{port}\r\n"
+        f"Attempt-Id: raw-{name}\r\nContent-Length: 4\r\n\r\nbody"
+    ).encode()
+
+
 class PlatformNodeTest(TestCase):
     """Guards against a node that serves with outdated state or doesn't serve."""
 
@@ -88,7 +110,8 @@
             )
         self.store.state.put("servers", "i-odd", "not an entry")
         self.store.state.put("config", "main", config_object(1))
-        self.ports = free_ports(5)
+        first, second = adjacent_free_ports()
+        self.ports = [first, *free_ports(4), second]
         self.start()
         self.count = 0
 
@@ -200,3 +223,48 @@
         self.wait_until(lambda: self.call(self.ports[2], "/ready")[0] != 200, 1.0)
         self.assertEqual(200, self.send("/a/x")[0])
         self.assertEqual(0, self.node.wait(GRACE_S + 1.0))
+
+    def test_8_stop_under_load_cuts_off_no_accepted_request(self):
+        """Load pattern: clients that open a connection for each request."""
+        statuses, ended = Counter(), Event()
+
+        def send_until_refused():
+            while not ended.is_set():
+                statuses[self.post_once()] += 1
+
+        clients = [Thread(target=send_until_refused) for _ in range(4)]
+        for client in clients:
+            client.start()
+        sleep(0.3)
+        half_sent = create_connection(("127.0.0.1", self.ports[1]), timeout=3.0)
+        self.addCleanup(half_sent.close)
+        request = raw_request("half", self.ports[1])
+        half_sent.sendall(request[:40])
+        self.node.send_signal(signal.SIGTERM)
+        sleep(0.2)
+        self.node.send_signal(signal.SIGTERM)
+        # After the client port is closed, and before the end of the grace time.
+        sleep(GRACE_S * 0.6)
+        half_sent.sendall(request[40:])
+        answer = half_sent.recv(4096)
+        self.assertEqual(0, self.node.wait(GRACE_S + 1.0))
+        ended.set()
+        for client in clients:
+            client.join()
+        self.assertIn(b" 200 ", answer.split(b"\r\n")[0])
+        self.assertEqual({200, "refused"}, set(statuses), statuses)
+
+    def post_once(self):
+        """Send a request on a new connection; return the status or what went wrong."""
+        self.count += 1
+        try:
+            connection = create_connection(("127.0.0.1", self.ports[1]), timeout=3.0)
+        except ConnectionRefusedError:
+            return "refused"
+        with connection:
+            try:
+                connection.sendall(raw_request(self.count, self.ports[1]))
+                answer = connection.recv(4096)
+            except OSError as error:
+                return repr(error)
+        return int(answer.split()[1]) if answer else "closed without an answer"
--- a/ebonybend/platform/settings.py
+++ b/ebonybend/platform/settings.py
@@ -38,6 +38,9 @@
     listen = fields["Listen"]
     store = fields["Platform"]
     limits = fields.get("Limits", {})
+    first_port, last_port = map(int, fields["InternalPorts"])
+    if last_port <= first_port:
+        raise ValueError("InternalPorts: a node needs two ports for other nodes")
     return NodeSettings(
         name=fields["NodeName"],
         failure_domain=fields["Zone"],
@@ -46,7 +49,7 @@
         callers_address=listen["Front"],
         ready_address=listen["Ready"],
         directory_address=listen["Directory"],
-        peer_port=int(fields["InternalPorts"][0]),
+        peer_port=first_port,
         store_address=store["Addr"],
         store_reads_per_s=float(store.get("ReadsPerS", 100)),
         store_writes_per_s=float(store.get("WritesPerS", 10)),
