Trace a request through the logs of all nodes: ebonybend trace

Cause: docs/OPERATIONS.md led from a request's id to its cause by several greps over the logs of all nodes.

--- a/ebonybend/tool/options.py
+++ b/ebonybend/tool/options.py
@@ -42,6 +42,7 @@
     service: str | None
     method: str | None
     limit: int
+    request: str | None
 
 
 def usage_error(message: str) -> SteeringError:
@@ -92,6 +93,7 @@
     flags.DEFINE_string("service", None, "Name of a service.", **flag_kwargs)
     flags.DEFINE_string("method", None, "HTTP method (default: GET).", **flag_kwargs)
     flags.DEFINE_integer("limit", 20, "Number of entries to show.", **flag_kwargs)
+    flags.DEFINE_string("request", None, "Id of a request.", **flag_kwargs)
 
 
 def _define_common_flags(flag_kwargs: dict[str, flags.FlagValues]) -> None:
--- a/ebonybend/tool/tests/test_docs.py
+++ b/ebonybend/tool/tests/test_docs.py
@@ -37,7 +37,8 @@
         examples = [verb.example for verb in VERBS.values()]
         examples += re.findall(r"^    (ebonybend .*)$", README + OPERATING, re.M)
         examples += re.findall(r"`(ebonybend [a-z]+ [^`]*=[^`]*)`", OPERATING)
-        for example in examples:
+        # The logs that a pipe reads are not part of the command.
+        for example in (text.rpartition("| ")[2] for text in examples):
             command = re.split(r" >|  +#", example)[0]
             options, _ = parse_options(shlex.split(command)[1:], {})
             verb = VERBS[options.verb]
--- a/ebonybend/tool/verbs.py
+++ b/ebonybend/tool/verbs.py
@@ -7,6 +7,7 @@
 
 from ebonybend.tool.context import Context, VerbResult
 from ebonybend.tool.edit_verbs import drain, pardon, undrain
+from ebonybend.tool.log_verbs import trace
 from ebonybend.tool.options import COMMAND_LINE_ONLY, COMMON_FLAGS
 from ebonybend.tool.rules_verbs import apply, check, diff, show
 from ebonybend.tool.state_verbs import history, status, where
@@ -112,6 +113,16 @@
         ("client", "service", "method"),
         example="ebonybend where --client=192.0.2.7 --service=ride-history",
     ),
+    Verb(
+        "trace",
+        trace,
+        "Show what nodes logged about one request, and what explains it.",
+        ("request",),
+        "FILE",
+        "Reads the logs of any number of nodes; FILE may be - for standard input.\n"
+        "The exit status is 1 if no line is about the request.",
+        "cat *.log | ebonybend trace - --request=507cdc09a6bc31b0",
+    ),
 )
 VERBS = {verb.name: verb for verb in _VERB_LIST}
 
