Send large answers whole before a stopping node closes their connections

Cause (found on re-reading): the time in which a connection lingers after its last answer started when the answer was written, not when it was sent, so a download on a small link was cut off after 1 s; a stopping node also did not wait for answers that were written and not yet received. The times of arrival of a body in many small pieces took memory for each piece.

Change: the connection lingers from the moment at which the transport has sent the answer; a stop counts such connections as unfinished; at most 64 chunks are remembered.

Tests: test_large_answer_is_sent_before_the_connection_is_closed and test_half_received_request_counts_as_unfinished fail without the change; ArrivalTimesTest.

--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -18,10 +18,12 @@
 from ebonybend.logs import get_logger
 
 DEFAULT_RETRY_AFTER_MS = 100
-# Time for which a connection whose output has ended still reads and discards input. A
+# Time for which a connection whose output was sent still reads and discards input. A
 # close with unread input would reset the connection, and the client could lose the
 # last answer.
 LINGER_S = 1.0
+# Chunks of a connection's input whose time of arrival is remembered separately.
+MAX_ARRIVALS = 64
 # Time that a new connection has for its first request before it counts as idle.
 FIRST_REQUEST_S = 1.0
 
@@ -264,8 +266,10 @@
         self.chunks: deque[tuple[int, float]] = deque()
 
     def record(self, size: int, now: float) -> None:
-        """Record a chunk."""
+        """Record a chunk; one too many counts as part of the chunk before it."""
         self.size += size
+        if len(self.chunks) == MAX_ARRIVALS:
+            now = self.chunks.pop()[1]
         self.chunks.append((self.size, now))
 
     def time_at(self, offset: int) -> float:
@@ -281,7 +285,7 @@
     Pipelined requests are handled one after the other.
     """
 
-    # Whether the last answer is written; later input is discarded.
+    # Whether the last answer is written, though maybe not sent; input is discarded.
     ended = False
     # Whether the next answer announces the end of the connection.
     ends_after_answer = False
@@ -402,6 +406,18 @@
     def end_output(self) -> None:
         """Close the connection in the direction to the client; discard its input."""
         self.ended = True
+        # Otherwise the transport calls resumeProducing once the answer is sent.
+        if not self._waitingForTransport:
+            self._linger()
+
+    def resumeProducing(self) -> None:
+        """Read and answer requests again, or linger if the last answer was sent."""
+        if not self.ended:
+            super().resumeProducing()
+        elif self.linger_timer is None:
+            self._linger()
+
+    def _linger(self) -> None:
         self._networkProducer.unregisterProducer()
         self._networkProducer.resumeProducing()
         self.transport.loseWriteConnection()
@@ -464,8 +480,10 @@
         return channel
 
     def unfinished(self) -> int:
-        """Return the number of requests that are being received or handled."""
-        return self.running + sum(channel.is_receiving() for channel in self.channels)
+        """Return the number of requests that are received, handled or answered."""
+        return self.running + sum(
+            channel.is_receiving() or channel.ended for channel in self.channels
+        )
 
     def close_idle(self) -> None:
         """Close each connection that has no request in progress."""
