Keep a relay whose waiting watch was cut off

Change: only a failed call without a wait, which follows a lost watch at once, shows that the store is out of reach.

Test: test_lost_watches_cost_no_calls_of_other_nodes fails without the change.

--- a/ebonybend/node/relaying.py
+++ b/ebonybend/node/relaying.py
@@ -186,7 +186,11 @@
             await self._wait_for_batch(kind)
         answer = await self.store.watch(kind, since, timeout_ms)
         now = self.last_watch_at[kind] = self.timers.seconds()
-        self.cut_off_until = now + STORE_RETRY_S if _is_cut_off(answer) else now
+        if not _is_cut_off(answer):
+            self.cut_off_until = now
+        elif not timeout_ms:
+            # A waiting watch may be cut off by a store that answers the next call.
+            self.cut_off_until = now + STORE_RETRY_S
         return answer
 
     async def _watch_relays(
--- a/ebonybend/node/tests/test_relaying.py
+++ b/ebonybend/node/tests/test_relaying.py
@@ -226,6 +226,21 @@
         watches = 40 * 0.25 / BATCH_DELAY_S
         self.assertLessEqual(region.calls() - calls, 2 * (watches + 2))
 
+    def test_lost_watches_cost_no_calls_of_other_nodes(self):
+        """Load pattern: a store that cuts off waiting watches now and then."""
+        region = Region()
+        followers = [n for n in region.nodes.values() if n.store.is_following()]
+        calls = sum(node.client.calls for node in followers)
+        for _ in range(10):
+            for node in region.relays():
+                node.client.down = True
+            region.change("s1")
+            region.run(0.02)
+            for node in region.relays():
+                node.client.down = False
+            region.run(1.0)
+        self.assertEqual(calls, sum(node.client.calls for node in followers))
+
     def test_new_relays_take_over(self):
         region = Region()
         lost = region.relays()
