Split the HTTP server and the relays into modules with one job each

Cause: http_server.py had 500 lines (limits, answers, requests, connections, site), and node/relaying.py held the store, the messages and the pulses.

Change: http_answers (what handlers see), http_connection (requests on one connection) and http_server (limits and site); node/relayed_store, relay_changes and pulses.

--- a/bench/bare_forwarder.py
+++ b/bench/bare_forwarder.py
@@ -4,8 +4,9 @@
 from twisted.internet import reactor
 
 from ebonybend.addresses import split_address
+from ebonybend.http_answers import OutgoingAnswer
 from ebonybend.http_client import HttpClient
-from ebonybend.http_server import HttpLimits, HttpSite, OutgoingAnswer
+from ebonybend.http_server import HttpLimits, HttpSite
 
 _LISTEN = flags.DEFINE_string("listen", None, 'Address "ip:port".', required=True)
 _TARGETS = flags.DEFINE_list("targets", None, "Addresses to forward to.", required=True)
--- a/ebonybend/control/admin.py
+++ b/ebonybend/control/admin.py
@@ -4,12 +4,8 @@
 from ebonybend.control.metrics import CONTENT_TYPE, ControlMetrics
 from ebonybend.control.rules_admin import RulesAdmin
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer, json_answer
 from ebonybend.http_router import Router
-from ebonybend.http_server import (
-    IncomingRequest,
-    OutgoingAnswer,
-    json_answer,
-)
 
 PLAIN_TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
 
--- a/ebonybend/control/rules_admin.py
+++ b/ebonybend/control/rules_admin.py
@@ -15,7 +15,7 @@
 from ebonybend.control.audit import AuditQueue
 from ebonybend.control.platform_feed import rules_record
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer, json_answer
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer, json_answer
 from ebonybend.peers.merge import Replica
 from ebonybend.peers.records import MAIN, RecordKind
 from ebonybend.rules.check import check_rules
--- a/ebonybend/entry/answers.py
+++ b/ebonybend/entry/answers.py
@@ -2,8 +2,8 @@
 
 from ebonybend.entry.requests import ServedAnswer
 from ebonybend.errors import ANSWERS, ErrorKind, Outcome, SteeringError
+from ebonybend.http_answers import OutgoingAnswer, Pacer
 from ebonybend.http_client import HttpAnswer
-from ebonybend.http_server import OutgoingAnswer, Pacer
 
 ANSWERED = Outcome.ANSWERED.value
 
--- a/ebonybend/entry/parsing.py
+++ b/ebonybend/entry/parsing.py
@@ -4,7 +4,7 @@
 
 from ebonybend.entry.requests import IDEMPOTENT_METHODS, SteeredRequest
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_server import IncomingRequest
+from ebonybend.http_answers import IncomingRequest
 from ebonybend.settings import Settings
 
 MS = 1000.0
--- a/ebonybend/entry/peer_server.py
+++ b/ebonybend/entry/peer_server.py
@@ -16,8 +16,8 @@
 )
 from ebonybend.entry.replication import FIND_PATH, OUTCOMES_PATH, store_push
 from ebonybend.entry.serving import RequestPort
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
 from ebonybend.http_router import Router
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.steering.outcomes import OutcomeStore
 from ebonybend.steering.slots import Heartbeat, SlotLedger
 
--- a/ebonybend/entry/server.py
+++ b/ebonybend/entry/server.py
@@ -9,12 +9,8 @@
 from ebonybend.entry.metrics import EntryMetrics
 from ebonybend.entry.serving import RequestPort
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer, json_answer
 from ebonybend.http_router import Router
-from ebonybend.http_server import (
-    IncomingRequest,
-    OutgoingAnswer,
-    json_answer,
-)
 
 SERVICE_PREFIX = "/s/"
 
--- a/ebonybend/entry/serving.py
+++ b/ebonybend/entry/serving.py
@@ -13,12 +13,7 @@
 from ebonybend.entry.parsing import parse_request, parse_request_id
 from ebonybend.entry.requests import ServedAnswer, SteeredRequest
 from ebonybend.errors import ErrorKind, Outcome, SteeringError
-from ebonybend.http_server import (
-    IncomingRequest,
-    OutgoingAnswer,
-    Pacer,
-    error_answer,
-)
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer, Pacer, error_answer
 from ebonybend.settings import Settings
 
 
--- a/ebonybend/entry/steer.py
+++ b/ebonybend/entry/steer.py
@@ -6,7 +6,7 @@
 from ebonybend.entry.owner import KeyOwner
 from ebonybend.entry.requests import SteeredRequest
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_server import IncomingRequest
+from ebonybend.http_answers import IncomingRequest
 from ebonybend.steering.suspects import Verdict
 
 
--- a/ebonybend/http_router.py
+++ b/ebonybend/http_router.py
@@ -1,7 +1,7 @@
 """Pass requests to handlers by method and path."""
 
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_server import Handler, IncomingRequest, OutgoingAnswer
+from ebonybend.http_answers import Handler, IncomingRequest, OutgoingAnswer
 
 
 class Router:
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -1,31 +1,15 @@
 """HTTP server with request limits, whose error answers all carry an ErrorKind."""
 
-from collections import deque
-from collections.abc import Awaitable, Callable, Mapping
-from functools import partial
-from typing import Any, Protocol
+from typing import Any
 
-from attrs import field, frozen
-from twisted.internet.defer import CancelledError, Deferred
+from attrs import frozen
 from twisted.internet.protocol import Protocol as ConnectionProtocol
-from twisted.web.http import HTTPChannel
-from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
-from twisted.web.server import Request, Site
+from twisted.web.server import Site
 
-from ebonybend.codec import to_json
-from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.logs import get_logger
-
-DEFAULT_RETRY_AFTER_MS = 100
-# Time for which a connection whose output was sent still reads and discards input. A
-# close with unread input would reset the connection, and the client could lose the
-# last answer.
-LINGER_S = 1.0
-# Chunks of a connection's input whose time of arrival is remembered separately.
-MAX_ARRIVALS = 64
-# Time that a new connection has for its first request before it counts as idle.
-FIRST_REQUEST_S = 1.0
+from ebonybend.errors import ErrorKind
+from ebonybend.http_answers import Handler, error_answer_bytes
+from ebonybend.http_connection import HttpConnection, HttpRequest
 
 
 @frozen
@@ -42,397 +26,6 @@
     timeout_covers_headers_only: bool = False
 
 
-@frozen
-class IncomingRequest:
-    """A request whose headers and body were received completely."""
-
-    method: str
-    path: str
-    query: Mapping[bytes, list[bytes]]
-    body: bytes
-    raw: Any
-    # Time at which the first byte arrived, on the reactor's clock. A pipelined request
-    # may be processed much later.
-    received_at: float | None = None
-
-    def header(self, name: str) -> str | None:
-        """Return a header's value, or None if it is missing."""
-        return self.raw.getHeader(name)
-
-    def argument(self, name: str) -> str | None:
-        """Return the first value of a query argument, or None if it is missing."""
-        values = self.query.get(name.encode())
-        return values[0].decode("utf-8", "replace") if values else None
-
-
-class Pacer(Protocol):
-    """Limit the rate at which an answer's body is written."""
-
-    chunk_bytes: int
-
-    async def admit(self, size: int) -> None:
-        """Wait until a number of bytes may be sent."""
-        ...
-
-
-@frozen
-class OutgoingAnswer:
-    """An HTTP response that a handler returns."""
-
-    status: int = 200
-    body: bytes = b""
-    headers: Mapping[str, str] = field(factory=dict)
-    pacer: Pacer | None = None
-    # Headers as bytes; a name may have several values.
-    raw_headers: Headers | None = None
-
-
-Handler = Callable[[IncomingRequest], Awaitable[OutgoingAnswer]]
-
-
-@frozen
-class ErrorBody:
-    """The JSON body of every error answer."""
-
-    kind: str
-    outcome: str
-    message: str
-    advice: str
-    request_id: str | None = None
-    retry_after_ms: int | None = None
-
-
-def json_answer(
-    value: Any, status: int = 200, headers: Mapping[str, str] | None = None
-) -> OutgoingAnswer:
-    """Return an answer with a value encoded as its JSON body."""
-    all_headers = {"Content-Type": "application/json", **(headers or {})}
-    return OutgoingAnswer(status, to_json(value), all_headers)
-
-
-def error_answer(error: SteeringError, request_id: str | None = None) -> OutgoingAnswer:
-    """Return the HTTP answer for an error."""
-    answer = error.answer
-    retry_after = error.retry_after_ms
-    if retry_after is None and answer.status == 503:
-        retry_after = DEFAULT_RETRY_AFTER_MS
-    headers = {
-        "Ebonybend-Error": error.kind.value,
-        "Ebonybend-Outcome": answer.outcome.value,
-    }
-    if request_id is not None:
-        headers["Request-Id"] = request_id
-    if retry_after is not None:
-        headers["Retry-After-Ms"] = str(retry_after)
-    body = ErrorBody(
-        error.kind.value,
-        answer.outcome.value,
-        error.message,
-        answer.advice,
-        request_id,
-        retry_after,
-    )
-    return json_answer(body, answer.status, headers)
-
-
-def error_answer_bytes(kind: ErrorKind, message: str) -> bytes:
-    """Return an error answer as bytes, for a connection without a parsed request."""
-    answer = error_answer(SteeringError(kind, message))
-    lines = [f"HTTP/1.1 {answer.status} {kind.value}"]
-    lines += [f"{name}: {value}" for name, value in answer.headers.items()]
-    lines += [f"Content-Length: {len(answer.body)}", "Connection: close", "", ""]
-    return "\r\n".join(lines).encode() + answer.body
-
-
-class _Request(Request):
-    """A request that is passed to the site's handler once it is complete."""
-
-    received_bytes = 0
-    # Called if the client closes its connection before the answer is written. The
-    # handler then goes on, unless this function cancels it.
-    on_client_disconnect: Callable[[], None] | None = None
-    # The handler's coroutine; cancelling it ends the request.
-    handler_task: Deferred[None] | None = None
-
-    def gotLength(self, length: int | None) -> None:
-        limit = self.channel.site.limits.max_body_bytes
-        if length is not None and length > limit:
-            self.channel.refuse(
-                ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes is over {limit}"
-            )
-        super().gotLength(min(length or 0, limit) if length is not None else None)
-
-    def handleContentChunk(self, data: bytes) -> None:
-        self.received_bytes += len(data)
-        limit = self.channel.site.limits.max_body_bytes
-        if self.received_bytes > limit:
-            self.channel.refuse(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes")
-            return
-        super().handleContentChunk(data)
-
-    def process(self) -> None:
-        self.received_at = self.channel.finish_receiving()
-        if self.channel.ended:
-            return
-        self.client_disconnected = False
-        self.notifyFinish().addErrback(self._handle_client_disconnect)
-        # Twisted clears self.channel when the answer is written.
-        site = self.channel_site = self.channel.site
-        site.running += 1
-        self.handler_task = Deferred.fromCoroutine(self._run_handler(site))
-        self.handler_task.addBoth(partial(self._decrement_running, site))
-
-    @staticmethod
-    def _decrement_running(site: "HttpSite", _result: Any) -> None:
-        site.running -= 1
-
-    def _handle_client_disconnect(self, _reason: Any) -> None:
-        self.client_disconnected = True
-        if self.on_client_disconnect is not None:
-            self.on_client_disconnect()
-        elif self.channel_site.cancel_on_disconnect and self.handler_task is not None:
-            self.handler_task.cancel()
-
-    async def _run_handler(self, site: "HttpSite") -> None:
-        try:
-            path = self.path.decode("ascii")
-            incoming = IncomingRequest(
-                self.method.decode("ascii"),
-                path,
-                self.args,
-                self.content.read(),
-                self,
-                self.received_at,
-            )
-            answer = await site.handler(incoming)
-        except SteeringError as error:
-            answer = error_answer(error)
-        except UnicodeDecodeError:
-            answer = error_answer(
-                SteeringError(ErrorKind.BAD_REQUEST, "method or path is not ASCII")
-            )
-        except CancelledError:
-            # The client disconnected.
-            return
-        except Exception as error:
-            get_logger().exception("request_failed", error=repr(error))
-            answer = error_answer(SteeringError(ErrorKind.INTERNAL, "internal error"))
-        if answer.pacer is None or self.method == b"HEAD":
-            self.send(answer)
-        else:
-            await self._send_paced(answer, answer.pacer)
-
-    def send(self, answer: OutgoingAnswer) -> None:
-        """Write an answer unless the client has disconnected."""
-        if self.client_disconnected:
-            return
-        self._write_head(answer)
-        if self.method != b"HEAD":
-            self.write(answer.body)
-        self.finish()
-
-    async def _send_paced(self, answer: OutgoingAnswer, pacer: Pacer) -> None:
-        """Write an answer in chunks, each when the pacer admits it."""
-        if not self.client_disconnected:
-            self._write_head(answer)
-        # An empty body is written too, because the first write sends the headers.
-        for start in range(0, max(len(answer.body), 1), pacer.chunk_bytes):
-            chunk = answer.body[start : start + pacer.chunk_bytes]
-            await pacer.admit(len(chunk))
-            if self.client_disconnected:
-                return
-            self.write(chunk)
-        self.finish()
-
-    def _write_head(self, answer: OutgoingAnswer) -> None:
-        self.setResponseCode(answer.status)
-        for name, value in answer.headers.items():
-            self.responseHeaders.setRawHeaders(name, [value])
-        if answer.raw_headers is not None:
-            for name, values in answer.raw_headers.getAllRawHeaders():
-                self.responseHeaders.setRawHeaders(name, values)
-        self.responseHeaders.setRawHeaders("Content-Length", [str(len(answer.body))])
-        if self.channel.site.closing:
-            self.responseHeaders.setRawHeaders("Connection", ["close"])
-            self.channel.ends_after_answer = True
-
-
-class ArrivalTimes:
-    """When the bytes of a stream arrived."""
-
-    def __init__(self) -> None:
-        self.size = 0
-        # Size of the stream after each chunk, and the time at which it arrived.
-        self.chunks: deque[tuple[int, float]] = deque()
-
-    def record(self, size: int, now: float) -> None:
-        """Record a chunk; one too many counts as part of the chunk before it."""
-        self.size += size
-        if len(self.chunks) == MAX_ARRIVALS:
-            now = self.chunks.pop()[1]
-        self.chunks.append((self.size, now))
-
-    def time_at(self, offset: int) -> float:
-        """Return when a byte arrived, and forget the chunks before it."""
-        while len(self.chunks) > 1 and self.chunks[0][0] <= offset:
-            self.chunks.popleft()
-        return self.chunks[0][1]
-
-
-class _Channel(HTTPChannel):
-    """A connection that limits the size and the receive time of each request.
-
-    Pipelined requests are handled one after the other.
-    """
-
-    # Whether the last answer is written, though maybe not sent; input is discarded.
-    ended = False
-    # Whether the next answer announces the end of the connection.
-    ends_after_answer = False
-    receive_timer: Any = None
-    linger_timer: Any = None
-    header_bytes = 0
-    # Position of the current request's first byte in the received stream.
-    request_offset = 0
-    # Whether buffered input is parsed, which was received before.
-    replaying = False
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.arrivals = ArrivalTimes()
-        self.connected_at = self.site.reactor.seconds()
-        self.site.connections += 1
-        self.site.channels.add(self)
-
-    def connectionLost(self, reason: Any) -> None:
-        self.site.connections -= 1
-        self.site.channels.discard(self)
-        self._stop_timer()
-        if self.linger_timer is not None and self.linger_timer.active():
-            self.linger_timer.cancel()
-        super().connectionLost(reason)
-
-    def dataReceived(self, data: bytes) -> None:
-        if self.ended:
-            return
-        if not self.replaying:
-            self.arrivals.record(len(data), self.site.reactor.seconds())
-        # Input behind a request that is being handled isn't a request yet.
-        if self.receive_timer is None and not self._handlingRequest:
-            self.receive_timer = self.site.reactor.callLater(
-                self.site.limits.receive_timeout_s, self._refuse_slow_client
-            )
-        super().dataReceived(data)
-
-    def allHeadersReceived(self) -> None:
-        timer = self.receive_timer
-        timer_is_active = timer is not None and timer.active()
-        if timer_is_active and self.site.limits.timeout_covers_headers_only:
-            timer.cancel()
-        super().allHeadersReceived()
-
-    def rawDataReceived(self, data: bytes) -> None:
-        if not self.ended:
-            super().rawDataReceived(data)
-
-    def lineReceived(self, line: bytes) -> None:
-        if self.ended:
-            return
-        self.header_bytes += len(line)
-        if self.header_bytes > self.site.limits.max_header_bytes:
-            limit = self.site.limits.max_header_bytes
-            self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
-            return
-        super().lineReceived(line)
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        limit = self.site.limits.max_header_bytes
-        self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
-
-    def _respondToBadRequestAndDisconnect(self) -> None:
-        self.refuse(ErrorKind.BAD_REQUEST, "malformed HTTP request")
-
-    def _refuse_slow_client(self) -> None:
-        self.receive_timer = None
-        limit = self.site.limits.receive_timeout_s
-        self.refuse(ErrorKind.SLOW_CALLER, f"request not received whole in {limit} s")
-
-    def timeoutConnection(self) -> None:
-        # The limit may have been raised since the connection became idle.
-        extra_s = self.site.limits.idle_timeout_s - self.timeOut
-        if extra_s > 0:
-            self.timeOut = self.site.limits.idle_timeout_s
-            self.setTimeout(extra_s)
-            return
-        super().timeoutConnection()
-
-    def _stop_timer(self) -> None:
-        if self.receive_timer is not None and self.receive_timer.active():
-            self.receive_timer.cancel()
-        self.receive_timer = None
-
-    def finish_receiving(self) -> float:
-        """Prepare to receive the next request; return when this one began to arrive."""
-        self._stop_timer()
-        self.header_bytes = 0
-        received_at = self.arrivals.time_at(self.request_offset)
-        unparsed = len(self._buffer) + sum(map(len, self._dataBuffer))
-        self.request_offset = self.arrivals.size - unparsed
-        return received_at
-
-    def requestDone(self, request: Any) -> None:
-        """Continue with the next pipelined request, or end the connection."""
-        if self.ends_after_answer:
-            # The client sends the requests behind this answer again.
-            self._dataBuffer.clear()
-            self.requests.remove(request)
-            self.end_output()
-            return
-        was_replaying, self.replaying = self.replaying, True
-        try:
-            super().requestDone(request)
-        finally:
-            self.replaying = was_replaying
-
-    def refuse(self, kind: ErrorKind, message: str) -> None:
-        """Answer with an error kind and close the connection."""
-        if self.ended:
-            return
-        self._stop_timer()
-        if self.transport is not None:
-            self.transport.write(error_answer_bytes(kind, message))
-            self.end_output()
-
-    def end_output(self) -> None:
-        """Close the connection in the direction to the client; discard its input."""
-        self.ended = True
-        # Otherwise the transport calls resumeProducing once the answer is sent.
-        if not self._waitingForTransport:
-            self._linger()
-
-    def resumeProducing(self) -> None:
-        """Read and answer requests again, or linger if the last answer was sent."""
-        if not self.ended:
-            super().resumeProducing()
-        elif self.linger_timer is None:
-            self._linger()
-
-    def _linger(self) -> None:
-        self._networkProducer.unregisterProducer()
-        self._networkProducer.resumeProducing()
-        self.transport.loseWriteConnection()
-        self.linger_timer = self.site.reactor.callLater(LINGER_S, self._end_linger)
-
-    def is_receiving(self) -> bool:
-        """Return whether a request is being received, or the first one is awaited."""
-        if self.ended or self.arrivals.size:
-            return not self.ended and self.receive_timer is not None
-        return self.site.reactor.seconds() - self.connected_at < FIRST_REQUEST_S
-
-    def _end_linger(self) -> None:
-        self.transport.abortConnection()
-
-
 class _RefusedConnection(ConnectionProtocol):
     """A connection over max_connections, which is answered and closed at once."""
 
@@ -450,7 +43,7 @@
     def __init__(self, reactor: Any, handler: Handler, limits: HttpLimits):
         super().__init__(
             Resource(),
-            requestFactory=_Request,
+            requestFactory=HttpRequest,
             timeout=limits.idle_timeout_s,
             reactor=reactor,
         )
@@ -459,7 +52,7 @@
         self.connections = 0
         # Number of requests whose answer is not written yet.
         self.running = 0
-        self.channels: set[_Channel] = set()
+        self.channels: set[HttpConnection] = set()
         # Set while the process stops: answers then carry Connection: close.
         self.closing = False
         # Whether a handler is cancelled when its client disconnects.
@@ -469,7 +62,7 @@
         """Accept a connection, or refuse it if too many are open."""
         if self.connections >= self.limits.max_connections:
             return _RefusedConnection()
-        channel = _Channel()
+        channel = HttpConnection()
         channel.requestFactory = self.requestFactory
         channel.site = self
         channel.factory = self
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -7,7 +7,7 @@
 from twisted.web.http_headers import Headers
 
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
 from ebonybend.node.backend_connection import BackendAnswer
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import RequestLog
--- a/ebonybend/node/ports.py
+++ b/ebonybend/node/ports.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
 from ebonybend.http_router import Router
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.node.members import Members, members_in_region
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.wire import WireFormat
--- /dev/null
+++ b/ebonybend/node/relayed_store.py
@@ -0,0 +1,167 @@
+"""The object store, whose changes are read from the relays of the region."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from returns.result import Result, Success
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from ebonybend.logs import get_logger
+from ebonybend.steering.relays import Relays
+from ebonybend.store.client import (
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreFailureKind,
+)
+from ebonybend.tasks import Timers
+
+# Time for which a node reads from relays after a call to the store failed.
+STORE_RETRY_S = 5.0
+
+# Returns the changes of a kind since a version from the relay with an address.
+Fetch = Callable[[str, str, int], Awaitable[Result[ObjectList, StoreFailure]]]
+
+
+class NodeStore(ObjectStore, Protocol):
+    """The object store as a node uses it."""
+
+    async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
+        """Return whether the store answers a cheap call for an object in time."""
+        ...
+
+
+class RelayedStore:
+    """The object store, whose changes are read from relays while there are enough."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        relays: Relays,
+        fetch: Fetch,
+        timers: Timers,
+        batch_delay_s: float,
+    ):
+        self.store = store
+        self.relays = relays
+        self.fetch = fetch
+        self.timers = timers
+        # Shortest time between two watches of a kind, so that one call reads the
+        # changes of that time.
+        self.batch_delay_s = batch_delay_s
+        self.last_watch_at: dict[str, float] = {}
+        self.was_following = False
+        # Until then the store counts as out of reach.
+        self.cut_off_until = float("-inf")
+        # Fired by the next pulse.
+        self.waiting: list[Deferred[None]] = []
+
+    def is_following(self) -> bool:
+        """Return whether this node relies on relays, or doesn't reach the store."""
+        now = self.timers.seconds()
+        return now < self.cut_off_until or self.relays.follow_until(now) > now
+
+    def wake(self) -> None:
+        """Compare the own versions with those of a pulse."""
+        waiting, self.waiting = self.waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
+
+    async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
+        """Return all objects of a kind."""
+        return await self.store.list(kind)
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
+        """Return one object."""
+        return await self.store.get(kind, name)
+
+    async def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[int, StoreFailure]:
+        """Write JSON if the version matches (0: no object); return the new version."""
+        return await self.store.put(kind, name, value, version)
+
+    async def watch(
+        self, kind: str, since: int, timeout_ms: int
+    ) -> Result[ObjectList, StoreFailure]:
+        """Return the objects changed since a version, from a relay or the store.
+
+        Without a timeout, the store itself is asked if it may be reached.
+        """
+        if timeout_ms or self.timers.seconds() < self.cut_off_until:
+            relayed = await self._watch_relays(kind, since)
+            if relayed is not None:
+                return relayed
+        if timeout_ms:
+            await self._wait_for_batch(kind)
+        answer = await self.store.watch(kind, since, timeout_ms)
+        now = self.last_watch_at[kind] = self.timers.seconds()
+        if not _is_cut_off(answer):
+            self.cut_off_until = now
+        elif not timeout_ms:
+            # A waiting watch may be cut off by a store that answers the next call.
+            self.cut_off_until = now + STORE_RETRY_S
+        return answer
+
+    async def _watch_relays(
+        self, kind: str, since: int
+    ) -> Result[ObjectList, StoreFailure] | None:
+        """Return the next changes that a relay has; None if this node has to watch."""
+        while True:
+            now = self.timers.seconds()
+            is_cut_off = now < self.cut_off_until
+            until = self.relays.follow_until(now, is_cut_off)
+            if is_cut_off:
+                until = min(until, self.cut_off_until)
+            self._log_mode(until > now)
+            if until <= now:
+                return None
+            source = self.relays.source(kind, since, now)
+            if source is None:
+                await self._wait_for_pulse(until - now)
+                continue
+            answer = await self.fetch(source.address, kind, since)
+            if isinstance(answer, Success) and answer.unwrap().version > since:
+                return answer
+            message = (
+                "no changes"
+                if isinstance(answer, Success)
+                else answer.failure().message
+            )
+            get_logger().warning(
+                "relay_failed", relay=source.name, kind=kind, error=message
+            )
+            self.relays.record_failure(source.name, self.timers.seconds())
+
+    def _log_mode(self, following: bool) -> None:
+        if following is not self.was_following:
+            self.was_following = following
+            get_logger().info("relays_followed" if following else "store_watched")
+
+    async def _wait_for_pulse(self, timeout_s: float) -> None:
+        waiting: Deferred[None] = Deferred()
+        self.waiting.append(waiting)
+        timer = self.timers.callLater(timeout_s, self.wake)
+        try:
+            await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+            if waiting in self.waiting:
+                self.waiting.remove(waiting)
+
+    async def _wait_for_batch(self, kind: str) -> None:
+        last = self.last_watch_at.get(kind, float("-inf"))
+        delay_s = last + self.batch_delay_s - self.timers.seconds()
+        if delay_s > 0:
+            await deferLater(self.timers, delay_s)
+
+
+def _is_cut_off(answer: Result[ObjectList, StoreFailure]) -> bool:
+    """Return whether a call did not reach the store, or its answer was lost."""
+    return not isinstance(answer, Success) and answer.failure().kind in (
+        StoreFailureKind.UNAVAILABLE,
+        StoreFailureKind.ANSWER_LOST,
+    )
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -26,15 +26,9 @@
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.ports import Directory, metrics_router, readiness_router
-from ebonybend.node.relaying import (
-    PING_TIMEOUT_S,
-    NodeStore,
-    PulseProtocol,
-    RelayClient,
-    RelayedStore,
-    relay_address,
-    relay_router,
-)
+from ebonybend.node.pulses import PING_TIMEOUT_S, PulseProtocol, relay_address
+from ebonybend.node.relay_changes import RelayClient, relay_router
+from ebonybend.node.relayed_store import NodeStore, RelayedStore
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.stop import NodeStop
--- a/ebonybend/node/tests/test_foreign_bytes.py
+++ b/ebonybend/node/tests/test_foreign_bytes.py
@@ -12,7 +12,7 @@
 from ebonybend.node.backend_connection import MAX_HEAD_BYTES, BackendConnection
 from ebonybend.node.beats import HeartbeatProtocol
 from ebonybend.node.members import Member, Members
-from ebonybend.node.relaying import PulseProtocol
+from ebonybend.node.pulses import PulseProtocol
 from ebonybend.platform.documents import PlatformDocuments
 from ebonybend.platform.settings import decode_settings
 from ebonybend.platform.store import _decode_changes, _decode_object
--- a/ebonybend/node/tests/test_relaying.py
+++ b/ebonybend/node/tests/test_relayed_store.py
@@ -6,7 +6,8 @@
 from twisted.internet.task import Clock, deferLater
 
 from ebonybend.node.members import Member, Members
-from ebonybend.node.relaying import STORE_RETRY_S, PulseProtocol, RelayedStore
+from ebonybend.node.pulses import PulseProtocol
+from ebonybend.node.relayed_store import STORE_RETRY_S, RelayedStore
 from ebonybend.steering.relays import PULSE_PERIOD_S, PULSE_TIMEOUT_S, Relays
 from ebonybend.store.client import StoreFailure, StoreFailureKind
 from ebonybend.store.tests.memory_store import CALL_S, MemoryStore, StoreClient
--- a/ebonybend/peers/http_transport.py
+++ b/ebonybend/peers/http_transport.py
@@ -5,9 +5,9 @@
 
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
 from ebonybend.http_client import HttpClient, RequestFailed
 from ebonybend.http_router import Router
-from ebonybend.http_server import IncomingRequest, OutgoingAnswer
 from ebonybend.peers.exchange import PeerExchange
 from ebonybend.peers.records import ExchangeReply, ExchangeRequest, ShardVersion
 
--- a/ebonybend/tests/test_http_server.py
+++ b/ebonybend/tests/test_http_server.py
@@ -6,8 +6,9 @@
 from twisted.internet.testing import StringTransport
 
 from ebonybend.errors import ANSWERS, ErrorKind
+from ebonybend.http_answers import json_answer
 from ebonybend.http_router import Router
-from ebonybend.http_server import HttpLimits, HttpSite, json_answer
+from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.tests.profile import REPEATABLE
 
 LIMITS = HttpLimits(
--- a/ebonybend/tool/tests/fake_admin.py
+++ b/ebonybend/tool/tests/fake_admin.py
@@ -19,7 +19,7 @@
     StatusAnswer,
     WhereAnswer,
 )
-from ebonybend.http_server import ErrorBody
+from ebonybend.http_answers import ErrorBody
 from ebonybend.rules import RuleError, diff_rules, parse_rules
 
 NOW = 1_800_000_000.0
--- a/standins/command.py
+++ b/standins/command.py
@@ -8,7 +8,8 @@
 from twisted.web.http import HTTPChannel
 
 from ebonybend.addresses import split_address
-from ebonybend.http_server import Handler, HttpLimits, HttpSite
+from ebonybend.http_answers import Handler
+from ebonybend.http_server import HttpLimits, HttpSite
 
 # The platform accepts values of up to 1 MB.
 DEFAULT_LIMITS = HttpLimits(max_body_bytes=(1 << 20) + 4096, max_connections=5000)
