Begin a test's faults when its load has begun

Traced in three runs beside the same load: the first request left 1.9 to 2.5 s after the client process was started, but the instance was stopped after 1.5 s; no promise was broken.

Change: start_load returns once the client process has opened its records, just before its first request. The checks and their bounds are as they were.

--- a/bench/playing.py
+++ b/bench/playing.py
@@ -13,6 +13,8 @@
 # Maximum time from the last request to the end of the load: the longest deadline
 # plus the time for the last answer.
 LAST_ANSWERS_TIMEOUT_S = 10.0
+# Longest time for a client process to begin, beside other load.
+START_TIMEOUT_S = 15.0
 
 
 @frozen
@@ -42,14 +44,20 @@
 def start_load(
     fleet: Fleet, shape: LoadShape, duration_s: float, seed: int = 1
 ) -> LoadRun:
-    """Start a client process that generates the load of all regions."""
+    """Start a client process that generates the load of all regions.
+
+    Returns once the load begins, so that faults meet it whatever else runs.
+    """
     name = f"callers-{seed}"
     records = fleet.directory / f"{name}.records.jsonl"
     loads = region_loads(fleet.addresses, shape)
     plan = LoadPlan(loads, str(records), duration_s, seed)
     path = fleet.directory / f"{name}.plan.json"
     path.write_bytes(to_json(plan))
+    records.unlink(missing_ok=True)
     fleet.processes.start(ProcessSpec(name, "bench.caller", (str(path),)))
+    # The client process creates the file just before its first request.
+    fleet.wait_until(records.exists, "the load has begun", START_TIMEOUT_S)
     return LoadRun(fleet, name, records, duration_s)
 
 
