Keep writes away from a domain that leaves requests unanswered, and accept what waits at a stop

All were writes that montego-1-a sent to Kingston during the cut, with its own servers idle: Kingston's estimated latency was 91 to 114 ms against 119 ms at home, and a lost answer only halved the window, whose least size of 1 lost one write after another. - A port accepts in one call as many connections as in the last one, at least 1, so a stop after a quiet time accepted one of the connections that waited in the kernel and reset the others. - An entry's stop closed connections that were just accepted. - A lease request to an entry without a known address raised ValueError.

Changes: a domain whose entry left a request unanswered is the last choice for requests that are not idempotent, for 5 s or until it answers any request. close_port accepts all waiting connections; an entry waits for requests on them before it closes connections. An address that is none raises NotSent.

--- a/ebonybend/entry/forwarder.py
+++ b/ebonybend/entry/forwarder.py
@@ -179,7 +179,7 @@
         if server is None:
             history.domains.add(own)
         query = self.domain_options.query(request.service, history)
-        score = self.domains.choose(query)
+        score = self.domains.choose(query, request.idempotent)
         if score is None:
             return self._handle_no_domain(history)
         if score.domain == own:
@@ -252,11 +252,17 @@
         domain: str,
         attempt: Attempt,
     ) -> None:
-        """Adjust a domain's in-flight window to the result of an attempt."""
+        """Adjust the view of a domain and its window to the result of an attempt."""
         if is_successful(attempt):
+            self.domains.record_answer(domain)
             self.domains.record_admission(domain, request.service)
             return
-        kind = attempt.failure().error.kind
+        failure = attempt.failure()
+        if failure.reported_by_entry:
+            self.domains.record_answer(domain)
+        elif failure.error.kind in UNANSWERED:
+            self.domains.record_unanswered(domain)
+        kind = failure.error.kind
         if kind in UNANSWERED:
             # With a smaller window, traffic grows gradually once the domain recovers.
             self.domains.record_refusal(domain, request.service)
--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -1,6 +1,7 @@
 """Run one entry process."""
 
 from asyncio import get_event_loop
+from collections.abc import Callable
 from random import Random
 from signal import SIGINT, SIGTERM
 from time import time_ns
@@ -26,7 +27,7 @@
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
-from ebonybend.listening import listen
+from ebonybend.listening import close_port, listen
 from ebonybend.logs import get_logger
 from ebonybend.settings import Settings
 from ebonybend.world import LifeState
@@ -35,7 +36,8 @@
 NANOSECONDS_PER_MS = 1_000_000
 # A push of outcomes must fit; its records alone reach 512 KB.
 MIN_PEER_BODY_BYTES = 1 << 20
-# Longest time to send the last answers at the end of a graceful stop.
+# Longest time to receive the last requests at the end of a graceful stop, and to send
+# the last answers.
 CLOSE_TIMEOUT_S = 1.0
 CLOSE_POLL_S = 0.02
 
@@ -241,13 +243,20 @@
     async def _close_ports(self) -> None:
         """Close the ports, and the connections once their last answers are sent."""
         for port in self.ports:
-            await maybeDeferred(port.stopListening)
-        until = self.clock.monotonic() + CLOSE_TIMEOUT_S
-        for site in self.sites.values():
+            await maybeDeferred(close_port, port)
+        sites = self.sites.values()
+        for site in sites:
+            site.close_idle()
+        # Connections that were just accepted may carry a request.
+        await self._wait_while(lambda: any(site.unfinished() for site in sites))
+        for site in sites:
             site.close_connections()
-        while any(site.connections for site in self.sites.values()):
-            if self.clock.monotonic() >= until:
-                return
+        await self._wait_while(lambda: any(site.connections for site in sites))
+
+    async def _wait_while(self, condition: Callable[[], bool]) -> None:
+        """Wait for at most CLOSE_TIMEOUT_S while a condition holds."""
+        until = self.clock.monotonic() + CLOSE_TIMEOUT_S
+        while condition() and self.clock.monotonic() < until:
             await deferLater(self.reactor, CLOSE_POLL_S)
 
     def end(self, status: int) -> None:
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -267,6 +267,9 @@
         endpoint = self.endpoints.get(address)
         if endpoint is None:
             host, _, port = address.rpartition(":")
+            if not (host and port.isdecimal()):
+                # A peer's address may not be known yet.
+                raise NotSent(f"{address!r} is not an address")
             endpoint_class = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
             endpoint = endpoint_class(
                 self.reactor,
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -11,7 +11,7 @@
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
-from ebonybend.listening import listen
+from ebonybend.listening import close_port, listen
 from ebonybend.logs import NonBlockingLogFile, get_logger
 from ebonybend.node.answer_memory import answer_memory
 from ebonybend.node.backend_pool import BackendPool
@@ -364,10 +364,7 @@
     def close_ports(self) -> None:
         """Close the client and directory ports, and the idle client connections."""
         for address in (self.settings.callers_address, self.settings.directory_address):
-            port = self.ports[address]
-            # Accepts the waiting connections, which the close would reset.
-            port.doRead()
-            port.stopListening()
+            close_port(self.ports[address])
         self.client_site.close_idle()
 
     def shut_down(self) -> None:
--- a/ebonybend/steering/choice.py
+++ b/ebonybend/steering/choice.py
@@ -34,6 +34,9 @@
 # A burst of refusals halves the window once. Refusals arrive a round trip after
 # sending, which is up to 110 ms between regions.
 WINDOW_CUT_INTERVAL_S = 0.2
+# Time for which a domain that left a request unanswered is the last resort for requests
+# that can't be sent again. An answer to any request ends it earlier.
+UNANSWERED_S = 5.0
 
 
 @frozen
@@ -265,14 +268,30 @@
         self.clock = clock
         self.random = random
         self.windows: dict[tuple[str, str], DomainWindow] = {}
+        # Time of the last unanswered request, by domain, unless one was answered since.
+        self.unanswered_at: dict[str, float] = {}
 
-    def choose(self, query: DomainQuery) -> DomainScore | None:
-        """Return the best usable domain, or None if there is none."""
+    def choose(self, query: DomainQuery, idempotent: bool = True) -> DomainScore | None:
+        """Return the best usable domain for a request, or None if there is none."""
         usable = [s for s in self._scores(query) if s.usable]
         if not usable:
             return None
+        if not idempotent:
+            usable = [s for s in usable if not self._is_doubtful(s.domain)] or usable
         return min(usable, key=lambda s: self._sort_key(query, s))
 
+    def record_unanswered(self, domain: str) -> None:
+        """Record that a domain's entry left a request unanswered."""
+        self.unanswered_at[domain] = self.clock.monotonic()
+
+    def record_answer(self, domain: str) -> None:
+        """Record that a domain's entry answered a request."""
+        self.unanswered_at.pop(domain, None)
+
+    def _is_doubtful(self, domain: str) -> bool:
+        at = self.unanswered_at.get(domain)
+        return at is not None and self.clock.monotonic() - at < UNANSWERED_S
+
     def explain(self, query: DomainQuery) -> tuple[DomainScore, ...]:
         """Return the scores of all domains, best first."""
         scores = self._scores(query)
--- a/ebonybend/steering/tests/test_choice.py
+++ b/ebonybend/steering/tests/test_choice.py
@@ -1,4 +1,5 @@
 from random import Random
+from typing import ClassVar
 
 from attrs import evolve
 from testscenarios import TestWithScenarios
@@ -13,6 +14,7 @@
     ServerChooser,
     ServerResult,
 )
+from ebonybend.steering.choice import UNANSWERED_S
 from ebonybend.steering.table import ServerView
 from ebonybend.steering.tests.test_admission import sole_member_ledger
 from ebonybend.world import ServerState
@@ -130,6 +132,52 @@
         self.assertEqual(self.expected, chooser.choose(query).domain)
 
 
+class UnansweredDomainTest(TestWithScenarios, TestCase):
+    """Guards against sending a request that can't be repeated where others were lost.
+
+    Load pattern: writes in a domain that is cut off while another one looks faster.
+    """
+
+    scenarios = [
+        ("a write with no loss", {"steps": "", "expected": "montego-1"}),
+        ("a write after a loss", {"steps": "lost", "expected": "kingston-1"}),
+        (
+            "a read after a loss",
+            {"steps": "lost", "idempotent": True, "expected": "montego-1"},
+        ),
+        (
+            "a write after an answer",
+            {"steps": "lost answered", "expected": "montego-1"},
+        ),
+        (
+            "a write after an answer and a loss",
+            {"steps": "answered lost", "expected": "kingston-1"},
+        ),
+        ("a write some time later", {"steps": "lost wait", "expected": "montego-1"}),
+        (
+            "a write that no other domain can take",
+            {"steps": "lost", "local": {"slots": 0}, "expected": "montego-1"},
+        ),
+    ]
+    idempotent = False
+    local: ClassVar[dict] = {}
+
+    def test_chosen_domain(self):
+        clock = ManualClock()
+        chooser = DomainChooser(clock, Random(1))
+        for step in self.steps.split():
+            match step:
+                case "lost":
+                    chooser.record_unanswered("montego-1")
+                case "answered":
+                    chooser.record_answer("montego-1")
+                case "wait":
+                    clock.advance(UNANSWERED_S)
+        options = (evolve(LOCAL, service_latency_ms=200.0, **self.local), REMOTE)
+        score = chooser.choose(evolve(QUERY, options=options), self.idempotent)
+        self.assertEqual(self.expected, score.domain)
+
+
 class DomainChooserTest(TestCase):
     def setUp(self):
         super().setUp()
--- a/ebonybend/tests/test_http_client.py
+++ b/ebonybend/tests/test_http_client.py
@@ -117,6 +117,29 @@
             self.fail("the request raised no error")
 
 
+class AddressTest(TestWithScenarios, ClientTestCase):
+    """Guards against an unhandled error where a peer's address is not known."""
+
+    scenarios = [
+        ("empty", {"address": ""}),
+        ("no port", {"address": "127.0.0.1"}),
+        ("empty port", {"address": "127.0.0.1:"}),
+        ("port is no number", {"address": "127.0.0.1:http"}),
+        ("no host", {"address": ":80"}),
+    ]
+
+    def test_raises_not_sent(self):
+        return Deferred.fromCoroutine(self.send_and_expect_not_sent())
+
+    async def send_and_expect_not_sent(self):
+        try:
+            await self.client().request("POST", self.address, "/")
+        except NotSent as error:
+            self.assertFalse(error.refused)
+        else:
+            self.fail("the request raised no error")
+
+
 class SuccessTest(ClientTestCase):
     """Guards against a wrong answer on a reused connection."""
 
