Check whose answer arrives on a reused connection, and await writes until their deadline

Causes, both met by operators of similar systems: - An entry believed any answer on a connection to a server or another entry. A second copy of an answer, sent late, was given to the next caller; "not run" in such a copy could have been untrue. - A node gave up a request that isn't idempotent (502) when its server acknowledged nothing for 1 s, or no keep-alive probe for 2 s, although the server may only be cut off for that time and nothing else can be done with the request.

Changes: HttpClient compares the Request-Id of an answer with that sent; without one an answer counts only as the first of a connection. A node waits for an acknowledgement of a request that isn't idempotent until its deadline. As such a request may be in flight for long, only requests that were sent after an ejection count as the trial of an ejected server.

Ruled out: AnswerLost for a foreign answer, since a lost answer makes the request suspect of having crashed the server.

--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -13,6 +13,7 @@
 from ebonybend.errors import ErrorKind
 from ebonybend.http_client import (
     AnswerLost,
+    AnswerMismatch,
     AnswerTimeout,
     AnswerTooLarge,
     HttpAnswer,
@@ -197,7 +198,7 @@
             self._abandon(server, ServerResult.LOST, started)
             await self.running.report_crash(running)
             return failed_attempt(ErrorKind.ANSWER_LOST, f"{server.name}: {error}")
-        except AnswerTooLarge as error:
+        except (AnswerMismatch, AnswerTooLarge) as error:
             self._abandon(server, ServerResult.TIMEOUT, started)
             return failed_attempt(ErrorKind.ANSWER_LOST, f"{server.name}: {error}")
         except AnswerTimeout as error:
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any
+from weakref import WeakSet
 
 from attrs import frozen
 from twisted.internet.defer import CancelledError, Deferred, gatherResults, succeed
@@ -36,6 +37,7 @@
 # connection below this idle time isn't closed while the request is in flight.
 RECENT_MAX_IDLE_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+REQUEST_ID_HEADER = "Request-Id"
 
 
 class Reuse(Enum):
@@ -86,6 +88,10 @@
     """No complete answer was received in time; the request may still run."""
 
 
+class AnswerMismatch(RequestFailed):
+    """The answer belongs to another request; the sent one may have run."""
+
+
 class AnswerTooLarge(RequestFailed):
     """The answer's body is over the limit."""
 
@@ -181,6 +187,19 @@
         return self._newConnection(key, endpoint)
 
 
+def _is_answer_to(sent: Headers, received: Headers, is_reused: bool) -> bool:
+    """Return whether an answer states the id of the request, if that has one.
+
+    A server may send an answer twice, and the second copy late. On a reused connection
+    an answer without an id may thus belong to the request before.
+    """
+    request_ids = sent.getRawHeaders(REQUEST_ID_HEADER)
+    if request_ids is None:
+        return True
+    answered_ids = received.getRawHeaders(REQUEST_ID_HEADER)
+    return answered_ids == request_ids or (answered_ids is None and not is_reused)
+
+
 def _was_cancelled(error: ResponseFailed) -> bool:
     """Return whether this process itself cancelled the request."""
     return any(reason.check(CancelledError) for reason in error.reasons)
@@ -207,6 +226,8 @@
             Reuse.NEVER: HTTPConnectionPool(reactor, persistent=False),
         }
         self.endpoints: dict[str, Any] = {}
+        # Connections that have carried a request.
+        self.used: WeakSet[Any] = WeakSet()
 
     async def request(
         self,
@@ -238,7 +259,12 @@
         if may_send is not None and not may_send():
             connection.transport.loseConnection()
             raise SendTooLate("the connection was ready too late")
+        is_reused = connection in self.used
+        self.used.add(connection)
         response = await self._send(connection, request, address, deadline)
+        if not _is_answer_to(request_headers, response.headers, is_reused):
+            connection.abort()
+            raise AnswerMismatch(f"{address} answered another request")
         return await self._read(response, method, deadline, max_body)
 
     async def _connect(self, address: str, reuse: Reuse, timeout: float) -> Any:
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -15,13 +15,15 @@
 from twisted.web.http_headers import Headers
 
 from ebonybend.node.answer_memory import AnswerMemory
+from ebonybend.sockets import set_unacknowledged_timeout
 
 # Late answers to earlier requests that are skipped before the connection is closed.
 MAX_SKIPPED_ANSWERS = 2
 # Limit on the head of an answer, together with skipped and interim answers before it.
 MAX_HEAD_BYTES = 64 << 10
-# A request is lost if the server's kernel doesn't acknowledge it within this time: long
-# enough for three transmissions on the longest path, and below most client deadlines.
+# An idempotent request is lost, and may be sent to another server, if the kernel of its
+# server doesn't acknowledge it within this time: long enough for three transmissions on
+# the longest path, and below most client deadlines.
 ACK_TIMEOUT_MS = 1000
 # Fraction of that time from which on a lost connection counts as unacknowledged; a
 # reset arrives sooner.
@@ -129,6 +131,8 @@
         self.sent_at = 0.0
         # Whether any byte arrived since the request was sent.
         self.has_received = False
+        # Time for which the server's kernel may acknowledge nothing.
+        self.ack_timeout_ms = ACK_TIMEOUT_MS
         # Called when the connection can carry another request.
         self.on_idle = on_idle
         self.usable = True
@@ -147,9 +151,16 @@
         self.unframed_answer: BackendAnswer | None = None
 
     def send(
-        self, method: bytes, request_id: bytes, data: bytes
+        self,
+        method: bytes,
+        request_id: bytes,
+        data: bytes,
+        ack_timeout_ms: int = ACK_TIMEOUT_MS,
     ) -> Deferred[BackendAnswer]:
         """Send a request; cancelling the result closes the connection."""
+        if ack_timeout_ms != self.ack_timeout_ms:
+            self.ack_timeout_ms = ack_timeout_ms
+            set_unacknowledged_timeout(self.transport, ack_timeout_ms)
         self.method = method
         self.request_id = request_id
         self.skipped_answers = 0
@@ -298,7 +309,7 @@
         if self.has_received or reason.check(ConnectionDone):
             return False
         waited_ms = (self.clock() - self.sent_at) * 1000
-        return waited_ms >= ACK_TIMEOUT_MS * ACK_TIMEOUT_FRACTION
+        return waited_ms >= self.ack_timeout_ms * ACK_TIMEOUT_FRACTION
 
 
 def _has_token(headers: Headers, token: bytes) -> bool:
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,6 +1,7 @@
 """Forward a request to a backend server; retry on another where that is safe."""
 
 from collections.abc import Callable
+from math import ceil
 from random import Random
 from typing import Any
 
@@ -10,6 +11,7 @@
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.logs import get_logger
 from ebonybend.node.backend_connection import (
+    ACK_TIMEOUT_MS,
     AnswerNotReceived,
     BackendAnswer,
     LossReason,
@@ -46,6 +48,7 @@
 MIN_REMAINING_S = 0.02
 # From this status on, an answer counts as a failure of the server.
 MIN_FAILURE_STATUS = 500
+MS_PER_S = 1000
 
 
 @define
@@ -256,7 +259,7 @@
             tracked.pacer.record_send(
                 self.reactor.seconds(), limits.cold_rate, self.node_count()
             )
-        tracked.in_flight += 1
+        is_trial = tracked.start_request()
         try:
             connection = self.pool.acquire(server, not request.route.idempotent)
             if connection is None:
@@ -277,14 +280,18 @@
             may_have_run_before = request.may_have_run
             request.may_have_run = True
             data = self._encode_request(request, server.name, started)
-            answer = await self._await_answer(
-                connection.send(request.method, request.request_id, data), request
+            waiting = connection.send(
+                request.method,
+                request.request_id,
+                data,
+                _ack_timeout_ms(request, started),
             )
+            answer = await self._await_answer(waiting, request)
         except SteeringError:
             self._record_silence(request, tracked, started)
             raise
         finally:
-            tracked.in_flight -= 1
+            tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = may_have_run_before
         self._record_answer(request, tracked, answer, started)
@@ -355,6 +362,17 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
+def _ack_timeout_ms(request: ClientRequest, now: float) -> int:
+    """Return for how long a server may acknowledge nothing.
+
+    A request that isn't idempotent can't be sent to another server. Its server may only
+    be cut off for some time, so its answer is awaited until the deadline.
+    """
+    if request.route.idempotent:
+        return ACK_TIMEOUT_MS
+    return max(ACK_TIMEOUT_MS, ceil((request.deadline - now) * MS_PER_S))
+
+
 def _fingerprint(request: ClientRequest) -> str:
     method, uri = request.method.decode("latin-1"), request.uri.decode("latin-1")
     return fingerprint(request.service, method, uri, request.body)
--- a/ebonybend/sockets.py
+++ b/ebonybend/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that detect an unresponsive peer."""
 
+from math import ceil
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -13,7 +14,9 @@
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# Fewest probes without an answer after which a connection is closed.
 KEEPALIVE_PROBES = 2
+MS_PER_S = 1000
 # A connection is closed if sent bytes stay unacknowledged for this time.
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
 
@@ -26,5 +29,13 @@
     tcp_socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+    set_unacknowledged_timeout(transport, unacknowledged_ms)
+
+
+def set_unacknowledged_timeout(transport: Any, unacknowledged_ms: int) -> None:
+    """Set the time for which a peer may acknowledge nothing."""
+    tcp_socket = transport.getHandle()
+    # Unanswered probes close the connection too.
+    probes = ceil(unacknowledged_ms / MS_PER_S / KEEPALIVE_INTERVAL_S)
+    tcp_socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, max(probes, KEEPALIVE_PROBES))
     tcp_socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms)
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -38,6 +38,8 @@
 
     server: BackendServer
     in_flight: int = 0
+    # Those of them that were sent after an ejection, to try the server again.
+    trials: int = 0
     # Requests of other senders at the last load report, and the time of the report.
     others_in_flight: float = 0.0
     reported_at: float = float("-inf")
@@ -75,8 +77,21 @@
         """Return whether the server is ejected after failures.
 
         After the ejection time, it gets one request at a time until it answers one.
+        Requests sent before the ejection may wait for long, and are not counted.
         """
-        return now < self.ejected_until or (self.ejections > 0 and self.in_flight > 0)
+        return now < self.ejected_until or (self.ejections > 0 and self.trials > 0)
+
+    def start_request(self) -> bool:
+        """Count a request in flight; return whether it tries an ejected server."""
+        self.in_flight += 1
+        is_trial = self.ejections > 0
+        self.trials += is_trial
+        return is_trial
+
+    def end_request(self, is_trial: bool) -> None:
+        """Stop counting a request that start_request counted."""
+        self.in_flight -= 1
+        self.trials -= is_trial
 
     def is_unreachable(self, now: float) -> bool:
         """Return whether the server is ejected because it couldn't be reached."""
