Let an old latency fade, so that a pause doesn't keep traffic from idle servers

Ruled out: the window halved by refusals; kingston-2's own option has none, and kingston-1's windows were full only after its own slots were.

Change: an average without new answers fades: within a domain towards the fastest server, for the own domain's score towards 0. An answer that arrives after a pause of the process is not counted.

--- a/ebonybend/entry/data_plane.py
+++ b/ebonybend/entry/data_plane.py
@@ -71,7 +71,11 @@
         )
         self.hops = HopClient(clock, http, self.table_state, random)
         self.domain_options = DomainOptions(
-            clock, self.table_state, self.admission, self.budgets.link_utilisation
+            clock,
+            self.table_state,
+            self.admission,
+            self.chooser,
+            self.budgets.link_utilisation,
         )
         self.forwarder = Forwarder(
             clock,
--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -232,7 +232,9 @@
             self._finish(server, ServerResult.TIMEOUT, started)
             return failed_attempt(ErrorKind.DEADLINE_EXCEEDED, f"{server.name} gave up")
         self._finish(server, ServerResult.SUCCESS, started)
-        self.chooser.record_latency(server.name, now - started)
+        # A pause of this process would count as latency of the server.
+        if self.admission.ledger.has_run_since(started):
+            self.chooser.record_latency(server.name, now - started)
         if request.verdict is not Verdict.ALLOW:
             self.running.suspects.record_success(request.fingerprint)
         return Success(
--- a/ebonybend/entry/domains.py
+++ b/ebonybend/entry/domains.py
@@ -6,7 +6,7 @@
 from ebonybend.entry.attempts import AttemptHistory
 from ebonybend.entry.table_state import TableState
 from ebonybend.steering.admission import Admission
-from ebonybend.steering.choice import DomainOption, DomainQuery
+from ebonybend.steering.choice import DomainOption, DomainQuery, ServerChooser
 from ebonybend.steering.table import DomainView, ServiceLoad, Table
 from ebonybend.steering.weights import EQUAL_WEIGHTS
 
@@ -25,11 +25,13 @@
         clock: Clock,
         table_state: TableState,
         admission: Admission,
+        chooser: ServerChooser,
         link_utilisation: Callable[[str], float],
     ):
         self.clock = clock
         self.table_state = table_state
         self.admission = admission
+        self.chooser = chooser
         self.link_utilisation = link_utilisation
         self._cached_queries: dict[str, tuple[float, DomainQuery]] = {}
         self._domains_by_region: dict[str, frozenset[str]] = {}
@@ -125,19 +127,25 @@
         ledger = self.admission.ledger
         limit = sum(self.admission.limit(view.name) for view in views)
         busy = sum(ledger.in_flight(view.name) for view in views)
-        latency_ms = 0.0
-        own = next((d for d in table.domains if d.name == table.failure_domain), None)
-        load = _service_load(own, service) if own else None
-        if load is not None:
-            latency_ms = load.latency_ms
         return DomainOption(
             domain=table.failure_domain,
             one_way_latency_ms=0.0,
-            service_latency_ms=latency_ms,
+            service_latency_ms=self._own_latency_ms(service, table),
             slots=limit,
             in_flight=busy,
         )
 
+    def _own_latency_ms(self, service: str, table: Table) -> float:
+        """Return the mean latency of this entry's answers, or that of its domain."""
+        views = self.table_state.servers.get(service, ())
+        latencies = [self.chooser.recent_latency_ms(view.name) for view in views]
+        measured = [latency for latency in latencies if latency]
+        if measured:
+            return sum(measured) / len(measured)
+        own = next((d for d in table.domains if d.name == table.failure_domain), None)
+        load = _service_load(own, service) if own else None
+        return load.latency_ms if load is not None else 0.0
+
     def _sibling_option(
         self, service: str, table: Table, own: DomainOption
     ) -> DomainOption | None:
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -1,3 +1,4 @@
+from attrs import evolve
 from returns.pipeline import is_successful
 from testscenarios import TestWithScenarios
 from testtools import TestCase
@@ -8,6 +9,7 @@
     Harness,
     backend_answer,
     entry_answer,
+    table,
 )
 from ebonybend.errors import ErrorKind
 from ebonybend.http_client import (
@@ -17,6 +19,7 @@
     NotSent,
     SendTooLate,
 )
+from ebonybend.steering.table import TableReply
 
 OVERLOADED = ErrorKind.OVERLOADED
 UNREACHABLE = ErrorKind.BACKEND_UNREACHABLE
@@ -270,6 +273,57 @@
         self.assertEqual(504, results[1].unwrap().status)
 
 
+class PausedEntryTest(TestWithScenarios, TestCase):
+    """Guards against traffic to other regions past idle servers of the own domain.
+
+    Load pattern: an entry pauses with requests inside, and its answers seem slow; then
+    its servers are idle, and no request corrects their latency.
+    """
+
+    scenarios = [
+        ("a pause of the process", {"pause_s": 3.0, "idle_s": 0.5}),
+        ("a server that was slow, long ago", {"slow_s": 3.0, "idle_s": 20.0}),
+    ]
+    pause_s = 0.0
+    slow_s = 0.0
+
+    def run_for(self, harness, seconds):
+        for _ in range(round(seconds / 0.25)):
+            harness.reactor.advance(0.25)
+            harness.plane.ledger.tick()
+
+    def report_latency(self, harness):
+        """Apply a table with the latency that this entry reports."""
+        latest = table(harness.plane.table_state.table.serial + 1)
+        own, *others = latest.domains
+        latency_ms = max(harness.plane.chooser.latency_ms(f"s{i}") for i in range(3))
+        load = evolve(own.services[0], latency_ms=latency_ms)
+        domains = (evolve(own, services=(load,)), *others)
+        reply = TableReply(evolve(latest, domains=domains))
+        harness.plane.table_state.apply_reply(reply)
+
+    def test_next_request_runs_in_the_own_domain(self):
+        harness = Harness().ready()
+        answer = Deferred()
+        harness.http.respond = lambda call: answer
+        harness.steer(harness.request(deadline_s=5.0))
+        self.run_for(harness, self.slow_s)
+        harness.reactor.advance(self.pause_s)
+        answer.callback(backend_answer())
+        self.run_for(harness, self.idle_s)
+        self.report_latency(harness)
+        harness.http.calls.clear()
+        harness.http.respond = lambda call: backend_answer()
+        harness.steer(harness.request())
+        self.assertEqual(
+            (1, 0),
+            (
+                len(harness.http.calls_of_kind("to_backend")),
+                len(harness.http.calls_of_kind("to_hop")),
+            ),
+        )
+
+
 class SlotTest(TestCase):
     """Guards against more requests on a server than it has slots."""
 
--- a/ebonybend/steering/choice.py
+++ b/ebonybend/steering/choice.py
@@ -81,6 +81,17 @@
         """Return the average latency of a server, 0 if it was not measured."""
         return self.latencies.get(server, 0.0) * 1000
 
+    def recent_latency_ms(self, server: str) -> float:
+        """Return the average latency, which fades while no answer updates it.
+
+        Otherwise a server that was slow once might never get the request that shows
+        that it isn't slow any more.
+        """
+        measured_at = self.measured_at.get(server)
+        if measured_at is None:
+            return 0.0
+        return self.latency_ms(server) * age_weight(self._age_ms(measured_at))
+
     def tail_latency_s(self, server: str) -> float:
         """Return the latency that few answers exceed, 0 if the last one is stale."""
         measured_at = self.measured_at.get(server)
@@ -169,14 +180,15 @@
             latencies[entry[0].name] for entry in entries if entry[0].name in latencies
         ]
         # An unmeasured server is scored as the fastest, so that it receives requests.
-        unmeasured = min(measured, default=DEFAULT_LATENCY_S)
+        fastest = min(measured, default=DEFAULT_LATENCY_S)
+        now = self.clock.monotonic()
         weights = self._weights(entries)
         failures_of = self.admission.failures
         scored = []
         for index, (server, in_flight, limit) in enumerate(entries):
             name = server.name
             utilisation_factor = UTILISATION_FACTOR * in_flight / (limit or 1)
-            score = latencies.get(name, unmeasured)
+            score = self._expected_latency_s(name, fastest, now)
             score *= 1 + headroom_share * (utilisation_factor - 1)
             if server.reported_in_flight and server.slots:
                 load = server.reported_in_flight / server.slots
@@ -186,6 +198,14 @@
             scored.append((score / weights[index], index))
         return scored
 
+    def _expected_latency_s(self, server: str, fastest: float, now: float) -> float:
+        """Return the average latency, which approaches the fastest one with age."""
+        measured_at = self.measured_at.get(server)
+        if measured_at is None:
+            return fastest
+        weight = age_weight((now - measured_at) * 1000)
+        return fastest + weight * (self.latencies[server] - fastest)
+
     def _weights(self, entries: list[tuple[ServerView, int, int]]) -> list[float]:
         """Return the weight of each server by the age of its measurements."""
         ages_ms = [entry[0].reported_age_ms for entry in entries]
--- a/ebonybend/steering/slots.py
+++ b/ebonybend/steering/slots.py
@@ -138,6 +138,11 @@
             self._resume(now, since_last_tick_s)
         self._release_dead(now)
 
+    def has_run_since(self, time: float) -> bool:
+        """Return whether the heartbeat loop has run without a pause since a time."""
+        pausing = self.clock.monotonic() - self.last_tick_at >= self.hold_s
+        return self.resumed_at <= time and not pausing
+
     def heartbeat(self) -> Heartbeat:
         """Return the message to send to every other member."""
         self.sequence += 1
--- a/ebonybend/steering/tests/test_choice.py
+++ b/ebonybend/steering/tests/test_choice.py
@@ -111,6 +111,42 @@
         self.assertIsNone(self.chooser.choose(SERVERS, {"s1", "s2"}))
 
 
+class OldLatencyTest(TestWithScenarios, TestCase):
+    """Guards against avoiding a server for good that was slow once.
+
+    Load pattern: a server was slow, or its entry paused; the others get all requests.
+    """
+
+    scenarios = [
+        ("just measured", {"age_s": 0.0, "recent_ms": 300.0, "picked": False}),
+        ("still fresh", {"age_s": 3.0, "recent_ms": 300.0, "picked": False}),
+        ("a while ago", {"age_s": 9.0, "recent_ms": 75.0, "picked": False}),
+        ("long ago", {"age_s": 30.0, "recent_ms": 300.0 / 64, "picked": True}),
+    ]
+
+    def test_latency_fades(self):
+        clock = ManualClock()
+        ledger = sole_member_ledger(clock, {s.name: s.slots for s in SERVERS})
+        admission = Admission(ledger, clock)
+        chooser = ServerChooser(admission, clock, Random(1))
+        # Ends the slow start of the servers.
+        for _ in range(2):
+            for server in SERVERS:
+                admission.limit(server.name)
+            clock.advance(1.0)
+            ledger.tick()
+        chooser.record_latency("s1", 0.3)
+        for _ in range(round(self.age_s / 0.25)):
+            clock.advance(0.25)
+            ledger.tick()
+        for server in SERVERS[1:]:
+            chooser.record_latency(server.name, 0.02)
+            admission.acquire(server.name)
+        self.assertAlmostEqual(self.recent_ms, chooser.recent_latency_ms("s1"))
+        chosen = {chooser.choose(SERVERS).name for _ in range(60)}
+        self.assertEqual(self.picked, "s1" in chosen)
+
+
 LOCAL = DomainOption("kingston-1", 0.0, 20.0, slots=16, in_flight=14)
 REMOTE = DomainOption("montego-1", 55.0, 20.0, slots=16, in_flight=2)
 QUERY = DomainQuery("rides", "kingston-1", (LOCAL, REMOTE), 0.8, 0.2)
