Let one call of each region and kind find out when the store answers again

Cause: while the store was away, each node retried four kinds every 0.4 to 0.8 s, and each call is priced; with hundreds of nodes an outage of 10 s costs thousands of calls.

Change: of a node's calls for its four kinds only one probes; the others wait until it succeeds, at most for 4 s. Nodes that would not be relays let the two that would be find out first: they wait 1.2 s more for a pulse before each call. A pulse or an answer wakes all.

Ruled out: a longer pause between retries, which would delay the return of every node.

--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -1,7 +1,7 @@
 """The object store, whose changes are read from the relays of the region."""
 
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from returns.result import Result, Success
 from twisted.internet.defer import Deferred
@@ -20,6 +20,11 @@
 
 # Time for which a node reads from relays after a call to the store failed.
 STORE_RETRY_S = 5.0
+# Time for which a node lets the relays of its region find out first whether the store
+# answers again. With a call and a retry, below the time to catch up after an outage.
+RELAY_LEAD_S = 1.2
+# Longest time for which a call waits for one for another kind to find that out.
+PROBE_TIMEOUT_S = 4.0
 
 # Returns the changes of a kind since a version from the relay with an address.
 Fetch = Callable[[str, str, int], Awaitable[Result[ObjectList, StoreFailure]]]
@@ -43,6 +48,7 @@
         fetch: Fetch,
         timers: Timers,
         batch_delay_s: float,
+        is_relay_candidate: Callable[[], bool] = lambda: True,
     ):
         self.store = store
         self.relays = relays
@@ -51,11 +57,15 @@
         # Shortest time between two watches of a kind, so that one call reads the
         # changes of that time.
         self.batch_delay_s = batch_delay_s
+        # Returns whether this node would be a relay if the store answered.
+        self.is_relay_candidate = is_relay_candidate
         self.last_watch_at: dict[str, float] = {}
+        # Kind whose calls show when the store answers again; None while it answers.
+        self.probing_kind: str | None = None
         self.was_following = False
         # Until then the store counts as out of reach.
         self.cut_off_until = float("-inf")
-        # Fired by the next pulse.
+        # Fired by the next pulse, or when the store answers again.
         self.waiting: list[Deferred[None]] = []
 
     def is_following(self) -> bool:
@@ -71,7 +81,12 @@
 
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind."""
-        return await self.store.list(kind)
+        until = self.timers.seconds() + PROBE_TIMEOUT_S
+        while self._is_probing_other(kind) and self.timers.seconds() < until:
+            await self._wait_for_pulse(until - self.timers.seconds())
+        answer = await self.store.list(kind)
+        self._record_contact(kind, answer)
+        return answer
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
@@ -96,7 +111,12 @@
                 return relayed
         if timeout_ms:
             await self._wait_for_batch(kind)
+        else:
+            relayed = await self._wait_during_outage(kind, since)
+            if relayed is not None:
+                return relayed
         answer = await self.store.watch(kind, since, timeout_ms)
+        self._record_contact(kind, answer)
         now = self.last_watch_at[kind] = self.timers.seconds()
         if not _is_cut_off(answer):
             self.cut_off_until = now
@@ -105,6 +125,43 @@
             self.cut_off_until = now + STORE_RETRY_S
         return answer
 
+    def _record_contact(self, kind: str, answer: Result[Any, StoreFailure]) -> None:
+        """Record whether a call reached the store."""
+        if not _is_cut_off(answer):
+            was_probing, self.probing_kind = self.probing_kind, None
+            if was_probing is not None:
+                self.wake()
+        elif self.probing_kind is None:
+            self.probing_kind = kind
+
+    def _is_probing_other(self, kind: str) -> bool:
+        """Return whether calls for another kind show when the store answers again."""
+        return self.probing_kind not in (None, kind)
+
+    def _outage_wait_s(self, kind: str) -> float:
+        """Return for how long a call waits for others to reach the store first."""
+        if self._is_probing_other(kind):
+            return PROBE_TIMEOUT_S
+        if self.probing_kind is None or self.is_relay_candidate():
+            return 0.0
+        return RELAY_LEAD_S
+
+    async def _wait_during_outage(
+        self, kind: str, since: int
+    ) -> Result[ObjectList, StoreFailure] | None:
+        """Wait until a call for another kind, or a relay, reaches the store again.
+
+        Calls of all nodes for all kinds would load the store during its outage. Returns
+        the changes if a relay has them.
+        """
+        until = self.timers.seconds() + self._outage_wait_s(kind)
+        while self.probing_kind is not None and self.timers.seconds() < until:
+            await self._wait_for_pulse(until - self.timers.seconds())
+            relayed = await self._watch_relays(kind, since)
+            if relayed is not None:
+                return relayed
+        return None
+
     async def _watch_relays(
         self, kind: str, since: int
     ) -> Result[ObjectList, StoreFailure] | None:
@@ -159,7 +216,7 @@
             await deferLater(self.timers, delay_s)
 
 
-def _is_cut_off(answer: Result[ObjectList, StoreFailure]) -> bool:
+def _is_cut_off(answer: Result[Any, StoreFailure]) -> bool:
     """Return whether a call did not reach the store, or its answer was lost."""
     return not isinstance(answer, Success) and answer.failure().kind in (
         StoreFailureKind.UNAVAILABLE,
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -108,6 +108,7 @@
             RelayClient(HttpClient(reactor, detect_dead_peers=True)).fetch,
             reactor,
             BATCH_DELAY_S,
+            self.is_relay_candidate,
         )
         self.watched_state = WatchedState(
             self.relayed_store,
@@ -230,6 +231,11 @@
         kind = self.documents.members_kind
         return await self.store.ping(kind, self.own.name, PING_TIMEOUT_S)
 
+    def is_relay_candidate(self) -> bool:
+        """Return whether this node would be a relay if the store answered."""
+        live = self.members.live_heartbeats(self.own.region, self.reactor.seconds())
+        return self.relays.is_candidate(heartbeat.name for heartbeat in live)
+
     def versions_to_relay(self) -> dict[str, int] | None:
         """Return the versions for a pulse; None if this node is no relay."""
         if self.stop.stopping:
--- a/ebonybend/node/tests/test_relayed_store.py
+++ b/ebonybend/node/tests/test_relayed_store.py
@@ -5,16 +5,33 @@
 from testtools import TestCase
 from twisted.internet.task import Clock, deferLater
 
+from ebonybend.node.followed import MAX_BACKOFF_S
 from ebonybend.node.members import Member, Members
 from ebonybend.node.pulses import PulseProtocol
-from ebonybend.node.relayed_store import STORE_RETRY_S, RelayedStore
-from ebonybend.steering.relays import PULSE_PERIOD_S, PULSE_TIMEOUT_S, Relays
+from ebonybend.node.relayed_store import (
+    PROBE_TIMEOUT_S,
+    RELAY_LEAD_S,
+    STORE_RETRY_S,
+    RelayedStore,
+)
+from ebonybend.steering.relays import (
+    PULSE_PERIOD_S,
+    PULSE_TIMEOUT_S,
+    RELAYS_NEEDED,
+    Relays,
+)
 from ebonybend.store.client import StoreFailure, StoreFailureKind
-from ebonybend.store.tests.memory_store import CALL_S, MemoryStore, StoreClient
+from ebonybend.store.tests.memory_store import (
+    CALL_S,
+    TIMEOUT_S,
+    MemoryStore,
+    StoreClient,
+)
 from ebonybend.store.watcher import Watcher
 from ebonybend.tasks import Tasks
 
 KIND = "servers"
+KINDS = (KIND, "config", "evacuations", "nodes")
 NODES = 12
 BATCH_DELAY_S = 0.4
 FETCH_S = 0.003
@@ -22,6 +39,9 @@
 # The bound on a change to be in force, with room for the calls themselves.
 IN_FORCE_S = 2.5
 STEP_S = 0.01
+OUTAGE_S = 10.0
+# The bound on a node to be up to date after an outage.
+CONTACT_S = 3.0
 
 
 class Datagrams:
@@ -42,12 +62,17 @@
 class Node:
     """A node that follows one kind of object."""
 
-    def __init__(self, region, name):
+    def __init__(self, region, name, kinds):
         self.region = region
         self.client = StoreClient(region.memory)
         self.relays = Relays(name)
         self.store = RelayedStore(
-            self.client, self.relays, region.fetch, region.clock, BATCH_DELAY_S
+            self.client,
+            self.relays,
+            region.fetch,
+            region.clock,
+            BATCH_DELAY_S,
+            lambda: self.relays.is_candidate(region.live_names()),
         )
         self.members = Members(region.member(name))
         self.pulses = PulseProtocol(
@@ -60,15 +85,19 @@
             self.store.wake,
         )
         self.pulses.transport = Datagrams(region, self)
-        self.watcher = Watcher(
-            self.store,
-            KIND,
-            region.clock,
-            Random(name),
-            lambda *_: self.pulses.send(),
-            max_backoff_s=0.8,
-            watch_timeout_ms=16_000,
-        )
+        self.watchers = {
+            kind: Watcher(
+                self.store,
+                kind,
+                region.clock,
+                Random(f"{name} {kind}"),
+                lambda *_: self.pulses.send(),
+                max_backoff_s=MAX_BACKOFF_S,
+                watch_timeout_ms=16_000,
+            )
+            for kind in kinds
+        }
+        self.watcher = self.watchers[KIND]
         self.tasks = Tasks(region.clock)
         # Whether the process is killed or cut off from the other nodes.
         self.silent = False
@@ -78,13 +107,16 @@
     def start(self):
         members = {name: self.region.member(name) for name in self.region.nodes}
         self.members.update_list(members, 0.0)
-        self.watcher.start()
+        for watcher in self.watchers.values():
+            watcher.start()
         self.tasks.repeat(PULSE_PERIOD_S, self.pulses.send_if_in_contact)
 
     def versions(self):
-        if self.watcher.failing or self.watcher.version is None:
+        if any(w.failing or w.version is None for w in self.watchers.values()):
             return None
-        return None if self.store.is_following() else {KIND: self.watcher.version}
+        if self.store.is_following():
+            return None
+        return {kind: watcher.version for kind, watcher in self.watchers.items()}
 
     async def ping(self):
         await deferLater(self.region.clock, CALL_S)
@@ -94,23 +126,33 @@
 class Region:
     """Nodes of one region and the store, in simulated time."""
 
-    def __init__(self):
+    def __init__(self, kinds=(KIND,), down=False):
         self.clock = Clock()
         self.memory = MemoryStore(self.clock)
         self.memory.write(KIND, "first", b"1")
         names = [f"10.0.0.{number}" for number in range(NODES)]
-        self.nodes = {name: Node(self, name) for name in names}
+        self.nodes = {name: Node(self, name, kinds) for name in names}
         for node in self.nodes.values():
+            node.client.down = down
             node.start()
         self.run(5.0)
 
+    def live_names(self):
+        return [name for name, node in self.nodes.items() if not node.silent]
+
+    def set_down(self, down, answer_s=CALL_S):
+        for node in self.nodes.values():
+            node.client.down = down
+            node.client.down_s = answer_s
+
     def member(self, name):
         return Member(name, "a-1", "a", f"{name}:80", f"{name}:81", 1)
 
     async def fetch(self, address, kind, since):
         await deferLater(self.clock, FETCH_S)
         node = self.nodes[address]
-        changes = None if node.silent else node.watcher.changes_since(since)
+        watcher = node.watchers[kind]
+        changes = None if node.silent else watcher.changes_since(since)
         if changes is None or node.refuses:
             return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, "no answer"))
         return Success(changes)
@@ -249,3 +291,63 @@
         region.run(2 * PULSE_TIMEOUT_S + PULSE_PERIOD_S)
         remaining = [node for node in region.relays() if node not in lost]
         self.assertEqual(2, len(remaining))
+
+
+class OutageTest(TestWithScenarios, TestCase):
+    """Guards against calls to a store that is away from every node for every kind.
+
+    Load pattern: the store is down for some seconds for all nodes, at their start or
+    later, and changes follow its return.
+    """
+
+    scenarios = [
+        ("refuses at once", {}),
+        ("is silent", {"answer_s": TIMEOUT_S}),
+        ("at the start", {"at_start": True}),
+        ("with the relays killed meanwhile", {"kills": True}),
+    ]
+    at_start = False
+    answer_s = CALL_S
+    kills = False
+
+    def test_few_calls_and_changes_in_force_in_time(self):
+        region = Region(KINDS, down=self.at_start)
+        region.set_down(True, self.answer_s)
+        # Ends the waiting watches, which an outage cuts off.
+        for kind in KINDS:
+            region.memory.write(kind, "first", b"2")
+        region.run(PULSE_TIMEOUT_S)
+        if self.kills:
+            kill_relays(region)
+        calls = region.calls()
+        region.run(OUTAGE_S)
+        # Calls for one kind: of each node after the relays, of these at each retry.
+        retries = OUTAGE_S / (RELAY_LEAD_S + MAX_BACKOFF_S / 2) + 1
+        relay_retries = OUTAGE_S / (MAX_BACKOFF_S / 2) + 1
+        limit = NODES * retries + RELAYS_NEEDED * relay_retries
+        # Lists can't be read from relays.
+        if self.at_start:
+            limit = NODES * relay_retries
+        # Calls that the others make in case that the first kind is stuck.
+        limit += NODES * (len(KINDS) - 1) * OUTAGE_S / PROBE_TIMEOUT_S
+        self.assertLessEqual(region.calls() - calls, limit)
+        region.set_down(False)
+        version = max(region.memory.write(kind, "s", b"3") for kind in KINDS)
+        region.run(CONTACT_S)
+        for node in region.nodes.values():
+            if not node.silent:
+                self.assertGreaterEqual(
+                    min(w.version or 0 for w in node.watchers.values()), version - 3
+                )
+                self.assertIn("s", node.watcher.objects)
+
+    def test_node_that_alone_is_cut_off_reads_from_relays(self):
+        region = Region(KINDS)
+        node = next(n for n in region.nodes.values() if n.store.is_following())
+        node.client.down = True
+        region.run(OUTAGE_S)
+        for kind in KINDS:
+            region.memory.write(kind, "s", b"3")
+        region.run(IN_FORCE_S)
+        for watcher in node.watchers.values():
+            self.assertIn("s", watcher.objects)
--- a/ebonybend/steering/relays.py
+++ b/ebonybend/steering/relays.py
@@ -7,6 +7,8 @@
 few of them is only a relay too many.
 """
 
+from collections.abc import Iterable
+
 from attrs import define, frozen
 from xxhash import xxh3_64_intdigest
 
@@ -60,6 +62,11 @@
         self.own_rank = rank(own_name)
         self.known: dict[str, _Relay] = {}
 
+    def is_candidate(self, names: Iterable[str]) -> bool:
+        """Return whether this node is to be a relay among the nodes of its region."""
+        ranked = sorted({*names, self.own_name}, key=rank)
+        return len(ranked) < MIN_REGION_NODES or self.own_name in ranked[:RELAYS_NEEDED]
+
     def record_pulse(self, pulse: Pulse, now: float) -> bool:
         """Record a pulse; return False if it is older than the last one."""
         known = self.known.get(pulse.name)
--- a/ebonybend/steering/tests/test_relays.py
+++ b/ebonybend/steering/tests/test_relays.py
@@ -26,6 +26,24 @@
     )
 
 
+class CandidateTest(TestWithScenarios, TestCase):
+    """Guards against all nodes of a region that ask a store that is down."""
+
+    scenarios = [
+        ("ranks first", {"own": 0, "names": NAMES, "candidate": True}),
+        ("ranks second", {"own": 1, "names": NAMES, "candidate": True}),
+        ("ranks third", {"own": 2, "names": NAMES, "candidate": False}),
+        ("the first ones are dead", {"own": 2, "names": NAMES[1:], "candidate": True}),
+        ("few nodes", {"own": 3, "names": NAMES[:4], "candidate": True}),
+        ("no others", {"own": 7, "names": [], "candidate": True}),
+    ]
+
+    def test_is_candidate(self):
+        relays = Relays(NAMES[self.own])
+        others = [name for name in self.names if name != NAMES[self.own]]
+        self.assertEqual(self.candidate, relays.is_candidate(others))
+
+
 class FollowTest(TestWithScenarios, TestCase):
     """Guards against relying on relays that are too few, silent or failing."""
 
--- a/ebonybend/store/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -55,8 +55,9 @@
     """One client's access to the store, with its own faults."""
 
     store: MemoryStore
-    # Calls end without an answer, at the timeout.
+    # Calls end without an answer, after down_s.
     down: bool = False
+    down_s: float = TIMEOUT_S
     # The next writes take effect without an answer.
     lose_answers: int = 0
     # The next writes have no effect and no answer.
@@ -127,7 +128,7 @@
         self.calls += 1
         clock = self.store.clock
         if self.down:
-            await deferLater(clock, TIMEOUT_S)
+            await deferLater(clock, self.down_s)
             return StoreFailure(StoreFailureKind.UNAVAILABLE, "down")
         await deferLater(clock, CALL_S)
         return None
