--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -1,4 +1,8 @@
-"""Choose the backend server of a request by object affinity and load."""
+"""Choose the backend server of a request by object affinity and load.
+
+Each object has one preferred server in its region, where it stays warm. What exceeds
+the load limit of that server goes to the least loaded of the others.
+"""
 
 from collections.abc import Callable, Collection, Mapping
 
@@ -13,9 +17,6 @@
 from ebonybend.steering.service_times import SLOW_FACTOR, ServiceTimes
 from ebonybend.world.route import Route, ServiceLimits
 
-# Preferred servers of an object in its region. With more of them, each would see the
-# object too rarely to keep it warm.
-PREFERRED_SERVERS = 2
 # Fraction of the latency objective that the estimated answer time may use. The rest
 # covers the network delay to the client and errors of the estimate.
 ON_TIME_FRACTION = 0.85
@@ -35,8 +36,8 @@
 MIN_RETRY_AFTER_S = 0.06
 MAX_RETRY_AFTER_S = 1.0
 # A server that isn't preferred for an object runs it only while its load is below this
-# fraction of its slots.
-IDLE_FRACTION = 0.5
+# fraction of its slots. The rest is left for its own objects.
+IDLE_FRACTION = 0.75
 
 
 @frozen(kw_only=True)
@@ -80,11 +81,9 @@
         candidates = self._candidates(query, now)
         local = [s for s in candidates if s.server.region == query.region]
         ordered = self._by_preference(local or candidates, query, now)
-        preferred = ordered[:PREFERRED_SERVERS]
-        for state in preferred:
-            if self._has_capacity(state, query, now):
-                return state
-        idle = self._least_loaded_idle(ordered[PREFERRED_SERVERS:], query, now)
+        if ordered and self._has_capacity(ordered[0], query, now):
+            return ordered[0]
+        idle = self._least_loaded_idle(ordered[1:], query, now)
         if idle is not None or not local:
             return idle
         remote = [s for s in candidates if s.server.region != query.region]
@@ -93,31 +92,33 @@
         )
 
     def retry_after_s(self, query: PlacementQuery, now: float) -> float:
-        """Return the estimated seconds until a preferred server has capacity."""
-        delays_s = []
-        for state in self._preferred(query, now):
+        """Return the estimated seconds until the preferred server has capacity."""
+        state = self._preferred(query, now)
+        delay_s = 0.0
+        if state is not None:
             mean_s = state.service_s or query.route.objective_s
             slots = state.server.slots
             excess = state.load(now) + 1 - slots * LOAD_LIMIT
-            delays_s.append(max(excess, 1.0) * mean_s / slots)
-        return min(
-            max(min(delays_s, default=0.0), MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S
-        )
+            delay_s = max(excess, 1.0) * mean_s / slots
+        return min(max(delay_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
     def describe(self, query: PlacementQuery, now: float) -> str:
-        """Describe the server loads that led to a refusal, for the log."""
-        loads = [
-            f"{state.server.name} {state.load(now):.1f} of {state.server.slots}"
+        """Describe the server load that led to a refusal, for the log."""
+        text = f"{len(self._candidates(query, now))} usable"
+        state = self._preferred(query, now)
+        if state is None:
+            return text
+        return (
+            f"{text}; {state.server.name} {state.load(now):.1f} of {state.server.slots}"
             f" (report {now - state.reported_at:.1f} s old)"
-            for state in self._preferred(query, now)
-        ]
-        return f"{len(self._candidates(query, now))} usable; " + ", ".join(loads)
+        )
 
-    def _preferred(self, query: PlacementQuery, now: float) -> list[TrackedServer]:
-        """Return the object's preferred servers, in its region if that has any."""
+    def _preferred(self, query: PlacementQuery, now: float) -> TrackedServer | None:
+        """Return the object's preferred server, in its region if that has any."""
         candidates = self._candidates(query, now)
         local = [s for s in candidates if s.server.region == query.region]
-        return self._by_preference(local or candidates, query, now)[:PREFERRED_SERVERS]
+        ordered = self._by_preference(local or candidates, query, now)
+        return ordered[0] if ordered else None
 
     def _candidates(self, query: PlacementQuery, now: float) -> list[TrackedServer]:
         home_regions = query.route.home_regions
@@ -193,7 +194,7 @@
     def _least_loaded_idle(
         self, states: list[TrackedServer], query: PlacementQuery, now: float
     ) -> TrackedServer | None:
-        """Return the least loaded of the nearly idle servers that answer on time.
+        """Return the least loaded of the servers with free slots that answer on time.
 
         The object is cold there, so a late answer would also hold a slot for the time
         of several requests to warm objects.
