Soak nodes of the users' platform, and refuse connections opened during a close

By reading; the run itself shows only the reset.

Clients that come later try again and are refused. Checked: own answers, single runs, true refusals, no late work, nothing cut off by planned stops, recovery, no tracebacks.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -26,6 +26,8 @@
     arguments: tuple[str, ...]
     # Delay before a restart after a crash; None for no restart.
     restart_after_s: float | None = None
+    # Variables that are added to the environment.
+    environment: tuple[tuple[str, str], ...] = ()
 
 
 @define
@@ -84,6 +86,7 @@
                 popen = Popen(
                     (sys.executable, "-m", spec.module, *spec.arguments),
                     cwd=ROOT,
+                    env={**os.environ, **dict(spec.environment)},
                     stdin=DEVNULL,
                     stdout=output,
                     stderr=output,
--- /dev/null
+++ b/bench/tests/test_node_soak.py
@@ -0,0 +1,130 @@
+from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from types import SimpleNamespace
+from typing import ClassVar
+
+from attrs import evolve
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from bench.node_callers import SentRequest
+from bench.node_soak import (
+    CONTACT_S,
+    DRAIN_LIMIT_S,
+    TRANSIT_S,
+    Fault,
+    Leaving,
+    broken_answers,
+    cut_off_requests,
+    late_work,
+    run_soak,
+)
+
+SENT = SentRequest("c1-1", "n1", True, 10.0, 10.1, 200, True)
+STOP = Fault("stop", "n1", 9.0, 12.0)
+
+
+class BrokenAnswerTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see what callers must not receive."""
+
+    scenarios = [
+        ("answered", {"runs": 1, "broken": 0}),
+        ("refused", {"status": 503, "runs": 0, "broken": 0}),
+        ("failed after a run", {"status": 502, "runs": 1, "broken": 0}),
+        ("another request's answer", {"own": False, "runs": 1, "broken": 1}),
+        ("ran twice", {"runs": 2, "broken": 1}),
+        ("a read ran twice", {"is_write": False, "runs": 2, "broken": 0}),
+        ("refused, but ran", {"status": 503, "runs": 1, "broken": 1}),
+        ("answered, but did not run", {"runs": 0, "broken": 1}),
+    ]
+    status = 200
+    own = True
+    is_write = True
+
+    def test_found(self):
+        request = evolve(
+            SENT, status=self.status, is_own_answer=self.own, is_write=self.is_write
+        )
+        found = broken_answers([request], Counter({"c1-1": self.runs}))
+        self.assertEqual(self.broken, len(found), found)
+
+
+class LateWorkTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see work on a server that left."""
+
+    LIMIT_S = DRAIN_LIMIT_S + TRANSIT_S
+
+    scenarios = [
+        ("in time", {"after_s": LIMIT_S - 0.1, "late": 0}),
+        ("late", {"after_s": LIMIT_S + 0.1, "late": 1}),
+        ("late beside planned work", {"after_s": LIMIT_S + 0.1, "fault": STOP}),
+        (
+            "late beside a pause",
+            {
+                "after_s": LIMIT_S + 0.1,
+                "fault": Fault("pause", "n1", 99.0, 101.0),
+                "late": 0,
+            },
+        ),
+        (
+            "long after a pause",
+            {
+                "after_s": LIMIT_S + 0.1,
+                "fault": Fault("pause", "n1", 90.0, 99.9 - CONTACT_S),
+            },
+        ),
+    ]
+    fault = STOP
+    late = 1
+
+    def test_found(self):
+        endpoint = SimpleNamespace(started=[(100.0 + self.after_s, "c1-1")])
+        server = SimpleNamespace(name="i-1", endpoint=endpoint)
+        found = late_work([Leaving(server, 100.0)], [self.fault])
+        self.assertEqual(self.late, len(found), found)
+
+
+class CutOffTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see what a planned stop cuts off."""
+
+    scenarios = [
+        ("cut off", {"cut": 1}),
+        ("answered", {"status": 200}),
+        ("not passed on to a server", {"runs": 0}),
+        ("on another node", {"node": "n2"}),
+        ("after the stop", {"ended_at": 12.5}),
+        ("beside a kill", {"others": [Fault("kill", "n2", 8.0, 9.5)]}),
+        (
+            "beside planned work",
+            {"others": [Fault("leave", "i-1", 8.0, 9.5)], "cut": 1},
+        ),
+    ]
+    status = 0
+    runs = 1
+    node = "n1"
+    ended_at = 10.1
+    others: ClassVar[list] = []
+    cut = 0
+
+    def test_found(self):
+        request = evolve(
+            SENT, status=self.status, node=self.node, ended_at=self.ended_at
+        )
+        runs = Counter({"c1-1": self.runs})
+        found = cut_off_requests([request], [STOP, *self.others], runs)
+        self.assertEqual(self.cut, len(found), found)
+
+
+class NodeSoakTest(TestWithScenarios, TestCase):
+    """Nodes of the users' platform under load and random faults."""
+
+    # Seeds that ever failed are added here, each with a line on the cause.
+    scenarios = [("seed 11", {"seed": 11})]
+    seconds = 16.0
+
+    def test_no_promise_is_broken(self):
+        with TemporaryDirectory(prefix="ebonybend-soak-") as directory:
+            result = run_soak(self.seconds, self.seed, Path(directory))
+        print(result.line())
+        self.assertEqual([], result.violations)
--- a/bench/tests/test_platform_node.py
+++ b/bench/tests/test_platform_node.py
@@ -15,6 +15,14 @@
 
 from testtools import TestCase
 
+from bench.node_fleet import (
+    NodePlan,
+    NodePorts,
+    config_object,
+    node_environment,
+    route_object,
+    server_object,
+)
 from standins.platform_server import PlatformEndpoint
 from standins.platform_store import PlatformStoreServer
 
@@ -24,22 +32,7 @@
 APPLY_LIMIT_S = 2.5
 DRAIN_LIMIT_S = 2.5
 GRACE_S = 2.0
-SETTINGS = """
-NodeName = "node-1"
-Ip = "127.0.0.1"
-Zone = "kingston-a"
-Region = "kingston"
-InternalPorts = [{ports[0]}, {ports[5]}]
-Bounds = ["GraceS={grace}"]
-[Zones]
-kingston-a = "kingston"
-[Listen]
-Front = "127.0.0.1:{ports[1]}"
-Ready = "127.0.0.1:{ports[2]}"
-Directory = "127.0.0.1:{ports[3]}"
-[Platform]
-Addr = "{store}"
-"""
+ZONE = "kingston-a"
 
 
 def free_ports(count):
@@ -65,24 +58,8 @@
         return [port, port + 1]
 
 
-def config_object(version, service="history", prefix="/a/"):
-    path = {
-        "Name": f"r{prefix}",
-        "PathPrefix": prefix,
-        "Kind": "unsafe",
-        "TimeoutMs": 2000,
-        "GoalMs": 500,
-        "MaxAttempts": 2,
-        "Service": service,
-    }
-    hosts = [{"Host": "h.example", "Paths": [path]}]
-    return {"Version": version, "Services": [], "VirtualHosts": hosts}
-
-
-def server_object(service, address, state="ready"):
-    info = {"Service": service, "Zone": "kingston-a", "MaxConcurrency": 4}
-    status = {"State": state, "Sequence": 1, "WarmupLeftMs": 0}
-    return {"Addr": address, "born": 1, "Info": info, "Status": status}
+def config_with(version, service="history", prefix="/a/"):
+    return config_object(version, route_object(prefix, "unsafe", service))
 
 
 def raw_request(name, port):
@@ -106,10 +83,12 @@
             self.addCleanup(endpoint.stop)
             state = self.store.state
             state.put(
-                "servers", f"i-{service}", server_object(service, endpoint.address)
+                "servers",
+                f"i-{service}",
+                server_object(service, ZONE, endpoint.address),
             )
         self.store.state.put("servers", "i-odd", "not an entry")
-        self.store.state.put("config", "main", config_object(1))
+        self.store.state.put("config", "main", config_with(1))
         first, second = adjacent_free_ports()
         self.ports = [first, *free_ports(4), second]
         self.start()
@@ -118,16 +97,11 @@
     def start(self):
         directory = TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        path = Path(directory.name) / "local.toml"
-        text = SETTINGS.format(
-            ports=self.ports, store=self.store.address, grace=GRACE_S
-        )
-        path.write_text(text)
-        environment = {
-            **os.environ,
-            "EBONYBEND_NODE_FILE": str(path),
-            "EBONYBEND_METRICS_PORT": str(self.ports[4]),
-        }
+        internal = (self.ports[0], self.ports[5])
+        plan = NodePlan("node-1", ZONE, "127.0.0.1", self.store.address)
+        ports = NodePorts(*self.ports[1:5], internal)
+        settings = node_environment(plan, ports, GRACE_S, Path(directory.name))
+        environment = {**os.environ, **settings}
         self.log = open(Path(directory.name) / "log", "w+")  # noqa: SIM115
         self.addCleanup(self.log.close)
         self.node = subprocess.Popen(
@@ -180,14 +154,14 @@
         self.assertIn(b"ebonybend_config_version 1.0", body)
 
     def test_3_change_is_in_force_also_after_the_history_is_gone(self):
-        self.store.state.put("config", "main", config_object(4, "signoff"))
+        self.store.state.put("config", "main", config_with(4, "signoff"))
         self.wait_until(
             lambda: self.send("/a/x")[1] and self.has_run("signoff"), APPLY_LIMIT_S
         )
         self.store.state.drop_history()
-        self.store.state.put("config", "main", config_object(6, "history", "/c/"))
+        self.store.state.put("config", "main", config_with(6, "history", "/c/"))
         self.wait_until(lambda: self.send("/c/x")[0] == 200, APPLY_LIMIT_S)
-        self.store.state.put("config", "main", config_object(5, "history", "/a/"))
+        self.store.state.put("config", "main", config_with(5, "history", "/a/"))
         sleep(0.5)
         self.assertEqual(404, self.send("/a/x")[0])
 
@@ -195,9 +169,8 @@
         return bool(self.endpoints[service].runs)
 
     def test_4_leaving_server_gets_no_request(self):
-        leaving = server_object(
-            "history", self.endpoints["history"].address, "draining"
-        )
+        address = self.endpoints["history"].address
+        leaving = server_object("history", ZONE, address, "draining")
         self.store.state.put("servers", "i-history", leaving)
         self.wait_until(lambda: self.send("/a/x")[0] == 503, DRAIN_LIMIT_S)
 
@@ -206,7 +179,7 @@
         sleep(0.3)
         self.assertEqual(200, self.send("/a/x")[0])
         self.store.state.error_status = None
-        self.store.state.put("config", "main", config_object(2, "signoff"))
+        self.store.state.put("config", "main", config_with(2, "signoff"))
         self.wait_until(
             lambda: self.send("/a/x")[0] and self.has_run("signoff"), APPLY_LIMIT_S
         )
@@ -214,7 +187,7 @@
     def test_6_reused_address_runs_nothing_of_another_service(self):
         state = self.store.state
         address = self.endpoints["signoff"].address
-        state.put("servers", "i-history", server_object("history", address))
+        state.put("servers", "i-history", server_object("history", ZONE, address))
         self.wait_until(lambda: self.send("/a/x")[0] == 503, DRAIN_LIMIT_S)
         self.assertFalse(self.has_run("signoff"))
 
--- a/ebonybend/entry/service.py
+++ b/ebonybend/entry/service.py
@@ -7,7 +7,7 @@
 from time import time_ns
 from typing import Any
 
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from ebonybend.clock import SystemClock
@@ -243,7 +243,7 @@
     async def _close_ports(self) -> None:
         """Close the ports, and the connections once their last answers are sent."""
         for port in self.ports:
-            await maybeDeferred(close_port, port)
+            await close_port(self.reactor, port)
         sites = self.sites.values()
         for site in sites:
             site.close_idle()
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -367,10 +367,10 @@
         self.client_site.closing = True
         self.heartbeats.send_to_all()
 
-    def close_ports(self) -> None:
+    async def close_ports(self) -> None:
         """Close the client and directory ports, and the idle client connections."""
-        for address in (self.settings.callers_address, self.settings.directory_address):
-            close_port(self.ports[address])
+        for address in (self.settings.directory_address, self.settings.callers_address):
+            await close_port(self.reactor, self.ports[address])
         self.client_site.close_idle()
 
     def shut_down(self) -> None:
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -1,6 +1,6 @@
 """Stop a node within its grace time; abort only the requests still running then."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -24,7 +24,7 @@
         reactor: Any,
         grace_s: float,
         announce: Callable[[], None],
-        close_ports: Callable[[], None],
+        close_ports: Callable[[], Awaitable[None]],
         unfinished: Callable[[], int],
         shut_down: Callable[[], None],
     ):
@@ -62,7 +62,7 @@
     async def _run(self) -> None:
         started = self.reactor.seconds()
         await deferLater(self.reactor, self.grace_s * SERVING_FRACTION)
-        self.close_ports()
+        await self.close_ports()
         until = started + self.grace_s - END_MARGIN_S
         while self.unfinished() and self.reactor.seconds() < until:
             await deferLater(self.reactor, POLL_INTERVAL_S)
--- a/ebonybend/node/tests/test_stop.py
+++ b/ebonybend/node/tests/test_stop.py
@@ -19,11 +19,14 @@
             self.clock,
             GRACE_S,
             lambda: self.record("announced"),
-            lambda: self.record("ports closed"),
+            self.close_ports,
             lambda: self.unfinished(self.clock.seconds()),
             lambda: self.record("ended"),
         )
 
+    async def close_ports(self):
+        self.record("ports closed")
+
     def record(self, event):
         self.events.append((event, round(self.clock.seconds(), 1)))
 
--- a/ebonybend/tests/test_listening.py
+++ b/ebonybend/tests/test_listening.py
@@ -1,14 +1,17 @@
-from socket import create_connection
+from socket import create_connection, socket
+from threading import Timer
 
 from testscenarios import TestWithScenarios
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import Clock
 from twisted.internet.tcp import Port
 
-from ebonybend.listening import LISTEN_BACKLOG, close_port
+from ebonybend.listening import HANDSHAKE_S, LISTEN_BACKLOG, close_port
 
 
-class PollingReactor:
+class SilentReactor(Clock):
     """A reactor that never reports a socket as readable."""
 
     def addReader(self, reader):
@@ -17,7 +20,7 @@
     def removeReader(self, reader):
         pass
 
-    def callLater(self, delay, function, *args):
+    def removeWriter(self, writer):
         pass
 
 
@@ -56,12 +59,34 @@
             self.addCleanup(client.close)
 
     def test_accepts_all_waiting_connections(self):
-        factory = CountingFactory()
-        port = Port(0, factory, LISTEN_BACKLOG, "127.0.0.1", PollingReactor())
+        clock, factory = SilentReactor(), CountingFactory()
+        port = Port(0, factory, LISTEN_BACKLOG, "127.0.0.1", clock)
         port.startListening()
         self.connect(port, self.before)
         if self.before:
             port.doRead()
         self.connect(port, self.waiting)
-        close_port(port)
+        closing = Deferred.fromCoroutine(close_port(clock, port))
+        clock.advance(HANDSHAKE_S)
+        clock.advance(0)
+        self.assertTrue(closing.called)
         self.assertEqual(self.before + self.waiting, factory.accepted)
+
+
+class LateConnectionTest(TestCase):
+    """Guards against a connection that is opened during the close, and then reset."""
+
+    def test_is_refused(self):
+        clock, factory = SilentReactor(), CountingFactory()
+        port = Port(0, factory, LISTEN_BACKLOG, "127.0.0.1", clock)
+        port.startListening()
+        address = port.socket.getsockname()
+        Deferred.fromCoroutine(close_port(clock, port))
+        client = socket()
+        self.addCleanup(client.close)
+        client.settimeout(5.0)
+        connecting = Timer(0.1, clock.advance, (HANDSHAKE_S,))
+        connecting.start()
+        self.assertRaises(ConnectionRefusedError, client.connect, address)
+        connecting.join()
+        self.assertEqual(0, factory.accepted)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,11 +5,13 @@
 
 import json
 from collections.abc import Mapping
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from threading import Condition, Thread
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from standins.threaded_server import ThreadedServer
+
 PAGE_SIZE = 500
 
 
@@ -158,8 +160,7 @@
 
     def __init__(self, address: str = "127.0.0.1"):
         self.state = PlatformStoreState()
-        self.server = ThreadingHTTPServer((address, 0), _Handler)
-        self.server.daemon_threads = True
+        self.server = ThreadedServer((address, 0), _Handler)
         self.server.state = self.state
         self.address = f"{address}:{self.server.server_port}"
         self.thread = Thread(target=self.server.serve_forever, daemon=True)
