Hold requests after a pause until the state is known to be current

Change: a gate detects pauses of 1 s or more, asks the store at once for routing, servers and evacuations, and holds requests until all have been answered since, at most 0.5 s; a connection that was being opened during the pause is not used. A watch that is cancelled to ask at once no longer waits for its back-off first.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -28,6 +28,7 @@
     Members,
     NodeHeartbeat,
 )
+from ebonybend.node.pause_gate import PauseGate
 from ebonybend.node.wire import ServerLoad
 from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.returns import ClientRetryDetector
@@ -191,6 +192,7 @@
             self.members.node_count,
             random,
             CrashDetector(clock),
+            PauseGate(clock, lambda: None, lambda time: True),
         )
         self.forwarder.services = {
             name: ServiceLimits(name, 300, COLD_S, COLD_RATE)
--- a/bench/tests/test_platform_node.py
+++ b/bench/tests/test_platform_node.py
@@ -32,6 +32,7 @@
 APPLY_LIMIT_S = 2.5
 DRAIN_LIMIT_S = 2.5
 GRACE_S = 2.0
+PAUSED_REQUESTS = 8
 ZONE = "kingston-a"
 
 
@@ -227,6 +228,31 @@
         self.assertIn(b" 200 ", answer.split(b"\r\n")[0])
         self.assertEqual({200, "refused"}, set(statuses), statuses)
 
+    def test_9_sends_nothing_by_what_changed_during_a_pause(self):
+        """Load pattern: requests that arrive at a paused node while a server leaves."""
+        staying = PlatformEndpoint("i-staying")
+        self.addCleanup(staying.stop)
+        value = server_object("history", ZONE, staying.address)
+        self.store.state.put("servers", "i-staying", value)
+        self.wait_until(lambda: self.send("/a/x")[0] == 200 and staying.runs)
+        leaving = self.endpoints["history"]
+        self.node.send_signal(signal.SIGSTOP)
+        value = server_object("history", ZONE, leaving.address, "draining")
+        self.store.state.put("servers", "i-history", value)
+        runs_before = sum(leaving.runs.values())
+        clients = [
+            create_connection(("127.0.0.1", self.ports[1]), timeout=5.0)
+            for _ in range(PAUSED_REQUESTS)
+        ]
+        for number, client in enumerate(clients):
+            self.addCleanup(client.close)
+            client.sendall(raw_request(f"paused-{number}", self.ports[1]))
+        sleep(DRAIN_LIMIT_S)
+        self.node.send_signal(signal.SIGCONT)
+        statuses = [int(client.recv(4096).split()[1]) for client in clients]
+        self.assertEqual({200}, set(statuses))
+        self.assertEqual(runs_before, sum(leaving.runs.values()))
+
     def post_once(self):
         """Send a request on a new connection; return the status or what went wrong."""
         self.count += 1
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -114,10 +114,26 @@
         """Return whether routing, servers and evacuations are known."""
         listed = all(
             watcher.version is not None or watcher.last_contact is not None
-            for watcher in self.watchers[: SERVERS_INDEX + 2]
+            for watcher in self._request_watchers()
         )
         return listed and self.routing.version is not None
 
+    def resync(self) -> None:
+        """Ask the store at once for changes of what requests depend on."""
+        for watcher in self._request_watchers():
+            watcher.resync()
+
+    def is_current_since(self, time: float) -> bool:
+        """Return whether the store, or a relay, has answered all of it since a time."""
+        return all(
+            watcher.last_contact is not None and watcher.last_contact >= time
+            for watcher in self._request_watchers()
+        )
+
+    def _request_watchers(self) -> list[Watcher]:
+        """Return the watchers of routing, servers and evacuations."""
+        return self.watchers[: SERVERS_INDEX + 2]
+
     def newest_versions(self) -> dict[str, int]:
         """Return the newest version of an object of each kind."""
         return {watcher.kind: watcher.newest_version for watcher in self.watchers}
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -19,6 +19,7 @@
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.demand import RegionSteering
+from ebonybend.node.pause_gate import PauseGate
 from ebonybend.node.wire import WireFormat
 from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.placement import Placement, PlacementQuery, limits_of
@@ -78,6 +79,7 @@
         node_count: Callable[[], int],
         random: Random,
         crash_detector: CrashDetector,
+        pause_gate: PauseGate,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -89,6 +91,7 @@
         self.node_count = node_count
         self.random = random
         self.crash_detector = crash_detector
+        self.pause_gate = pause_gate
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
 
@@ -107,6 +110,8 @@
         self._refuse_suspect(request)
         progress = _Progress()
         while True:
+            if self.pause_gate.is_holding():
+                await self.pause_gate.wait()
             tracked = self._select_server(request, progress)
             if tracked is None:
                 return self._final_answer(request, progress)
@@ -260,6 +265,7 @@
                 self.reactor.seconds(), limits.cold_rate, self.node_count()
             )
         is_trial = tracked.start_request()
+        selected_at = self.reactor.seconds()
         try:
             connection = self.pool.acquire(server, not request.route.idempotent)
             if connection is None:
@@ -272,6 +278,9 @@
                 raise BackendUnreachable(
                     "connected too late to be answered", False, False
                 )
+            if self.pause_gate.has_paused_since(selected_at):
+                connection.close()
+                raise BackendUnreachable("paused while connecting", False, False)
             if request.sends == 0:
                 self._retry_window(request.service).record_first_send(started)
             request.sends += 1
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -25,6 +25,7 @@
 from ebonybend.node.members import HEARTBEAT_PERIOD_S, Member, Members, NodeHeartbeat
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
+from ebonybend.node.pause_gate import TICK_PERIOD_S, PauseGate
 from ebonybend.node.ports import Directory, metrics_router, readiness_router
 from ebonybend.node.pulses import PING_TIMEOUT_S, PulseProtocol, relay_address
 from ebonybend.node.relay_changes import RelayClient, relay_router
@@ -100,6 +101,11 @@
         self.members = Members(self.own)
         self.heartbeat_count = 0
         self.crash_detector = CrashDetector(ReactorClock(reactor))
+        self.pause_gate = PauseGate(
+            reactor,
+            lambda: self.watched_state.resync(),
+            lambda time: self.watched_state.is_current_since(time),
+        )
         self.forwarder = self._build_forwarder()
         self.relays = Relays(settings.name)
         self.relayed_store = RelayedStore(
@@ -177,6 +183,7 @@
             self.members.node_count,
             self.random,
             self.crash_detector,
+            self.pause_gate,
         )
 
     def new_retry_window(self) -> RetryWindow:
@@ -251,7 +258,7 @@
             max_body_bytes=limits.max_body_bytes,
             max_header_bytes=limits.max_header_bytes,
             max_connections=max(
-                self.settings.max_descriptors - RESERVED_DESCRIPTORS, 100
+                self.settings.max_descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
             ),
             receive_timeout_s=limits.header_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
@@ -332,6 +339,7 @@
         self.tasks.repeat(HEARTBEAT_PERIOD_S, self._send_heartbeat)
         self.tasks.repeat(PULSE_PERIOD_S, self.pulses.send_if_in_contact)
         self.tasks.repeat(WRITE_PERIOD_S, self.checkpoints.write)
+        self.tasks.repeat(TICK_PERIOD_S, self.pause_gate.tick)
         self.tasks.repeat(CLEANUP_PERIOD_S, self._clean_up)
         self.tasks.repeat(RELOAD_PERIOD_S, self._reload)
         get_logger().info("node_started", incarnation=self.own.incarnation)
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -18,6 +18,7 @@
 from ebonybend.node.backend_pool import BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.forwarder import Forwarder
+from ebonybend.node.pause_gate import PauseGate
 from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
@@ -134,6 +135,7 @@
             lambda: 1,
             Random(1),
             self.crash_detector,
+            PauseGate(self.clock, lambda: None, lambda time: True),
         )
         self.route = evolve(ROUTE, **route)
         self.results = []
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -122,16 +122,17 @@
     async def _run(self, tasks: Tasks) -> None:
         while not tasks.stopped:
             self.pending_step = Deferred.fromCoroutine(self._step())
+            reached = cancelled = False
             try:
                 reached = await self.pending_step
             except CancelledError:
-                reached = False
+                cancelled = True
             self.pending_step = None
             if tasks.stopped:
                 return
             if reached:
                 self.backoff.reset()
-            else:
+            elif not (cancelled and self.resyncing):
                 await tasks.sleep(self.backoff.next())
 
     async def _step(self) -> bool:
