Say in the soak's loop when the next fault starts

The loop's condition was an assignment that is never None; it now compares the time of the next fault with the end.

--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -78,14 +78,17 @@
         """Inject faults for some seconds, and wait until all have ended."""
         until = monotonic() + seconds
         kinds = sorted(self._kinds())
-        while (gap_s := self.random.expovariate(1 / FAULT_GAP_S)) is not None:
-            if monotonic() + gap_s > until:
-                break
-            sleep(gap_s)
+        next_at = monotonic() + self._gap_s()
+        while next_at < until:
+            sleep(max(next_at - monotonic(), 0.0))
             self._start(self.random.choice(kinds))
+            next_at += self._gap_s()
         for thread in self.threads:
             thread.join()
 
+    def _gap_s(self) -> float:
+        return self.random.expovariate(1 / FAULT_GAP_S)
+
     def _kinds(self) -> dict[str, Callable[[str, float, str], None]]:
         return {
             "pause": self._pause,
