--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -194,7 +194,12 @@
             # The watch may have been open long before the outage began.
             earliest = self.timers.seconds() - DETECTION_DELAY_S
             self.unavailable_at = max(self.call_started_at, earliest)
-            get_logger().warning("watch_failed", kind=self.kind, error=failure.message)
+            get_logger().warning(
+                "watch_failed",
+                kind=self.kind,
+                error=failure.message,
+                waited_s=round(self.timers.seconds() - self.call_started_at, 2),
+            )
         self.failing = True
         self.available_since = None
         if failure.kind is StoreFailureKind.REJECTED:
