Send watches again after an outage that lost them

Cause: a store that receives calls and answers none loses the watch that is sent to it. A node waited for the answer until the end of that watch, 18 s later, since a lost watch looks like one without changes. Affected is each kind of which something changed within 0.4 s before the outage, or during it, on all nodes; heartbeats help only once some node has a newer version.

Change: a node that watches the store itself pings it every 0.4 s (a stale read, a tenth of the price), not only where its region has readers. When the store answers again, the watches that were sent before the last unanswered call are sent again. An outage that only pings showed also keeps servers whose entries expired in it. A call that the node cancelled itself is no longer taken for one that the store did not answer; otherwise each renewed watch renewed the others (no such echo: at most two calls a kind and node, tested).

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -88,6 +88,10 @@
     """No complete answer was received in time; the request may still run."""
 
 
+class RequestCancelled(AnswerTimeout):
+    """The caller cancelled the request; it may still run."""
+
+
 class AnswerMismatch(RequestFailed):
     """The answer belongs to another request; the sent one may have run."""
 
@@ -200,6 +204,13 @@
     return answered_ids == request_ids or (answered_ids is None and not is_reused)
 
 
+def _no_answer(timeout: Timeout) -> AnswerTimeout:
+    """Return the error of a request that was cancelled before its answer was read."""
+    if timeout.expired:
+        return AnswerTimeout("no answer in time")
+    return RequestCancelled("cancelled by the caller")
+
+
 def _was_cancelled(error: ResponseFailed) -> bool:
     """Return whether this process itself cancelled the request."""
     return any(reason.check(CancelledError) for reason in error.reasons)
@@ -317,12 +328,12 @@
         try:
             return await sending
         except CancelledError as error:
-            raise AnswerTimeout("no answer in time") from error
+            raise _no_answer(timeout) from error
         except RequestNotSent as error:
             raise NotSent(f"connection to {address} was not usable") from error
         except ResponseFailed as error:
             if _was_cancelled(error):
-                raise AnswerTimeout("no answer in time") from error
+                raise _no_answer(timeout) from error
             raise AnswerLost(f"connection to {address} lost: {error}") from error
         except (RequestGenerationFailed, RequestTransmissionFailed) as error:
             raise AnswerLost(f"connection to {address} lost: {error}") from error
@@ -342,7 +353,7 @@
         try:
             body = await reader.done
         except CancelledError as error:
-            raise AnswerTimeout("the answer's body did not arrive in time") from error
+            raise _no_answer(timeout) from error
         finally:
             timeout.stop()
         return HttpAnswer(response.code, response.headers, body)
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -123,6 +123,17 @@
         for watcher in self._request_watchers():
             watcher.resync()
 
+    def renew_watches(self, lost_at: float, answered_kind: str | None) -> None:
+        """Send the watches again that an outage may have lost.
+
+        The watch of answered_kind is about to return its answer.
+        """
+        for watcher in self.watchers:
+            if watcher.kind == answered_kind:
+                watcher.record_outage()
+            else:
+                watcher.renew(lost_at)
+
     def is_current_since(self, time: float) -> bool:
         """Return whether the store, or a relay, has answered all of it since a time."""
         return all(
--- a/ebonybend/node/pulses.py
+++ b/ebonybend/node/pulses.py
@@ -47,8 +47,8 @@
         return len(local) + 1 >= MIN_REGION_NODES
 
     async def send_if_in_contact(self) -> None:
-        """Send a pulse if this node is a relay and the store answers."""
-        if self.has_readers() and self.versions() is not None and await self.ping():
+        """Send a pulse if the store answers and this node is a relay."""
+        if await self.ping():
             self.send()
 
     def send(self) -> None:
--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -16,6 +16,7 @@
     StoreFailure,
     StoreFailureKind,
 )
+from ebonybend.store.contact import OnReturn, StoreContact, ignore_return
 from ebonybend.tasks import Timers
 
 # Time for which a node reads from relays after a call to the store failed.
@@ -43,12 +44,13 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: NodeStore,
         relays: Relays,
         fetch: Fetch,
         timers: Timers,
         batch_delay_s: float,
         is_relay_candidate: Callable[[], bool] = lambda: True,
+        on_return: OnReturn = ignore_return,
     ):
         self.store = store
         self.relays = relays
@@ -59,6 +61,7 @@
         self.batch_delay_s = batch_delay_s
         # Returns whether this node would be a relay if the store answered.
         self.is_relay_candidate = is_relay_candidate
+        self.contact = StoreContact(on_return)
         self.last_watch_at: dict[str, float] = {}
         # Kind whose calls show when the store answers again; None while it answers.
         self.probing_kind: str | None = None
@@ -73,6 +76,27 @@
         now = self.timers.seconds()
         return now < self.cut_off_until or self.relays.follow_until(now) > now
 
+    async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
+        """Return whether the store answers a cheap call for an object in time.
+
+        Nothing is sent if the answer would change nothing for this node.
+        """
+        if not self._needs_ping():
+            return False
+        answered = await self.store.ping(kind, name, timeout_s)
+        if answered:
+            self.contact.record_answer()
+            self._end_probing()
+        else:
+            self.contact.record_loss(self.timers.seconds())
+        return answered
+
+    def _needs_ping(self) -> bool:
+        """Return whether this node finds out by itself whether the store answers."""
+        if self.probing_kind is not None:
+            return self.is_relay_candidate()
+        return self.contact.lost_at is not None or not self.is_following()
+
     def wake(self) -> None:
         """Compare the own versions with those of a pulse."""
         waiting, self.waiting = self.waiting, []
@@ -85,7 +109,8 @@
         while self._is_probing_other(kind) and self.timers.seconds() < until:
             await self._wait_for_pulse(until - self.timers.seconds())
         answer = await self.store.list(kind)
-        self._record_contact(kind, answer)
+        if not _is_cancelled(answer):
+            self._record_contact(kind, answer)
         return answer
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
@@ -116,8 +141,10 @@
             if relayed is not None:
                 return relayed
         answer = await self.store.watch(kind, since, timeout_ms)
-        self._record_contact(kind, answer)
         now = self.last_watch_at[kind] = self.timers.seconds()
+        if _is_cancelled(answer):
+            return answer
+        self._record_contact(kind, answer)
         if not _is_cut_off(answer):
             self.cut_off_until = now
         elif not timeout_ms:
@@ -128,12 +155,19 @@
     def _record_contact(self, kind: str, answer: Result[Any, StoreFailure]) -> None:
         """Record whether a call reached the store."""
         if not _is_cut_off(answer):
-            was_probing, self.probing_kind = self.probing_kind, None
-            if was_probing is not None:
-                self.wake()
-        elif self.probing_kind is None:
+            self.contact.record_answer(kind)
+            self._end_probing()
+            return
+        self.contact.record_loss(self.timers.seconds())
+        if self.probing_kind is None:
             self.probing_kind = kind
 
+    def _end_probing(self) -> None:
+        """Let the calls proceed that wait until the store answers again."""
+        was_probing, self.probing_kind = self.probing_kind, None
+        if was_probing is not None:
+            self.wake()
+
     def _is_probing_other(self, kind: str) -> bool:
         """Return whether calls for another kind show when the store answers again."""
         return self.probing_kind not in (None, kind)
@@ -216,6 +250,11 @@
             await deferLater(self.timers, delay_s)
 
 
+def _is_cancelled(answer: Result[Any, StoreFailure]) -> bool:
+    """Return whether this node cancelled a call, which shows nothing of the store."""
+    return not isinstance(answer, Success) and answer.failure().cancelled
+
+
 def _is_cut_off(answer: Result[Any, StoreFailure]) -> bool:
     """Return whether a call did not reach the store, or its answer was lost."""
     return not isinstance(answer, Success) and answer.failure().kind in (
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -115,6 +115,7 @@
             reactor,
             BATCH_DELAY_S,
             self.is_relay_candidate,
+            lambda lost_at, kind: self.watched_state.renew_watches(lost_at, kind),
         )
         self.watched_state = WatchedState(
             self.relayed_store,
@@ -236,7 +237,7 @@
     async def ping_store(self) -> bool:
         """Return whether the store answers at once."""
         kind = self.documents.members_kind
-        return await self.store.ping(kind, self.own.name, PING_TIMEOUT_S)
+        return await self.relayed_store.ping(kind, self.own.name, PING_TIMEOUT_S)
 
     def is_relay_candidate(self) -> bool:
         """Return whether this node would be a relay if the store answered."""
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -146,3 +146,19 @@
         node.disconnect(8.0)
         node.run(SETTLE_S)
         self.assertEqual(["s2"], list(node.servers.states))
+
+
+class SilentOutageTest(TestCase):
+    """Guards against dropping servers whose entries expired in a silent outage.
+
+    The watch on servers waited during the outage, which only other calls showed.
+    """
+
+    def test_expired_entries_are_retained_as_after_a_failed_watch(self):
+        node = WatchingNode()
+        node.watched_state.renew_watches(node.clock.seconds(), "servers")
+        node.put("servers", "s1", server_entry("10.3.0.1:80"), deleted=True)
+        node.run(0.1)
+        self.assertIn("s1", node.servers.states)
+        node.run(SETTLE_S)
+        self.assertEqual(["s2"], list(node.servers.states))
--- a/ebonybend/node/tests/test_relayed_store.py
+++ b/ebonybend/node/tests/test_relayed_store.py
@@ -7,7 +7,7 @@
 
 from ebonybend.node.followed import MAX_BACKOFF_S
 from ebonybend.node.members import Member, Members
-from ebonybend.node.pulses import PulseProtocol
+from ebonybend.node.pulses import PING_TIMEOUT_S, PulseProtocol
 from ebonybend.node.relayed_store import (
     PROBE_TIMEOUT_S,
     RELAY_LEAD_S,
@@ -40,6 +40,7 @@
 IN_FORCE_S = 2.5
 STEP_S = 0.01
 OUTAGE_S = 10.0
+SILENCE_S = 4.0
 # The bound on a node to be up to date after an outage.
 CONTACT_S = 3.0
 
@@ -73,6 +74,7 @@
             region.clock,
             BATCH_DELAY_S,
             lambda: self.relays.is_candidate(region.live_names()),
+            self.renew_watches,
         )
         self.members = Members(region.member(name))
         self.pulses = PulseProtocol(
@@ -119,18 +121,22 @@
         return {kind: watcher.version for kind, watcher in self.watchers.items()}
 
     async def ping(self):
-        await deferLater(self.region.clock, CALL_S)
-        return not self.client.down
+        return await self.store.ping(KIND, "own", PING_TIMEOUT_S)
+
+    def renew_watches(self, lost_at, answered_kind):
+        for kind, watcher in self.watchers.items():
+            if kind != answered_kind:
+                watcher.renew(lost_at)
 
 
 class Region:
     """Nodes of one region and the store, in simulated time."""
 
-    def __init__(self, kinds=(KIND,), down=False):
+    def __init__(self, kinds=(KIND,), down=False, nodes=NODES):
         self.clock = Clock()
         self.memory = MemoryStore(self.clock)
         self.memory.write(KIND, "first", b"1")
-        names = [f"10.0.0.{number}" for number in range(NODES)]
+        names = [f"10.0.0.{number}" for number in range(nodes)]
         self.nodes = {name: Node(self, name, kinds) for name in names}
         for node in self.nodes.values():
             node.client.down = down
@@ -351,3 +357,59 @@
         region.run(IN_FORCE_S)
         for watcher in node.watchers.values():
             self.assertIn("s", watcher.objects)
+
+
+class LostWatchTest(TestWithScenarios, TestCase):
+    """Guards against a watch that a silent store lost and that waits for its timeout.
+
+    Load pattern: objects of each kind change before and during an outage in which the
+    store receives calls and answers none, and change again after it.
+    """
+
+    scenarios = [
+        (f"{name}, {nodes} nodes", {"change_before_s": change_s, "nodes": nodes})
+        for nodes in (2, NODES)
+        for name, change_s in (
+            ("change well before", 2.0),
+            ("change just before", 0.2),
+            ("change during the outage", -1.0),
+        )
+    ]
+
+    def test_changes_after_the_outage_are_in_force_in_time(self):
+        region = Region(KINDS, nodes=self.nodes)
+        before_s = max(self.change_before_s, 0.0)
+        if before_s:
+            self.change_all(region)
+        region.run(before_s)
+        self.set_silent(region, True)
+        region.run(1.0)
+        if not before_s:
+            self.change_all(region)
+        region.run(SILENCE_S - 1.0)
+        self.set_silent(region, False)
+        region.run(CONTACT_S - IN_FORCE_S)
+        version = self.change_all(region)
+        region.run(IN_FORCE_S)
+        for name, node in region.nodes.items():
+            for kind, watcher in node.watchers.items():
+                self.assertGreaterEqual(
+                    watcher.newest_version, version[kind], f"{kind} on {name}"
+                )
+
+    def change_all(self, region):
+        return {kind: region.memory.write(kind, "first", b"2") for kind in KINDS}
+
+    def set_silent(self, region, silent):
+        for node in region.nodes.values():
+            node.client.silent = silent
+
+    def test_renewed_watches_are_not_renewed_again(self):
+        region = Region(KINDS, nodes=2)
+        calls = region.calls()
+        self.set_silent(region, True)
+        region.run(SILENCE_S)
+        self.set_silent(region, False)
+        region.run(CONTACT_S)
+        # Each node asks once for each kind, and then watches it.
+        self.assertLessEqual(region.calls() - calls, 2 * 2 * len(KINDS))
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -11,7 +11,13 @@
 
 from ebonybend.codec import from_json
 from ebonybend.errors import SteeringError
-from ebonybend.http_client import HttpAnswer, HttpClient, NotSent, RequestFailed
+from ebonybend.http_client import (
+    HttpAnswer,
+    HttpClient,
+    NotSent,
+    RequestCancelled,
+    RequestFailed,
+)
 
 CALL_TIMEOUT_S = 2.0
 # Added to the time for which the platform may hold a watch before it answers.
@@ -62,6 +68,8 @@
     message: str
     # On a conflict, the stored object; None if there is none.
     current: StoredObject | None = None
+    # Whether this process cancelled the call.
+    cancelled: bool = False
 
 
 class ObjectStore(Protocol):
@@ -177,7 +185,12 @@
     except NotSent as error:
         return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
     except RequestFailed as error:
-        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, str(error)))
+        failure = StoreFailure(
+            StoreFailureKind.ANSWER_LOST,
+            str(error),
+            cancelled=isinstance(error, RequestCancelled),
+        )
+        return Failure(failure)
     if 200 <= answer.status < 300:
         return Success(answer.body)
     return Failure(failure_of(answer))
--- a/ebonybend/store/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -35,7 +35,8 @@
         self.writes.append((kind, name))
         watchers, self.watchers = self.watchers, []
         for watcher in watchers:
-            watcher.callback(None)
+            if not watcher.called:
+                watcher.callback(None)
         return self.version
 
     def changes(self, kind, since):
@@ -45,10 +46,15 @@
 
     def next_change(self):
         """Return a Deferred that fires at the next change."""
-        watcher = Deferred(lambda x: self.watchers.remove(x))
+        watcher = Deferred(self._forget)
         self.watchers.append(watcher)
         return watcher
 
+    def _forget(self, watcher):
+        # A write takes all watchers off the list before it calls the first.
+        if watcher in self.watchers:
+            self.watchers.remove(watcher)
+
 
 @define
 class StoreClient:
@@ -58,6 +64,9 @@
     # Calls end without an answer, after down_s.
     down: bool = False
     down_s: float = TIMEOUT_S
+    # Calls are received and never answered, and end by the caller's timeout. Watches
+    # that were sent before go on.
+    silent: bool = False
     # The next writes take effect without an answer.
     lose_answers: int = 0
     # The next writes have no effect and no answer.
@@ -65,6 +74,7 @@
     # The next write takes effect this much later, without an answer.
     delay_writes_s: float = 0.0
     calls: int = 0
+    pings: int = 0
 
     async def list(self, kind) -> Result:
         """Return all objects of a kind."""
@@ -104,7 +114,7 @@
 
     async def watch(self, kind, since, timeout_ms) -> Result:
         """Wait for changes since a version."""
-        failure = await self._call()
+        failure = await self._call(timeout_ms / 1000 + TIMEOUT_S)
         if failure:
             return Failure(failure)
         clock = self.store.clock
@@ -115,6 +125,8 @@
             try:
                 await next_change
             except CancelledError:
+                if timer.active():
+                    return Failure(_cancelled())
                 break
             finally:
                 if timer.active():
@@ -124,9 +136,23 @@
         items = self.store.changes(kind, since)
         return Success(ObjectList(self.store.version, items))
 
-    async def _call(self):
+    async def ping(self, kind, name, timeout_s) -> bool:
+        """Return whether the store answers in time."""
+        clock = self.store.clock
+        self.pings += 1
+        answers = not (self.down or self.silent)
+        await deferLater(clock, CALL_S if answers else min(timeout_s, self.down_s))
+        return answers
+
+    async def _call(self, timeout_s=TIMEOUT_S):
         self.calls += 1
         clock = self.store.clock
+        if self.silent:
+            try:
+                await deferLater(clock, timeout_s)
+            except CancelledError:
+                return _cancelled()
+            return _lost()
         if self.down:
             await deferLater(clock, self.down_s)
             return StoreFailure(StoreFailureKind.UNAVAILABLE, "down")
@@ -149,6 +175,10 @@
     return StoreFailure(StoreFailureKind.ANSWER_LOST, "lost")
 
 
+def _cancelled():
+    return evolve(_lost(), cancelled=True)
+
+
 def result_of(clock, coroutine, seconds=60.0):
     """Run a coroutine on a simulated clock and return its result."""
     found = []
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -1,6 +1,7 @@
 """Watch the objects of one kind by long polls that resume from the last version."""
 
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from random import Random
 
 from returns.result import Result, Success
@@ -83,6 +84,8 @@
         self.failing = False
         # Whether the platform is asked for changes without waiting for one.
         self.resyncing = False
+        # Whether the call in progress was cancelled, so that the next follows at once.
+        self.interrupted = False
         # Time since which all calls were answered; None while calls fail.
         self.available_since: float | None = None
         # Time at which the platform was last known to be unavailable.
@@ -107,8 +110,19 @@
         """Ask for changes at once instead of waiting for a watch that may be dead."""
         self.resyncing = True
         if self.pending_step is not None:
+            self.interrupted = True
             self.pending_step.cancel()
 
+    def renew(self, lost_at: float) -> None:
+        """Ask for changes at once if an outage at a time may have lost the watch."""
+        if self.call_started_at < lost_at:
+            self.resync()
+
+    def record_outage(self) -> None:
+        """Record that the platform was unavailable while the watch waited."""
+        if not self.failing:
+            self._begin_outage()
+
     def changes_since(self, since: int) -> ObjectList | None:
         """Return the objects changed since a version; None if they are not known."""
         if self.version is None:
@@ -122,17 +136,17 @@
     async def _run(self, tasks: Tasks) -> None:
         while not tasks.stopped:
             self.pending_step = Deferred.fromCoroutine(self._step())
-            reached = cancelled = False
-            try:
+            reached = False
+            # A cancelled call either raises or fails as one without an answer.
+            with suppress(CancelledError):
                 reached = await self.pending_step
-            except CancelledError:
-                cancelled = True
             self.pending_step = None
             if tasks.stopped:
                 return
+            interrupted, self.interrupted = self.interrupted, False
             if reached:
                 self.backoff.reset()
-            elif not (cancelled and self.resyncing):
+            elif not interrupted:
                 await tasks.sleep(self.backoff.next())
 
     async def _step(self) -> bool:
@@ -189,19 +203,23 @@
         self.objects = objects
 
     def _record_failure(self, failure: StoreFailure) -> None:
-        self.unavailable_at = self.call_started_at
         if not self.failing:
-            # The watch may have been open long before the outage began.
-            earliest = self.timers.seconds() - DETECTION_DELAY_S
-            self.unavailable_at = max(self.call_started_at, earliest)
             get_logger().warning(
                 "watch_failed",
                 kind=self.kind,
                 error=failure.message,
                 waited_s=round(self.timers.seconds() - self.call_started_at, 2),
             )
-        self.failing = True
-        self.available_since = None
+            self._begin_outage()
+        else:
+            self.unavailable_at = self.call_started_at
         if failure.kind is StoreFailureKind.REJECTED:
             # The version may be too old to resume from.
             self.version = None
+
+    def _begin_outage(self) -> None:
+        # The watch may have been open long before the outage began.
+        earliest = self.timers.seconds() - DETECTION_DELAY_S
+        self.unavailable_at = max(self.call_started_at, earliest)
+        self.failing = True
+        self.available_since = None
--- a/ebonybend/timeouts.py
+++ b/ebonybend/timeouts.py
@@ -15,10 +15,15 @@
     def __init__(self, timers: Timers, seconds: float, expire: Callable[[], None]):
         self.timers = timers
         self.expire = expire
+        self.expired = False
         self.timer = timers.callLater(seconds, self._defer_expiry)
 
     def _defer_expiry(self) -> None:
-        self.timer = self.timers.callLater(0, self.expire)
+        self.timer = self.timers.callLater(0, self._expire)
+
+    def _expire(self) -> None:
+        self.expired = True
+        self.expire()
 
     def stop(self) -> None:
         """Cancel the call."""
