Don't take a complete list for one that is behind

Each made a list, and treated servers as after an outage.

Cause: heartbeats report the newest version of an object. A node that saw a deletion reports its version; a node that listed afterwards has no object of that version, although its list is complete beyond it.

Change: the version up to which the own copy is complete is compared, too. DeletedNewestTest fails without it.

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -183,9 +183,10 @@
                 self.reapply_servers()
         for watcher in self.watchers:
             reported = heartbeat.newest.get(watcher.kind, 0)
-            if self.lag_detector.should_relist(
-                watcher.kind, watcher.newest_version, reported, now
-            ):
+            # A list doesn't contain the newest change if that was a deletion, but it is
+            # complete up to its own version.
+            own = max(watcher.newest_version, watcher.last_version)
+            if self.lag_detector.should_relist(watcher.kind, own, reported, now):
                 get_logger().warning(
                     "watch_behind",
                     kind=watcher.kind,
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -162,3 +162,26 @@
         self.assertIn("s1", node.servers.states)
         node.run(SETTLE_S)
         self.assertEqual(["s2"], list(node.servers.states))
+
+
+class DeletedNewestTest(TestCase):
+    """Guards against endless lists on a node that listed after the last deletion.
+
+    Other nodes saw the deletion itself, so they report its version as the newest.
+    """
+
+    def test_a_complete_list_is_not_behind(self):
+        node = WatchingNode()
+        node.put("servers", "s1", server_entry("10.3.0.1:80"), deleted=True)
+        deleted_at = node.store.version
+        node.watched_state.watchers_by_kind["servers"].version = None
+        node.watched_state.watchers_by_kind["servers"].resync()
+        node.watched_state.watchers_by_kind["servers"].newest_version = 0
+        node.run(1.0)
+        calls = node.client.calls
+        for _ in range(10):
+            node.watched_state.apply_heartbeat(
+                heartbeat(OTHER, newest={"servers": deleted_at})
+            )
+            node.run(0.7)
+        self.assertEqual(calls, node.client.calls)
