Keep a watch going after a change that can't be applied

No such error is known; it is the same class of fault, a watch that has ended without anybody noticing.

Change: the error is logged with its traceback, and the watch goes on. Test: test_continues_after_a_change_that_cannot_be_applied fails without it.

--- a/ebonybend/store/tests/test_watcher.py
+++ b/ebonybend/store/tests/test_watcher.py
@@ -7,6 +7,10 @@
 from ebonybend.store.watcher import MAX_BACKOFF_S, Backoff, Watcher
 
 
+def _fail(*_arguments):
+    raise ValueError("not applicable")
+
+
 class WatcherTest(TestCase):
     """Guards against changes that a watch misses, and against too many calls."""
 
@@ -73,6 +77,18 @@
         self.run_for(15)
         self.assertEqual(["b"], self.seen[-1])
 
+    def test_continues_after_a_change_that_cannot_be_applied(self):
+        self.memory.write("rules", "a", b"1")
+        self.watcher.start()
+        self.run_for(0.1)
+        apply, self.watcher.on_change = self.watcher.on_change, _fail
+        self.memory.write("rules", "b", b"2")
+        self.run_for(0.1)
+        self.watcher.on_change = apply
+        self.memory.write("rules", "c", b"3")
+        self.run_for(1)
+        self.assertEqual(["a", "b", "c"], self.seen[-1])
+
     def test_idle_watch_costs_few_calls(self):
         self.watcher.start()
         self.run_for(60)
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -1,7 +1,6 @@
 """Watch the objects of one kind by long polls that resume from the last version."""
 
 from collections.abc import Callable, Mapping
-from contextlib import suppress
 from random import Random
 
 from returns.result import Result, Success
@@ -138,8 +137,13 @@
             self.pending_step = Deferred.fromCoroutine(self._step())
             reached = False
             # A cancelled call either raises or fails as one without an answer.
-            with suppress(CancelledError):
+            try:
                 reached = await self.pending_step
+            except CancelledError:
+                pass
+            except Exception:
+                # The next change applies all objects again.
+                get_logger().exception("watch_step_failed", kind=self.kind)
             self.pending_step = None
             if tasks.stopped:
                 return
