Divide the limit that a server names among the nodes

What servers saw: 72 to 152 requests in 4 s where the limit that they had named allowed 69 to 76 with all tolerance.

Cause: nothing read the header; no part of the system owned that bound.

Change: each node computes its part of a limit from the list of nodes alone (steering/server_limits.py) and takes each send from a token bucket. What exceeds the part goes to the object's next server with room or is refused at once, with the time until a part has room; a region's capacity counts limits. Cold servers' rates use the same bucket, with the same results as before. Why it holds: the parts sum to the limit, and few enough nodes have one that those that may send at the same moment stay within the rule's tolerance, for 1 to 520 nodes and limits from 0 to 80 a second (LimitPartTest).

Evidence: LimitedServersTest and NamedLimitTest fail without the change (4 failures, 3 errors).

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -1,6 +1,7 @@
 """Nodes of the model: the real forwarder on simulated connections and heartbeats."""
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -60,6 +61,10 @@
         """Return whether the server refused the request."""
         return headers.answer.not_run
 
+    def read_limit(self, headers: ModelHeaders) -> float:
+        """Return that no server names a limit."""
+        return inf
+
     def read_load(self, headers: ModelHeaders) -> ServerLoad:
         """Return the load that the answer reports."""
         return ServerLoad(headers.answer.running, headers.answer.waiting, 0)
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,7 +1,7 @@
 """Forward a request to a backend server; retry on another where that is safe."""
 
 from collections.abc import Callable
-from math import ceil
+from math import ceil, inf
 from random import Random
 from typing import Any
 
@@ -259,11 +259,8 @@
     ) -> BackendAnswer:
         """Send a request to a server and wait for its answer until the deadline."""
         server = tracked.server
-        if tracked.is_cold(self.reactor.seconds()):
-            limits = limits_of(self.services, request.service)
-            tracked.pacer.record_send(
-                self.reactor.seconds(), limits.cold_rate, self.node_count()
-            )
+        limits = limits_of(self.services, request.service)
+        self.placement.record_send(tracked, limits, self.reactor.seconds())
         is_trial = tracked.start_request()
         selected_at = self.reactor.seconds()
         try:
@@ -317,6 +314,7 @@
         load = self.wire.read_load(answer.headers)
         if load is not None:
             tracked.record_load(load.running, load.waiting, now)
+        self._record_limit(tracked, answer, now)
         if self.wire.states_not_run(answer.status, answer.headers):
             return
         if answer.status >= MIN_FAILURE_STATUS:
@@ -331,6 +329,17 @@
                 request.route.name, tracked, request.object_key, seconds, waited
             )
 
+    def _record_limit(
+        self, tracked: TrackedServer, answer: BackendAnswer, now: float
+    ) -> None:
+        limit = self.wire.read_limit(answer.headers)
+        if limit is not None and tracked.limit.record_answer(limit, now):
+            get_logger().info(
+                "server_limit",
+                server=tracked.server.name,
+                limit=limit if limit < inf else None,
+            )
+
     async def _await_answer(
         self, waiting: Deferred[BackendAnswer], request: ClientRequest
     ) -> BackendAnswer:
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -77,6 +77,8 @@
         self.last_seen: dict[str, float] = {}
         # Cache of the other nodes in the own region and in all others; None if stale.
         self.cached_peers: tuple[list[Member], list[Member]] | None = None
+        # Cache of the region of each node, computed from these peers.
+        self.cached_regions: tuple[object, dict[str, str]] = (None, {})
         # Starts at a hash, so that not all senders choose the same recipients.
         self.round_number = xxh3_64_intdigest(own.name.encode())
 
@@ -212,6 +214,17 @@
                 found.append(heartbeat.member)
         return found
 
+    def regions_by_name(self) -> dict[str, str]:
+        """Return the region of each known node; the same object while none changes."""
+        peers = self.local_and_remote_peers()
+        if self.cached_regions[0] is not peers:
+            local, remote = peers
+            regions = {m.name: m.region for m in (self.own, *local, *remote)}
+            if regions == self.cached_regions[1]:
+                regions = self.cached_regions[1]
+            self.cached_regions = peers, regions
+        return self.cached_regions[1]
+
     def node_count(self) -> int:
         """Return the number of known nodes, by which shared limits are divided."""
         local, remote = self.local_and_remote_peers()
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -37,6 +37,7 @@
 from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
+from ebonybend.steering.server_limits import LimitDivision
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
@@ -177,7 +178,12 @@
         return Forwarder(
             self.reactor,
             self.pool,
-            Placement(self.servers, self.times, self.members.node_count),
+            Placement(
+                self.servers,
+                self.times,
+                self.members.node_count,
+                LimitDivision(self.own.name, self.members.regions_by_name),
+            ),
             self.regions,
             self.wire,
             self.new_retry_window,
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -1,3 +1,4 @@
+from math import inf
 from random import Random
 
 from attrs import evolve
@@ -68,6 +69,10 @@
         """Return whether an answer states that the request was not run."""
         return status == 421 or headers.hasHeader("Not-Run")
 
+    def read_limit(self, headers):
+        """Return the limit that an answer names."""
+        return float((headers.getRawHeaders("Limit") or [inf])[0])
+
     def read_load(self, headers):
         """Return no load."""
 
@@ -325,3 +330,24 @@
         fixture.results.clear()
         fixture.forward()
         self.assertEqual(ErrorKind.SUSPECT_REFUSED, fixture.outcome())
+
+
+class NamedLimitTest(TestWithScenarios, TestCase):
+    """Guards against requests to a server that exceed the limit that it names."""
+
+    scenarios = [
+        ("answered", {"status": 200, "headers": {"Limit": ["2"]}}),
+        ("failed", {"status": 500, "headers": {"Limit": ["2"]}}),
+        ("not run", {"status": 503, "headers": {"Limit": ["2"], "Not-Run": ["1"]}}),
+    ]
+
+    def test_each_server_gets_its_limit(self):
+        answer = BackendAnswer(self.status, Headers(self.headers), b"")
+        fixture = ForwarderFixture([answer] * 400, max_sends=3)
+        for _ in range(200):
+            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+            fixture.clock.advance(0.05)
+        # A burst, 10 s at the rate, and the first request, which learned the limit.
+        most = 3 * (2.0 + 10.0 * 2.0 + 1.0)
+        self.assertLessEqual(len(fixture.pool.sent), most)
+        self.assertGreaterEqual(len(fixture.pool.sent), 0.8 * most)
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -70,6 +70,13 @@
         """Return the load that an answer reports, or None."""
         ...
 
+    def read_limit(self, headers: Headers) -> float | None:
+        """Return the requests per second that a server takes from all nodes.
+
+        Infinite if it names no limit, None if its limit can't be read.
+        """
+        ...
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         ...
--- a/ebonybend/platform/calls.py
+++ b/ebonybend/platform/calls.py
@@ -1,6 +1,8 @@
 """Header names and formats of calls between clients, nodes and servers."""
 
+import re
 from collections.abc import Mapping, Sequence
+from math import inf
 
 from twisted.web.http_headers import Headers
 
@@ -19,6 +21,9 @@
 EXPECTED_SERVER_HEADER = b"Expect-Instance"
 # Running requests, waiting requests and slots, separated by commas.
 LOAD_HEADER = b"Server-Load"
+# Requests a second that the server takes from all nodes together.
+LIMIT_HEADER = b"Server-Limit"
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # States that the server did not run the request.
 NOT_RUN_HEADER = b"Not-Executed"
 RETRY_AFTER_HEADER = "Retry-After"
@@ -71,6 +76,18 @@
             return None
         return ServerLoad(*(int(part) for part in parts))
 
+    def read_limit(self, headers: Headers) -> float | None:
+        """Return the requests per second that a server takes from all nodes.
+
+        Infinite if it names no limit, None if its limit can't be read.
+        """
+        value = _first_value(headers, LIMIT_HEADER)
+        if value is None:
+            return inf
+        if not DECIMAL_NUMBER.fullmatch(value):
+            return None
+        return float(value)
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         return RETRY_AFTER_HEADER, f"{seconds:.3f}"
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -1,3 +1,4 @@
+from math import inf
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -159,6 +160,24 @@
         self.assertEqual(self.load, PlatformWireFormat().read_load(headers))
 
 
+class LimitTest(TestWithScenarios, TestCase):
+    """Guards against a malformed limit that ends or replaces the last one."""
+
+    scenarios = [
+        ("none", {"raw": {}, "limit": inf}),
+        ("whole number", {"raw": {"Server-Limit": ["12"]}, "limit": 12.0}),
+        ("decimal number", {"raw": {"Server-Limit": [" 11.9 "]}, "limit": 11.9}),
+        ("zero", {"raw": {"Server-Limit": ["0"]}, "limit": 0.0}),
+    ] + [
+        (text or "empty", {"raw": {"Server-Limit": [text]}, "limit": None})
+        for text in ("", "x", "-1", "nan", "inf", "1e9", "12 a second", "1" * 30)
+    ]
+
+    def test_read(self):
+        headers = Headers(self.raw)
+        self.assertEqual(self.limit, PlatformWireFormat().read_limit(headers))
+
+
 class NotRunTest(TestWithScenarios, TestCase):
     """Guards against "not run" being concluded from any other answer."""
 
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
+from math import inf
 
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
 
+from ebonybend.steering.server_limits import LimitDivision, LimitPart
 from ebonybend.steering.server_state import (
     MAX_EJECTED_FRACTION,
     ServerTable,
@@ -38,6 +40,8 @@
 # A server that isn't preferred for an object runs it only while its load is below this
 # fraction of its slots. The rest is left for its own objects.
 IDLE_FRACTION = 0.75
+# The regions of the nodes of a system of one node.
+ONE_NODE = {"": ""}
 
 
 @frozen(kw_only=True)
@@ -70,9 +74,11 @@
         table: ServerTable,
         times: ServiceTimes,
         node_count: Callable[[], int] = lambda: 1,
+        division: LimitDivision | None = None,
     ):
         self.table = table
         self.times = times
+        self.division = division or LimitDivision("", lambda: ONE_NODE)
         # Returns the number of nodes that share the limits.
         self.node_count = node_count
 
@@ -81,12 +87,17 @@
         candidates = self._candidates(query, now)
         local = [s for s in candidates if s.server.region == query.region]
         ordered = self._by_preference(local or candidates, query, now)
+        ordered = [s for s in ordered if self._is_within_limit(s, query, now)]
         if ordered and self._has_capacity(ordered[0], query, now):
             return ordered[0]
         idle = self._least_loaded_idle(ordered[1:], query, now)
         if idle is not None or not local:
             return idle
-        remote = [s for s in candidates if s.server.region != query.region]
+        remote = [
+            s
+            for s in candidates
+            if s.server.region != query.region and self._is_within_limit(s, query, now)
+        ]
         return self._least_loaded_idle(
             self._by_preference(remote, query, now)[:MAX_REMOTE_SERVERS], query, now
         )
@@ -95,7 +106,9 @@
         """Return the estimated seconds until the preferred server has capacity."""
         state = self._preferred(query, now)
         delay_s = 0.0
-        if state is not None:
+        if state is not None and not self._is_within_limit(state, query, now):
+            delay_s = self._limit_wait_s(query, now)
+        elif state is not None:
             mean_s = state.service_s or query.route.objective_s
             slots = state.server.slots
             excess = state.load(now) + 1 - slots * LOAD_LIMIT
@@ -108,6 +121,12 @@
         state = self._preferred(query, now)
         if state is None:
             return text
+        part = self._limit_part(state, now)
+        if part is not None:
+            text += (
+                f", preferred one limited to {state.limit.limit:g}/s,"
+                f" {part.rate:.1f}/s from here"
+            )
         return (
             f"{text}; {state.server.name} {state.load(now):.1f} of {state.server.slots}"
             f" (report {now - state.reported_at:.1f} s old)"
@@ -136,6 +155,45 @@
     ) -> bool:
         return state.pacer.ready(now, query.service.cold_rate, self.node_count())
 
+    def _is_within_limit(
+        self, state: TrackedServer, query: PlacementQuery, now: float
+    ) -> bool:
+        """Return whether this node's part of the server's limit has room.
+
+        Less urgent requests leave one request of a burst to urgent ones.
+        """
+        part = self._limit_part(state, now)
+        if part is None:
+            return True
+        is_reserved = query.urgent_route is not None and part.burst >= 2.0
+        available = state.limit.share.available(now, part.rate, part.burst)
+        return available >= (2.0 if is_reserved else 1.0)
+
+    def _limit_part(self, state: TrackedServer, now: float) -> LimitPart | None:
+        """Return this node's part of the server's limit; None if it names none."""
+        limit = state.limit.in_force(now)
+        return self.division.part(state.server, limit) if limit < inf else None
+
+    def record_send(
+        self, state: TrackedServer, service: ServiceLimits, now: float
+    ) -> None:
+        """Count a request to a server whose rate is bounded over all nodes."""
+        if state.is_cold(now):
+            state.pacer.record_send(now, service.cold_rate, self.node_count())
+        part = self._limit_part(state, now)
+        if part is not None:
+            state.limit.share.take(now, part.rate, part.burst)
+
+    def _limit_wait_s(self, query: PlacementQuery, now: float) -> float:
+        """Return the time until a server of the region has room within its limit."""
+        waits = [
+            state.limit.share.wait_s(now, part.rate, part.burst)
+            for state in self.table.usable(query.service.name)
+            if state.server.region == query.region
+            and (part := self._limit_part(state, now)) is not None
+        ]
+        return min(waits, default=0.0)
+
     def _by_preference(
         self, states: list[TrackedServer], query: PlacementQuery, now: float
     ) -> list[TrackedServer]:
@@ -240,6 +298,8 @@
     capacity: dict[str, float] = {}
     for state in without_ejected(table.usable(service), now):
         slots = state.server.slots / max(state.slowness, 1.0)
+        if state.service_s:
+            slots = min(slots, state.limit.in_force(now) * state.service_s)
         region = state.server.region
         capacity[region] = capacity.get(region, 0.0) + slots
     return capacity
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from ebonybend.steering.server_limits import ServerLimit
 from ebonybend.steering.shared_rates import ColdPacer
 from ebonybend.world import BackendServer, LifeState
 
@@ -61,6 +62,8 @@
     reports: dict[str, float] = field(factory=dict)
     cold_until: float = float("-inf")
     pacer: ColdPacer = field(factory=ColdPacer)
+    # The rate of requests that the server takes from all nodes, if it names one.
+    limit: ServerLimit = field(factory=ServerLimit)
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server."""
@@ -186,7 +189,11 @@
         for name, server in servers.items():
             state = self.states.get(name)
             if state is None or _restarted(state.server, server):
-                state = TrackedServer(server, pacer=ColdPacer(self.new_phase()))
+                state = TrackedServer(
+                    server,
+                    pacer=ColdPacer(self.new_phase()),
+                    limit=ServerLimit(self.new_phase()),
+                )
             if server != state.server or state.cold_until == float("-inf"):
                 # An entry states the warm-up time that remained when it was written,
                 # so an unchanged entry must not extend the warm-up.
--- a/ebonybend/steering/shared_rates.py
+++ b/ebonybend/steering/shared_rates.py
@@ -1,12 +1,15 @@
 """Enforce limits that all nodes share, by a fixed share per node."""
 
 from collections import deque
+from math import inf
 
 # Fraction of a shared limit that is used. The rest covers requests in transit and
 # differences between the nodes' views of how many nodes there are.
 SAFETY_FACTOR = 0.8
 # Rate of all nodes to a cold server whose limit is not known.
 DEFAULT_COLD_RATE = 5.0
+# Covers rounding errors of the time until a request may be sent.
+TIMER_ERROR_S = 1e-6
 
 
 class RetryWindow:
@@ -54,6 +57,37 @@
             times.popleft()
 
 
+class RateShare:
+    """A node's part of a rate that holds for all nodes: a token bucket.
+
+    The phase, 0 to 1, is the part of the first token that is missing at the start. It
+    differs between nodes, so that they don't send their first requests at once.
+    """
+
+    def __init__(self, phase: float = 0.0):
+        self.tokens = 1.0 - phase
+        self.updated_at: float | None = None
+
+    def available(self, now: float, rate: float, burst: float = 1.0) -> float:
+        """Return the number of requests that may be sent now."""
+        if self.updated_at is not None:
+            self.tokens += max(now - self.updated_at, 0.0) * rate
+        self.tokens = min(self.tokens, burst)
+        self.updated_at = now
+        return self.tokens
+
+    def take(self, now: float, rate: float, burst: float = 1.0) -> None:
+        """Record a request."""
+        self.tokens = self.available(now, rate, burst) - 1.0
+
+    def wait_s(self, now: float, rate: float, burst: float = 1.0) -> float:
+        """Return the time until a request may be sent, infinite without a rate."""
+        missing = 1.0 - self.available(now, rate, burst)
+        if missing <= 0:
+            return 0.0
+        return missing / rate if rate > 0 else inf
+
+
 class ColdPacer:
     """Space the requests to one cold server evenly.
 
@@ -62,23 +96,20 @@
     """
 
     def __init__(self, phase: float = 0.0):
-        self.phase = phase
-        self.next_at: float | None = None
+        self.share = RateShare(phase)
 
     def ready(self, now: float, rate: float, nodes: int) -> bool:
         """Return whether a request may be sent now.
 
         The rate is the server's limit for all nodes per second.
         """
-        if self.next_at is None:
-            self.next_at = now + self.phase * _cold_period_s(rate, nodes)
-        return now >= self.next_at
+        return self.share.wait_s(now, _cold_rate(rate, nodes)) < TIMER_ERROR_S
 
     def record_send(self, now: float, rate: float, nodes: int) -> None:
         """Record a request."""
-        self.next_at = max(self.next_at or now, now) + _cold_period_s(rate, nodes)
+        self.share.take(now, _cold_rate(rate, nodes))
 
 
-def _cold_period_s(rate: float, nodes: int) -> float:
-    """Return the time between two requests of one node."""
-    return max(nodes, 1) / (SAFETY_FACTOR * (rate or DEFAULT_COLD_RATE))
+def _cold_rate(rate: float, nodes: int) -> float:
+    """Return the requests per second of one node."""
+    return SAFETY_FACTOR * (rate or DEFAULT_COLD_RATE) / max(nodes, 1)
--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -311,3 +311,52 @@
                 preferred.append(state.server.name == best)
         fraction = sum(preferred) / len(preferred)
         self.assertGreaterEqual(fraction, self.min_preferred_fraction)
+
+
+class LimitedServersTest(TestCase):
+    """Guards against using a limited server beyond this node's part of its limit.
+
+    Load pattern: most servers of a service name a limit below what they get.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.placement = placement(*(server(f"s{i}") for i in range(3)))
+        self.order = preference_order(self.placement, self.placement.table.states)
+        for state in self.order:
+            state.service_s = 0.05
+
+    def limit(self, state, limit, sent):
+        state.limit.record_answer(limit, 0.0)
+        for _ in range(sent):
+            self.placement.record_send(state, SERVICE, 0.0)
+
+    def test_next_server_takes_what_exceeds_the_limit(self):
+        self.limit(self.order[0], 4.0, sent=1)
+        self.assertIs(self.order[1], self.placement.choose(QUERY, 0.0))
+        self.assertIs(self.order[0], self.placement.choose(QUERY, 1.0))
+
+    def test_refused_with_the_time_until_a_limit_has_room(self):
+        for state, limit in zip(self.order, (4.0, 2.0, 1.0), strict=True):
+            self.limit(state, limit, sent=1)
+        self.assertIsNone(self.placement.choose(QUERY, 0.0))
+        self.assertEqual(0.25, self.placement.retry_after_s(QUERY, 0.0))
+        self.assertIs(self.order[0], self.placement.choose(QUERY, 0.25))
+
+    def test_urgent_requests_get_the_last_of_a_burst(self):
+        for state in self.order:
+            self.limit(state, 4.0, sent=0)
+        less_urgent = evolve(QUERY, urgent_route=URGENT)
+        # A burst has built up, and all but one request of it is used.
+        for state in self.order:
+            for now in (0.0, 10.0):
+                state.limit.share.available(now, 4.0, 4.0)
+            for _ in range(3):
+                self.placement.record_send(state, SERVICE, 10.0)
+        self.assertIsNone(self.placement.choose(less_urgent, 10.0))
+        self.assertIs(self.order[0], self.placement.choose(QUERY, 10.0))
+
+    def test_capacity_of_a_region_counts_the_limit(self):
+        self.limit(self.order[0], 4.0, sent=0)
+        found = capacity_by_region(self.placement.table, "history", 0.0)
+        self.assertAlmostEqual(2 * SLOTS + 4.0 * 0.05, found["kingston"])
