Test repeated refusals and answers that stop in their head

Neither can happen here: an earlier refusal with its own id is skipped, one without an id on a connection in use again counts as no answer, and a request that isn't idempotent then ends as lost, not as refused; an answer cut at any byte of its head, by a close or a reset, is no answer, in the client of servers and in the one of ebonybend's own interface.

--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -184,6 +184,24 @@
                 "loss": LossReason.CLOSED,
             },
         ),
+        (
+            "the earlier id, not run",
+            {"parts": [NOT_RUN.replace(b"Not", ID + b"Not"), OTHER], "body": b"other"},
+        ),
+        (
+            "the earlier id, not run, once for each byte",
+            {
+                "parts": list(NOT_RUN.replace(b"Not", ID + b"Not") + OTHER),
+                "body": b"other",
+            },
+        ),
+        (
+            "the earlier id, not run, and then the end",
+            {
+                "parts": [NOT_RUN.replace(b"Not", ID + b"Not"), DONE],
+                "loss": LossReason.CLOSED,
+            },
+        ),
         ("no id", {"parts": [NO_ID, OTHER], "loss": LossReason.MALFORMED}),
         ("no id, not run", {"parts": [NOT_RUN, OTHER], "loss": LossReason.MALFORMED}),
         (
@@ -202,7 +220,8 @@
             if isinstance(part, Failure):
                 exchange.connection.connectionLost(part)
             else:
-                exchange.connection.dataReceived(part)
+                data = part if isinstance(part, bytes) else bytes([part])
+                exchange.connection.dataReceived(data)
         self.assertEqual(2, len(exchange.results))
         if self.loss is None:
             self.assertEqual(self.body, exchange.results[1].body)
@@ -216,6 +235,51 @@
         self.assertEqual(503, exchange.results[0].status)
 
 
+class RepeatedRefusalTest(TestCase):
+    """Guards against an earlier refusal, sent once more, that answers a later request.
+
+    It states that the request was not run, while the server runs it.
+    """
+
+    def test_later_request_is_not_refused(self):
+        exchange = Exchange()
+        refusal = NOT_RUN.replace(b"Not", ID + b"Not")
+        exchange.connection.dataReceived(refusal)
+        exchange.send(b"b2")
+        exchange.connection.dataReceived(refusal + OTHER)
+        self.assertEqual([503, 200], [answer.status for answer in exchange.results])
+
+    def test_later_request_has_no_answer_if_the_refusal_names_no_request(self):
+        exchange = Exchange()
+        exchange.connection.dataReceived(NOT_RUN)
+        exchange.send(b"b2")
+        exchange.connection.dataReceived(NOT_RUN + OTHER)
+        self.assertEqual(LossReason.MALFORMED, exchange.results[1].value.loss)
+
+
+class CutHeadTest(TestWithScenarios, TestCase):
+    """Guards against an answer that stops in its head and is delivered as whole."""
+
+    scenarios = [
+        (f"{name}, {end_name}", {"head": head, "end": end})
+        for name, head in (
+            ("with a length", OK + ID + b"Content-Length: 5\r\n\r\n"),
+            ("chunked", OK + ID + b"Transfer-Encoding: chunked\r\n\r\n"),
+            ("without length", OK + ID + b"X: y\r\n\r\n"),
+            ("after an interim one", b"HTTP/1.1 100 Continue\r\n\r\n" + COMPLETE[:-5]),
+            ("without content", b"HTTP/1.1 204 No\r\n" + ID + b"\r\n"),
+        )
+        for end_name, end in (("closed", DONE), ("reset", RESET))
+    ]
+
+    def test_no_answer_at_any_cut(self):
+        for size in range(len(self.head)):
+            exchange = Exchange()
+            exchange.connection.dataReceived(self.head[:size])
+            exchange.connection.connectionLost(self.end)
+            self.assertEqual(LossReason.CLOSED, exchange.results[0].value.loss, size)
+
+
 MEMORY_BYTES = 200_000
 PIECE = 1000
 
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -41,6 +41,7 @@
 )
 OK = BackendAnswer(200, Headers(), b"whole")
 FAILED = BackendAnswer(500, Headers(), b"failed")
+MALFORMED = AnswerNotReceived(LossReason.MALFORMED)
 FULL = BackendAnswer(503, Headers({"Not-Run": ["1"]}), b"")
 WRONG_SERVER = BackendAnswer(421, Headers(), b"")
 CLOSED = AnswerNotReceived(LossReason.CLOSED)
@@ -208,6 +209,15 @@
                 "ends": ErrorKind.ANSWER_LOST,
             },
         ),
+        (
+            "refusal of another request, not idempotent",
+            {
+                "script": [MALFORMED, OK],
+                "idempotent": False,
+                "sends": 1,
+                "ends": ErrorKind.ANSWER_LOST,
+            },
+        ),
         (
             "full, not idempotent",
             {"script": [FULL, OK], "idempotent": False, "sends": 2, "ends": 200},
--- a/ebonybend/tests/test_http_client.py
+++ b/ebonybend/tests/test_http_client.py
@@ -88,6 +88,18 @@
                 "error": AnswerLost,
             },
         ),
+        (
+            "stops in its head",
+            {"answer": COMPLETE_ANSWER[:24], "closes": True, "error": AnswerLost},
+        ),
+        (
+            "stops before the end of its head",
+            {
+                "answer": COMPLETE_ANSWER.partition(b"\r\n\r\n")[0] + b"\r\n",
+                "closes": True,
+                "error": AnswerLost,
+            },
+        ),
         ("silent", {"answer": b"", "closes": False, "error": AnswerTimeout}),
         (
             "stalled body",
