Refuse requests late in a stop that may outlive the process

What callers could see: a request that came late in a stop's grace was passed on, and cut off without an answer when the process ended at 5.75 s of 6, also one that may not be repeated.

Cause: a stopping node took every request until its ports closed at 0.6 of the grace, and on open connections until later, whatever its deadline.

Change: during a stop a request is passed on only if its deadline, or four times the mean time of its route's answers, ends before the process does.

Evidence: LateRequestTest; without the rule all of its cases are accepted.

--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -213,6 +213,7 @@
             self.metrics,
             self.request_log,
             self.watched_state.is_synchronised,
+            lambda deadline, likely_s: self.stop.may_accept(deadline, likely_s),
         )
         directory = Directory(
             self.members,
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -1,6 +1,7 @@
 """Stop a node within its grace time; abort only the requests still running then."""
 
 from collections.abc import Awaitable, Callable
+from math import inf
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -35,6 +36,9 @@
         self.unfinished = unfinished
         self.shut_down = shut_down
         self.stopping = False
+        # Times of the start of the stop, and at which remaining requests are aborted.
+        self.began_at = inf
+        self.ends_at = inf
 
     def begin_or_abort(self) -> None:
         """Start the stop; a second call exits at once."""
@@ -49,24 +53,33 @@
         if self.stopping:
             return
         self.stopping = True
+        self.began_at = self.reactor.seconds()
+        self.ends_at = self.began_at + self.grace_s - END_MARGIN_S
         get_logger().info(
             "stop_begins", running=self.unfinished(), grace_s=self.grace_s
         )
         self.announce()
         Deferred.fromCoroutine(self._run()).addErrback(self._on_failure)
 
+    def may_accept(self, deadline: float, likely_s: float) -> bool:
+        """Return whether a request that is likely answered in a time may be sent on.
+
+        During a stop, it has to end before the process does, since a request that is
+        cut off may have run. A client can send a refused one to another node.
+        """
+        return min(deadline, self.reactor.seconds() + likely_s) <= self.ends_at
+
     def _on_failure(self, failure: Any) -> None:
         get_logger().error("stop_failed", error=repr(failure.value))
         self.shut_down()
 
     async def _run(self) -> None:
-        started = self.reactor.seconds()
         await deferLater(self.reactor, self.grace_s * SERVING_FRACTION)
         await self.close_ports()
-        until = started + self.grace_s - END_MARGIN_S
-        while self.unfinished() and self.reactor.seconds() < until:
+        while self.unfinished() and self.reactor.seconds() < self.ends_at:
             await deferLater(self.reactor, POLL_INTERVAL_S)
         # Time for the sockets to send the last answers.
         await deferLater(self.reactor, POLL_INTERVAL_S)
-        get_logger().info("stopped", seconds=round(self.reactor.seconds() - started, 3))
+        elapsed_s = self.reactor.seconds() - self.began_at
+        get_logger().info("stopped", seconds=round(elapsed_s, 3))
         self.shut_down()
--- a/ebonybend/node/tests/test_stop.py
+++ b/ebonybend/node/tests/test_stop.py
@@ -68,6 +68,37 @@
         self.assertLess(times["ended"], GRACE_S)
 
 
+class LateRequestTest(TestWithScenarios, TestCase):
+    """Guards against requests accepted late in a stop and cut off without an answer.
+
+    Load pattern: clients keep sending on open connections until the process is gone.
+    """
+
+    scenarios = [
+        ("before the stop", {"at_s": None, "likely_s": 36.0, "accepted": True}),
+        ("early", {"at_s": 0.5, "likely_s": 4.0, "accepted": True}),
+        ("early, too long", {"at_s": 0.5, "likely_s": 12.0, "accepted": False}),
+        ("late", {"at_s": 3.5, "likely_s": 4.0, "accepted": False}),
+        ("late, short", {"at_s": 3.5, "likely_s": 1.2, "accepted": True}),
+        (
+            "late, ends by its deadline",
+            {"at_s": 3.5, "likely_s": 4.0, "deadline_s": 2.0, "accepted": True},
+        ),
+        ("after the ports closed", {"at_s": 5.0, "likely_s": 1.2, "accepted": False}),
+        ("at the end", {"at_s": 5.75, "likely_s": 0.0, "accepted": False}),
+    ]
+    deadline_s = 15.0
+
+    def test_accepted_only_if_it_can_end(self):
+        node = StoppingNode(lambda now: 1)
+        if self.at_s is not None:
+            node.stop.begin()
+            node.run(self.at_s)
+        deadline = node.clock.seconds() + self.deadline_s
+        accepted = node.stop.may_accept(deadline, self.likely_s)
+        self.assertEqual(self.accepted, accepted)
+
+
 class AbortTest(TestCase):
     """Guards against an operator who can't end a process that hangs."""
 
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 
 from ebonybend.steering.server_state import TrackedServer
+from ebonybend.world.route import Route
 
 # Weight of a new sample in a moving average, which spans about the last twenty answers.
 GAIN = 0.1
@@ -20,6 +21,8 @@
 MAX_SLOWNESS = 20.0
 # Slowness from which a server counts as slow; servers of one service differ by less.
 SLOW_FACTOR = 2.0
+# Multiple of the mean time within which nearly all answers arrive.
+TAIL_FACTOR = 4.0
 
 
 @define
@@ -99,6 +102,11 @@
         times = self.routes.get(route)
         return times.mean_s if times else None
 
+    def likely_time_s(self, route: Route) -> float:
+        """Return a time within which nearly all answers of a route arrive."""
+        mean_s = self.mean_time_s(route.name)
+        return route.objective_s if mean_s is None else mean_s * TAIL_FACTOR
+
     def record_answer_time(
         self, route: str, state: TrackedServer, key: bytes, seconds: float, queued: bool
     ) -> None:
