Log lost requests and counted crashes

A report says that a request was sent on after three servers had ended under it. No line said that a request was lost on a server, or which crashes were counted, so the hypotheses of docs/incidents/server-words.md could not be told apart. request_lost and crash_counted do that; no decision changes. The tests of crashes and of the forwarder pass.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -123,7 +123,7 @@
                 if failure.counts_as_failure:
                     self._record_unreachable(tracked, failure.refused, str(failure))
                 if failure.refused:
-                    self.crash_detector.record_refused_connection(tracked.server.name)
+                    self._record_refused_connection(tracked)
                 progress.error = SteeringError(
                     ErrorKind.BACKEND_UNREACHABLE, str(failure)
                 )
@@ -134,9 +134,7 @@
                 else:
                     self._record_failure(tracked, str(failure))
                 if failure.loss in (LossReason.CLOSED, LossReason.UNACKNOWLEDGED):
-                    self.crash_detector.record_lost_request(
-                        tracked.server.name, _fingerprint(request)
-                    )
+                    self._record_lost_request(request, tracked, failure.loss)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -150,6 +148,26 @@
             if answer.status < MIN_FAILURE_STATUS or not request.route.idempotent:
                 return answer
 
+    def _record_lost_request(
+        self, request: ClientRequest, tracked: TrackedServer, loss: LossReason
+    ) -> None:
+        name = _fingerprint(request)
+        self.crash_detector.record_lost_request(tracked.server.name, name)
+        get_logger().info(
+            "request_lost",
+            server=tracked.server.name,
+            request_id=request.request_id.decode("latin-1"),
+            suspect=name,
+            loss=loss.value,
+        )
+
+    def _record_refused_connection(self, tracked: TrackedServer) -> None:
+        crashes = self.crash_detector.record_refused_connection(tracked.server.name)
+        if crashes:
+            get_logger().warning(
+                "crash_counted", server=tracked.server.name, crashes=crashes
+            )
+
     def _record_failure(self, tracked: TrackedServer, reason: str) -> None:
         previous_ejected_until = tracked.ejected_until
         tracked.record_failure(self._now())
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -31,13 +31,17 @@
         recent = self._recent(server, now)
         self.lost_requests[server] = [*recent, (now, fingerprint)]
 
-    def record_refused_connection(self, server: str) -> None:
-        """Record a crash of a server that refuses connections after lost requests."""
+    def record_refused_connection(self, server: str) -> dict[str, int]:
+        """Record a crash of a server that refuses connections after lost requests.
+
+        Returns the crashes counted so far for each of these requests.
+        """
         recent = self._recent(server, self.clock.monotonic())
         self.lost_requests.pop(server, None)
-        if recent:
-            names = {fingerprint for _, fingerprint in recent}
+        names = {fingerprint for _, fingerprint in recent}
+        if names:
             self.registry.record_crash(names, False, server)
+        return {name: self.registry.suspects[name].crashes for name in names}
 
     def is_refused(self, fingerprint: str) -> bool:
         """Return whether a request has crashed too many servers."""
