Test what servers say and requests that crash servers, on real processes

The stand-in of an endpoint can now say Server-Leaving, turn requests away with 503 and Retry-After, end when a request begins to run, and start again at its address.

--- a/bench/node_fleet.py
+++ b/bench/node_fleet.py
@@ -126,12 +126,12 @@
 
 
 def server_object(
-    service: str, zone: str, address: str, state: str = "ready"
+    service: str, zone: str, address: str, state: str = "ready", born: int = 1
 ) -> dict[str, Any]:
     """Return a server's entry in the store."""
     info = {"Service": service, "Zone": zone, "MaxConcurrency": SLOTS}
     status = {"State": state, "Sequence": 1, "WarmupLeftMs": 0}
-    return {"Addr": address, "born": 1, "Info": info, "Status": status}
+    return {"Addr": address, "born": born, "Info": info, "Status": status}
 
 
 class NodeFleet:
@@ -209,16 +209,18 @@
 
     # Servers and configuration
 
-    def add_server(self, service: str, zone: str) -> FleetServer:
-        """Start a server behind the proxy and list it in the store."""
+    def add_server(self, service: str, zone: str, proxied: bool = True) -> FleetServer:
+        """Start a server, behind the proxy or not, and list it in the store."""
         self.server_count += 1
         name = f"i-{self.server_count}"
         endpoint = PlatformEndpoint(name, service_s=SERVICE_S)
-        address = f"{self.ip(200, self.server_count)}:{PROXIED_PORT}"
+        address = endpoint.address
+        if proxied:
+            address = f"{self.ip(200, self.server_count)}:{PROXIED_PORT}"
+            with self.lock:
+                self.listeners.append(Listener(address, endpoint.address))
+            self._configure_proxy()
         server = FleetServer(name, service, zone, address, endpoint)
-        with self.lock:
-            self.listeners.append(Listener(address, endpoint.address))
-        self._configure_proxy()
         self.servers[name] = server
         state = server_object(service, zone, address)
         self.store.state.put("servers", name, state)
--- /dev/null
+++ b/bench/tests/test_server_words.py
@@ -0,0 +1,177 @@
+from http.client import HTTPConnection, HTTPException
+from itertools import count
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from threading import Timer
+from time import monotonic, sleep
+
+from testtools import TestCase
+
+from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet, server_object
+
+SERVICE, ZONE = "history", "kingston-a"
+NODES = ("kingston-a-1", "kingston-b-1", "montego-a-1")
+# Documented bounds: until a leaving server gets no requests, until a node is up to
+# date, and from a refusal until its Retry-After binds.
+DRAIN_LIMIT_S = 2.5
+CONTACT_S = 4.0
+REFUSAL_LIMIT_S = 0.5
+MAX_LATE_REQUESTS = 2
+MAX_LATE_RETRIES = 3
+LIST_DELAY_S = 1.0
+
+
+class ServerWordsTest(TestCase):
+    """Three nodes as processes, and servers that nothing but their answers describe."""
+
+    def setUp(self):
+        super().setUp()
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = NodeFleet(Path(directory.name), nodes_per_zone=1)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+        for server in list(self.fleet.servers.values()):
+            if server.service == SERVICE:
+                self.fleet.store.state.remove("servers", server.name)
+        self.numbers = count(1)
+        self.fleet.wait_until(
+            lambda: all(self.send(node) == 503 for node in NODES), 5.0
+        )
+
+    def add_server(self, zone=ZONE):
+        server = self.fleet.add_server(SERVICE, zone, proxied=False)
+        self.addCleanup(server.endpoint.stop)
+        return server
+
+    def list_again(self, server, name, born):
+        """List a server at the same address, as another incarnation."""
+        value = server_object(SERVICE, server.zone, server.address, born=born)
+        self.fleet.store.state.put("servers", name, value)
+
+    def send(self, node=NODES[0], path="/read/x"):
+        """Send a request to a node; return the status, 0 without an answer."""
+        ip = self.fleet.nodes[node].ip
+        connection = HTTPConnection(ip, CALLERS_PORT, timeout=3.0)
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": f"id-{next(self.numbers)}",
+            "Deadline-Ms": "2000",
+        }
+        try:
+            connection.request("GET", path, headers=headers)
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status
+        except (OSError, HTTPException):
+            return 0
+        finally:
+            connection.close()
+
+    def send_for(self, seconds, nodes=NODES[:1], path="/read/x", pause_s=0.05):
+        until = monotonic() + seconds
+        while monotonic() < until:
+            for node in nodes:
+                self.send(node, path)
+            sleep(pause_s)
+
+    def wait_until_serving(self, nodes=NODES):
+        self.fleet.wait_until(lambda: all(self.send(n) == 200 for n in nodes), 5.0)
+
+
+class LeavingServerTest(ServerWordsTest):
+    """Guards against requests to a server whose answers said that it leaves (DRAIN)."""
+
+    def test_node_that_passed_on_the_word_sends_no_more(self):
+        server = self.add_server()
+        self.wait_until_serving(NODES[:1])
+        server.endpoint.answer_headers = {"Server-Leaving": "1"}
+        self.assertEqual(200, self.send())
+        passed_on_at = monotonic()
+        self.send_for(DRAIN_LIMIT_S + 0.5)
+        # A new watch, and an entry that expires and returns, change nothing.
+        state = self.fleet.store.state
+        state.drop_history()
+        state.remove("servers", server.name)
+        sleep(LIST_DELAY_S)
+        self.list_again(server, server.name, 1)
+        self.send_for(LIST_DELAY_S)
+        late = [
+            at - passed_on_at
+            for at, _ in server.endpoint.arrived
+            if at > passed_on_at + DRAIN_LIMIT_S
+        ]
+        self.assertEqual([], late)
+
+    def test_other_nodes_learn_the_word_and_a_new_incarnation_ends_it(self):
+        server = self.add_server()
+        self.wait_until_serving()
+        server.endpoint.answer_headers = {"Server-Leaving": "1"}
+        self.assertEqual(200, self.send())
+        sleep(DRAIN_LIMIT_S)
+        arrived = len(server.endpoint.arrived)
+        self.assertEqual([503] * 3, [self.send(node) for node in NODES])
+        self.assertEqual(arrived, len(server.endpoint.arrived))
+        server.endpoint.answer_headers = {}
+        self.list_again(server, server.name, 2)
+        self.wait_until_serving()
+
+
+class RefusingServerTest(ServerWordsTest):
+    """Guards against requests to a server that asked for a pause (BUDGET)."""
+
+    RETRY_AFTER_S = 2.2
+
+    def test_node_sends_nothing_for_as_long_as_the_server_asks(self):
+        server = self.add_server()
+        self.wait_until_serving(NODES[:1])
+        server.endpoint.retry_after = str(self.RETRY_AFTER_S)
+        self.send()
+        refused_at = server.endpoint.turned_away[0]
+        Timer(self.RETRY_AFTER_S / 2, self.list_without_and_with, [server]).start()
+        self.send_for(self.RETRY_AFTER_S)
+        end = refused_at + self.RETRY_AFTER_S
+        late = [
+            at - refused_at
+            for at, _ in server.endpoint.arrived
+            if refused_at + REFUSAL_LIMIT_S < at < end
+        ]
+        self.assertLessEqual(len(late), MAX_LATE_REQUESTS, late)
+        server.endpoint.retry_after = None
+        self.wait_until_serving(NODES[:1])
+
+    def list_without_and_with(self, server):
+        self.fleet.store.state.remove("servers", server.name)
+        self.list_again(server, server.name, 1)
+
+
+class CrashingRequestTest(ServerWordsTest):
+    """Guards against a request that crashes one server after the other (BUDGET).
+
+    Load pattern: no other request, and each time another node gets it.
+    """
+
+    def test_is_refused_everywhere_after_the_third_crash(self):
+        servers = [self.add_server(zone) for zone in (ZONE, "montego-a") for _ in "12"]
+        self.wait_until_serving()
+        for server in servers:
+            server.endpoint.crash_marker = "crash"
+        for round_number in range(9):
+            self.send(NODES[round_number % 3], "/read/crash")
+            sleep(1.0)
+            self.restart_crashed(servers, round_number)
+            sleep(LIST_DELAY_S)
+        crashes = sorted(at for s in servers for at in s.endpoint.crashed)
+        late = [at for at in crashes[3:] if at > crashes[2] + CONTACT_S]
+        self.assertLessEqual(len(late), MAX_LATE_RETRIES, crashes)
+        self.wait_until_serving()
+
+    def restart_crashed(self, servers, round_number):
+        state = self.fleet.store.state
+        for server in servers:
+            endpoint = server.endpoint
+            if endpoint.server.socket.fileno() >= 0:
+                continue
+            state.remove("servers", endpoint.instance)
+            endpoint.restart(f"{server.name}-{round_number}")
+            self.list_again(server, endpoint.instance, round_number + 2)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -1,5 +1,7 @@
 """Stub of a backend endpoint on the platform that runs the node."""
 
+import socket
+import struct
 from collections import Counter
 from http.server import BaseHTTPRequestHandler
 from threading import Lock, Thread
@@ -8,6 +10,9 @@
 
 from standins.threaded_server import ThreadedServer
 
+# Closes a connection with a reset.
+NO_LINGER = struct.pack("ii", 1, 0)
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -20,17 +25,31 @@
         body = self.rfile.read(length)
         request_id = self.headers["Attempt-Id"]
         if self.headers["Expect-Instance"] != endpoint.instance:
-            self._send(421, b"", {"Instance-Id": endpoint.instance})
+            fields = {"Instance-Id": endpoint.instance}
+            self._send(421, b"", {**fields, **endpoint.answer_headers})
             return
+        headers = {"Attempt-Id": request_id, **endpoint.answer_headers}
         with endpoint.lock:
-            endpoint.runs[request_id] += 1
-            endpoint.started.append((monotonic(), request_id))
+            endpoint.arrived.append((monotonic(), request_id))
+            retry_after = endpoint.retry_after
+            if retry_after is None:
+                endpoint.runs[request_id] += 1
+                endpoint.started.append((monotonic(), request_id))
+        if retry_after is not None:
+            endpoint.turned_away.append(monotonic())
+            fields = {"Not-Executed": "1", "Retry-After": retry_after}
+            self._send(503, b"", {**headers, **fields})
+            return
+        if endpoint.crash_marker and endpoint.crash_marker in self.path:
+            self.close_connection = True
+            endpoint.crash()
+            return
         sleep(endpoint.service_s)
         if endpoint.use_up("answers_to_lose"):
             self.close_connection = True
             return
         answer_body = b"%s %s " % (self.command.encode(), self.path.encode()) + body
-        headers = {"Attempt-Id": request_id, "Server-Stamp": endpoint.instance}
+        headers["Server-Stamp"] = endpoint.instance
         self._send(200, answer_body, {**headers, "Server-Load": "1,0,4"})
 
     def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
@@ -48,6 +67,35 @@
         """Suppress the access log."""
 
 
+class _EndpointServer(ThreadedServer):
+    """A server that can reset its open connections."""
+
+    # The address is used again at once after a crash.
+    allow_reuse_address = True
+
+    def __init__(self, address: tuple[str, int]):
+        super().__init__(address, _Handler)
+        self.connections: set[socket.socket] = set()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # Closed meanwhile by its own thread.
+                self.connections.discard(connection)
+
+
 class PlatformEndpoint:
     """An endpoint on a loopback port that counts its runs of each request id."""
 
@@ -58,15 +106,29 @@
         self.service_s = service_s
         self.lock = Lock()
         self.runs: Counter[str] = Counter()
-        # Time and id of each run.
+        # Time and id of each run, and of each request that it received.
         self.started: list[tuple[float, str]] = []
+        self.arrived: list[tuple[float, str]] = []
         # Answers that get lost after the run, and that are sent a second time, late.
         self.answers_to_lose = 0
         self.answers_to_repeat = 0
-        self.server = ThreadedServer((address, 0), _Handler)
-        self.server.endpoint = self
+        # Added to each answer, such as Server-Leaving and Server-Limit.
+        self.answer_headers: dict[str, str] = {}
+        # If set, requests are turned away with 503 and this Retry-After.
+        self.retry_after: str | None = None
+        # Times at which requests were turned away.
+        self.turned_away: list[float] = []
+        # A request whose path contains it crashes the endpoint when it begins to run.
+        self.crash_marker = ""
+        # Times of the crashes.
+        self.crashed: list[float] = []
+        self._listen((address, 0))
         self.address = f"{address}:{self.server.server_port}"
-        Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def _listen(self, address: tuple[str, int]) -> None:
+        self.server = _EndpointServer(address)
+        self.server.endpoint = self
+        Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
 
     def use_up(self, fault: str) -> bool:
         """Return whether a fault applies to this answer, and count it down."""
@@ -76,6 +138,20 @@
                 setattr(self, fault, remaining - 1)
             return remaining > 0
 
+    def crash(self) -> None:
+        """Close the port and reset all connections, as when the process ends."""
+        self.crashed.append(monotonic())
+        server = self.server
+        server.socket.close()
+        server.reset_connections()
+        server.shutdown()
+
+    def restart(self, instance: str) -> None:
+        """Listen on the same address again, as a new incarnation."""
+        self.instance = instance
+        host, _, port = self.address.rpartition(":")
+        self._listen((host, int(port)))
+
     def stop(self) -> None:
         """Stop serving and close the port."""
         self.server.shutdown()
