--- a/bench/model/policies.py
+++ b/bench/model/policies.py
@@ -11,6 +11,7 @@
 )
 from ebonybend.steering.server_state import ServerTable, TrackedServer
 from ebonybend.steering.service_times import ServiceTimes
+from ebonybend.world.route import ServiceLimits
 
 RETRY_AFTER_S = 0.1
 
@@ -18,12 +19,19 @@
 class Policy(Protocol):
     """What the forwarder of a node asks."""
 
+    table: ServerTable
     times: ServiceTimes
 
     def choose(self, query: PlacementQuery, now: float) -> TrackedServer | None:
         """Return the server to send a request to, or None to refuse it."""
         ...
 
+    def record_send(
+        self, state: TrackedServer, service: ServiceLimits, now: float
+    ) -> None:
+        """Count a request to a server whose rate is bounded."""
+        ...
+
     def retry_after_s(self, query: PlacementQuery, now: float) -> float:
         """Return after how many seconds a refused caller may come back."""
         ...
@@ -58,6 +66,11 @@
         candidates = local or usable
         return self.pick(candidates, query, now, self.random) if candidates else None
 
+    def record_send(
+        self, state: TrackedServer, service: ServiceLimits, now: float
+    ) -> None:
+        """Count nothing; a baseline keeps no bound."""
+
     def retry_after_s(self, query: PlacementQuery, now: float) -> float:
         """Return a fixed delay."""
         return RETRY_AFTER_S
--- a/bench/tests/test_model.py
+++ b/bench/tests/test_model.py
@@ -43,6 +43,8 @@
             for policy in ("node", self.baseline)
         )
         self.assertGreater(node.fraction("on_time"), other.fraction("on_time"))
+        # A baseline whose requests all end in an error would always be worse.
+        self.assertGreater(other.fraction("on_time"), 0.0)
 
 
 class RepeatTest(TestCase):
