Send nothing to servers whose answers state that they leave

Callers saw requests reach a server that had said that it leaves (DRAIN): nothing read the header, so a node went on for as long as the list named the server as ready. Checked again after a connection was opened. A 421 speaks of another server and is ignored.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -61,6 +61,10 @@
         """Return whether the server refused the request."""
         return headers.answer.not_run
 
+    def states_leaving(self, _headers: Headers) -> bool:
+        """Return that no server leaves."""
+        return False
+
     def read_limit(self, headers: ModelHeaders) -> float:
         """Return that no server names a limit."""
         return inf
@@ -227,7 +231,6 @@
             newest={},
             followed_s=0.0,
             demand={name: round(slots * 100) for name, slots in demand.items()},
-            suspects=(),
             member=self.own,
             ejected=self.table.ejected_servers(self.clock.seconds(), 16),
         )
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -27,6 +27,7 @@
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.steering.suspects import fingerprint
 from ebonybend.timeouts import Timeout
+from ebonybend.world import BackendServer
 from ebonybend.world.route import ServiceLimits
 
 # Hop-by-hop headers, and headers that the node sets itself.
@@ -49,6 +50,8 @@
 MIN_REMAINING_S = 0.02
 # From this status on, an answer counts as a failure of the server.
 MIN_FAILURE_STATUS = 500
+# Another server has the address; what its answer states is not about this one.
+MISDIRECTED_STATUS = 421
 MS_PER_S = 1000
 
 
@@ -276,6 +279,7 @@
         self, request: ClientRequest, tracked: TrackedServer
     ) -> BackendAnswer:
         """Send a request to a server and wait for its answer until the deadline."""
+        # The list may name a later process of this server before the answer arrives.
         server = tracked.server
         limits = limits_of(self.services, request.service)
         self.placement.record_send(tracked, limits, self.reactor.seconds())
@@ -288,6 +292,11 @@
                 connection = await self.pool.connect(server)
                 tracked.record_connect_time(self.reactor.seconds() - connect_started)
             started = self.reactor.seconds()
+            if server.process in self.placement.table.leaving:
+                connection.close()
+                raise BackendUnreachable(
+                    "it began to leave while connecting", False, False
+                )
             if request.deadline - started < MIN_REMAINING_S:
                 connection.close()
                 raise BackendUnreachable(
@@ -318,9 +327,18 @@
             tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = may_have_run_before
+        if answer.status != MISDIRECTED_STATUS:
+            self._record_leaving(server, answer)
         self._record_answer(request, tracked, answer, started)
         return answer
 
+    def _record_leaving(self, server: BackendServer, answer: BackendAnswer) -> None:
+        leaving = self.placement.table.leaving
+        if self.wire.states_leaving(answer.headers) and leaving.record(
+            server.process, self._now()
+        ):
+            get_logger().info("server_leaving", server=server.name, told_by=None)
+
     def _record_answer(
         self,
         request: ClientRequest,
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
 
+from ebonybend.steering.leaving import LeavingReport
 from ebonybend.steering.suspects import SuspectView
 
 # The liveness timeout covers three periods, so two lost datagrams in a row are
@@ -40,6 +41,16 @@
     link_mbps: float = 0.0
 
 
+@frozen(kw_only=True)
+class ServerReports:
+    """What a node's own requests showed of servers, for all other nodes."""
+
+    # Requests suspected of crashing servers.
+    suspects: tuple[SuspectView, ...] = ()
+    # Servers that state in their answers that they leave.
+    leaving: tuple[LeavingReport, ...] = ()
+
+
 @frozen(kw_only=True)
 class NodeHeartbeat:
     """The state that a node sends to other nodes once per period."""
@@ -58,11 +69,11 @@
     # Demand by service in hundredths of a slot: of the node itself when sent within its
     # region, of all live nodes of its region when sent to other regions.
     demand: dict[str, int]
-    # Requests suspected of crashing servers.
-    suspects: tuple[SuspectView, ...]
     member: Member
     # Servers that the node ejected after its own requests failed.
     ejected: tuple[str, ...] = ()
+    # None if there is nothing to report.
+    reports: ServerReports | None = None
 
 
 class Members:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -22,7 +22,13 @@
 from ebonybend.node.followed import WatchedState
 from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.kept_state import WRITE_PERIOD_S, CheckpointManager
-from ebonybend.node.members import HEARTBEAT_PERIOD_S, Member, Members, NodeHeartbeat
+from ebonybend.node.members import (
+    HEARTBEAT_PERIOD_S,
+    Member,
+    Members,
+    NodeHeartbeat,
+    ServerReports,
+)
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.pause_gate import TICK_PERIOD_S, PauseGate
@@ -51,6 +57,7 @@
 BATCH_DELAY_S = 0.4
 # Bounds the size of a heartbeat.
 MAX_REPORTED_SERVERS = 16
+MAX_REPORTED_LEAVING = 6
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
 # Descriptors reserved for the store, other nodes, files and backend servers.
@@ -288,24 +295,40 @@
             count=self.heartbeat_count,
             ready=self.is_ready(),
             demand={name: round(slots * 100) for name, slots in demand.items()},
-            suspects=self.crash_detector.suspects_to_report(),
             newest=self.watched_state.newest_versions(),
             followed_s=self.watched_state.store_contact_s(),
             member=self.own,
             ejected=self.servers.ejected_servers(
                 self.reactor.seconds(), MAX_REPORTED_SERVERS
             ),
+            reports=self._server_reports(),
+        )
+
+    def _server_reports(self) -> ServerReports | None:
+        reports = ServerReports(
+            suspects=self.crash_detector.suspects_to_report(),
+            leaving=self.servers.leaving_reports(
+                self.reactor.seconds(), MAX_REPORTED_LEAVING
+            ),
         )
+        return reports if reports.suspects or reports.leaving else None
 
     def on_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
         """Apply the suspects, servers and versions that another node reports."""
-        if heartbeat.suspects:
-            self.crash_detector.registry.merge(*heartbeat.suspects)
+        if heartbeat.reports is not None:
+            self._apply_reports(heartbeat.name, heartbeat.reports)
         self.servers.record_reports(
             heartbeat.name, heartbeat.ejected, self.reactor.seconds()
         )
         self.watched_state.apply_heartbeat(heartbeat)
 
+    def _apply_reports(self, node: str, reports: ServerReports) -> None:
+        if reports.suspects:
+            self.crash_detector.registry.merge(*reports.suspects)
+        now = self.reactor.seconds()
+        for name in self.servers.leaving.merge(reports.leaving, now):
+            get_logger().info("server_leaving", server=name, told_by=node)
+
     def on_routing(self) -> None:
         """Apply the services and limits of a new configuration."""
         self.forwarder.services = self.routing.services
--- a/ebonybend/node/tests/beat_double.py
+++ b/ebonybend/node/tests/beat_double.py
@@ -15,7 +15,6 @@
         newest={},
         followed_s=1.0,
         demand={},
-        suspects=(),
         member=sender,
     )
     return evolve(plain, **changes)
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 from math import inf
 from random import Random
+from typing import ClassVar
 
 from attrs import evolve
 from testscenarios import TestWithScenarios
@@ -74,6 +75,10 @@
         """Return the limit that an answer names."""
         return float((headers.getRawHeaders("Limit") or [inf])[0])
 
+    def states_leaving(self, headers):
+        """Return whether an answer states that its server leaves."""
+        return headers.hasHeader("Leaving")
+
     def read_load(self, headers):
         """Return no load."""
 
@@ -342,6 +347,44 @@
         self.assertEqual(ErrorKind.SUSPECT_REFUSED, fixture.outcome())
 
 
+class LeavingAnswerTest(TestWithScenarios, TestCase):
+    """Guards against requests to a server that stated that it leaves."""
+
+    LEAVING: ClassVar = {"Leaving": ["1"]}
+    scenarios = [
+        ("answered", {"answer": BackendAnswer(200, Headers(LEAVING), b"")}),
+        ("failed", {"answer": BackendAnswer(500, Headers(LEAVING), b"")}),
+        (
+            "not run",
+            {"answer": BackendAnswer(503, Headers({**LEAVING, "Not-Run": ["1"]}), b"")},
+        ),
+        (
+            "by another server at its address",
+            {"answer": BackendAnswer(421, Headers(LEAVING), b""), "usable": 3},
+        ),
+    ]
+    usable = 2
+
+    def test_other_servers_are_used(self):
+        fixture = ForwarderFixture([self.answer], max_sends=1)
+        fixture.forward()
+        table = fixture.forwarder.placement.table
+        self.assertEqual(self.usable, len(table.usable("s")))
+
+    def test_not_sent_if_the_server_begins_to_leave_meanwhile(self):
+        fixture = ForwarderFixture([OK])
+        connecting = fixture.pool.connecting = Deferred()
+        fixture.forward()
+        table = fixture.forwarder.placement.table
+        (chosen,) = [s for s in table.states.values() if s.in_flight]
+        table.leaving.record(chosen.server.process, 0.0)
+        fixture.pool.connecting = None
+        connecting.callback(None)
+        self.assertEqual(200, fixture.outcome())
+        self.assertEqual(1, len(fixture.pool.sent))
+        self.assertEqual(float("-inf"), chosen.answered_at)
+
+
 class NamedLimitTest(TestWithScenarios, TestCase):
     """Guards against requests to a server that exceed the limit that it names."""
 
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -77,6 +77,10 @@
         """
         ...
 
+    def states_leaving(self, headers: Headers) -> bool:
+        """Return whether an answer states that its server leaves."""
+        ...
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         ...
--- a/ebonybend/platform/calls.py
+++ b/ebonybend/platform/calls.py
@@ -23,6 +23,8 @@
 LOAD_HEADER = b"Server-Load"
 # Requests a second that the server takes from all nodes together.
 LIMIT_HEADER = b"Server-Limit"
+# States that the server leaves, if it is 1.
+LEAVING_HEADER = b"Server-Leaving"
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # States that the server did not run the request.
 NOT_RUN_HEADER = b"Not-Executed"
@@ -88,6 +90,10 @@
             return None
         return float(value)
 
+    def states_leaving(self, headers: Headers) -> bool:
+        """Return whether an answer states that its server leaves."""
+        return _first_value(headers, LEAVING_HEADER) == b"1"
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         return RETRY_AFTER_HEADER, f"{seconds:.3f}"
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -178,6 +178,19 @@
         self.assertEqual(self.limit, PlatformWireFormat().read_limit(headers))
 
 
+class LeavingTest(TestWithScenarios, TestCase):
+    """Guards against taking a server out of use that didn't state that it leaves."""
+
+    scenarios = [
+        (text or "empty", {"raw": {"Server-Leaving": [text]}, "leaves": text == "1"})
+        for text in ("1", "0", "", "true", "1.5", "11")
+    ] + [("none", {"raw": {}, "leaves": False})]
+
+    def test_states_leaving(self):
+        found = PlatformWireFormat().states_leaving(Headers(self.raw))
+        self.assertEqual(self.leaves, found)
+
+
 class NotRunTest(TestWithScenarios, TestCase):
     """Guards against "not run" being concluded from any other answer."""
 
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from ebonybend.steering.leaving import LeavingReport, LeavingServers
 from ebonybend.steering.server_limits import ServerLimit
 from ebonybend.steering.shared_rates import ColdPacer
 from ebonybend.world import BackendServer, LifeState
@@ -182,6 +183,7 @@
         self.by_service: dict[str, list[TrackedServer]] = {}
         # Failure domains whose servers get no requests.
         self.evacuated: frozenset[str] = frozenset()
+        self.leaving = LeavingServers()
 
     def update(self, servers: Mapping[str, BackendServer], now: float) -> None:
         """Apply a list of servers; preserve the state of servers that stay listed."""
@@ -226,6 +228,15 @@
             if state is not None:
                 state.record_report(node, now)
 
+    def leaving_reports(self, now: float, max_count: int) -> tuple[LeavingReport, ...]:
+        """Return the leaving servers that the list still names as live."""
+        live = {
+            state.server.process
+            for state in self.states.values()
+            if state.server.state is LifeState.LIVE
+        }
+        return self.leaving.reports(live, now, max_count)
+
     def set_evacuated(
         self, domains: Iterable[str], cold_s: Mapping[str, float], now: float
     ) -> None:
@@ -246,6 +257,7 @@
             for state in self.by_service.get(service, ())
             if state.server.state is LifeState.LIVE
             and state.server.failure_domain not in self.evacuated
+            and state.server.process not in self.leaving
         ]
 
 
--- a/ebonybend/world/backend_server.py
+++ b/ebonybend/world/backend_server.py
@@ -16,6 +16,15 @@
     DOWN = "down"
 
 
+@frozen
+class ServerProcess:
+    """One process of a backend server; a later one has another start time."""
+
+    name: str
+    # Unix time of the start in milliseconds; 0 if the list doesn't state it.
+    started_ms: int = 0
+
+
 @frozen
 class BackendServer:
     """A backend server as the platform lists it."""
@@ -35,3 +44,8 @@
     # Time for which the server is still cold, from when this entry was written. A cold
     # server accepts only a limited rate.
     cold_for_s: float = 0.0
+
+    @property
+    def process(self) -> ServerProcess:
+        """Return the process that the list describes."""
+        return ServerProcess(self.name, self.started_ms)
