Ignore the load and the limit in answers of another server

A 421 comes from the server that has the address now. Its Server-Limit and Server-Load were recorded as those of the server that the request named, so a server that is gone could be limited by its successor's words.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -329,7 +329,7 @@
             request.may_have_run = may_have_run_before
         if answer.status != MISDIRECTED_STATUS:
             self._record_leaving(server, answer)
-        self._record_answer(request, tracked, answer, started)
+            self._record_answer(request, tracked, answer, started)
         return answer
 
     def _record_leaving(self, server: BackendServer, answer: BackendAnswer) -> None:
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -394,6 +394,13 @@
         ("not run", {"status": 503, "headers": {"Limit": ["2"], "Not-Run": ["1"]}}),
     ]
 
+    def test_not_by_another_server_at_its_address(self):
+        answer = BackendAnswer(421, Headers({"Limit": ["2"]}), b"")
+        fixture = ForwarderFixture([answer], max_sends=1)
+        fixture.forward()
+        states = fixture.forwarder.placement.table.states.values()
+        self.assertEqual({inf}, {state.limit.limit for state in states})
+
     def test_each_server_gets_its_limit(self):
         answer = BackendAnswer(self.status, Headers(self.headers), b"")
         fixture = ForwarderFixture([answer] * 400, max_sends=3)
