Send nothing to a server for as long as its 503 asks with Retry-After

A server that is full may state how long it wants nothing from a node. The pause now belongs to the state of the server's process and excludes it from every choice, trials and cold starts included; it is checked again after a connection was opened, and refused clients are told when it ends. Several answers may arrive in any order, so none shortens it.

The state of a server (pause, limit, load, ejections) was dropped when its entry left the list and came back, so ServerTable retains it by process. RefusingServerTest failed before and passes.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -65,6 +65,10 @@
         """Return that no server leaves."""
         return False
 
+    def read_pause(self, _status: int, _headers: Headers) -> float:
+        """Return that no server asks for a pause."""
+        return 0.0
+
     def read_limit(self, headers: ModelHeaders) -> float:
         """Return that no server names a limit."""
         return inf
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -18,6 +18,7 @@
 )
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
+from ebonybend.node.decisions import LineBudget
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.pause_gate import PauseGate
 from ebonybend.node.wire import WireFormat
@@ -44,6 +45,8 @@
         b"expect",
     }
 )
+# Lines per second about pauses that servers ask for, and about lost requests.
+MAX_EVENT_LINES_PER_S = 50
 # Failed connection attempts after which a request is refused.
 MAX_CONNECT_FAILURES = 3
 # With less time than this until the deadline, an answer can no longer arrive.
@@ -95,6 +98,8 @@
         self.random = random
         self.crash_detector = crash_detector
         self.pause_gate = pause_gate
+        # Bounds the lines about servers that are full or lose requests.
+        self.event_lines = LineBudget(MAX_EVENT_LINES_PER_S)
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
 
@@ -156,6 +161,8 @@
     ) -> None:
         name = _fingerprint(request)
         self.crash_detector.record_lost_request(tracked.server.name, name)
+        if not self.event_lines.allow(self._now()):
+            return
         get_logger().info(
             "request_lost",
             server=tracked.server.name,
@@ -297,6 +304,11 @@
                 raise BackendUnreachable(
                     "it began to leave while connecting", False, False
                 )
+            if tracked.is_paused(started):
+                connection.close()
+                raise BackendUnreachable(
+                    "it asked for a pause while connecting", False, False
+                )
             if request.deadline - started < MIN_REMAINING_S:
                 connection.close()
                 raise BackendUnreachable(
@@ -351,6 +363,7 @@
         if load is not None:
             tracked.record_load(load.running, load.waiting, now)
         self._record_limit(tracked, answer, now)
+        self._record_pause(tracked, answer, now)
         if self.wire.states_not_run(answer.status, answer.headers):
             return
         if answer.status >= MIN_FAILURE_STATUS:
@@ -376,6 +389,15 @@
                 limit=limit if limit < inf else None,
             )
 
+    def _record_pause(
+        self, tracked: TrackedServer, answer: BackendAnswer, now: float
+    ) -> None:
+        seconds = self.wire.read_pause(answer.status, answer.headers)
+        if tracked.record_pause(seconds, now) and self.event_lines.allow(now):
+            get_logger().info(
+                "server_paused", server=tracked.server.name, seconds=seconds
+            )
+
     async def _await_answer(
         self, waiting: Deferred[BackendAnswer], request: ClientRequest
     ) -> BackendAnswer:
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -79,6 +79,10 @@
         """Return whether an answer states that its server leaves."""
         return headers.hasHeader("Leaving")
 
+    def read_pause(self, status, headers):
+        """Return the pause that an answer asks for."""
+        return float((headers.getRawHeaders("Pause") or [0.0])[0])
+
     def read_load(self, headers):
         """Return no load."""
 
@@ -385,6 +389,41 @@
         self.assertEqual(float("-inf"), chosen.answered_at)
 
 
+class RefusingServerTest(TestWithScenarios, TestCase):
+    """Guards against requests to servers that asked for a pause."""
+
+    scenarios = [
+        ("not run", {"headers": {"Pause": ["2"], "Not-Run": ["1"]}}),
+        ("failed", {"headers": {"Pause": ["2"]}}),
+    ]
+
+    def test_no_request_until_its_end(self):
+        answer = BackendAnswer(503, Headers(self.headers), b"")
+        fixture = ForwarderFixture([answer] * 3, max_sends=3)
+        fixture.forward()
+        self.assertEqual(3, len(fixture.pool.sent))
+        fixture.clock.advance(1.9)
+        fixture.results.clear()
+        fixture.forward(deadline=3.0)
+        self.assertEqual(ErrorKind.OVERLOADED, fixture.outcome())
+        self.assertEqual(3, len(fixture.pool.sent))
+        # The client is told to come back when the pause ends.
+        self.assertTrue(100 <= fixture.results[0].value.retry_after_ms <= 150)
+        fixture.clock.advance(0.2)
+        fixture.pool.script = [OK]
+        fixture.results.clear()
+        fixture.forward(deadline=3.0)
+        self.assertEqual(200, fixture.outcome())
+
+    def test_not_by_another_server_at_its_address(self):
+        answer = BackendAnswer(421, Headers(self.headers), b"")
+        fixture = ForwarderFixture([answer, OK])
+        fixture.forward()
+        self.assertEqual(200, fixture.outcome())
+        states = fixture.forwarder.placement.table.states.values()
+        self.assertFalse(any(state.is_paused(0.0) for state in states))
+
+
 class NamedLimitTest(TestWithScenarios, TestCase):
     """Guards against requests to a server that exceed the limit that it names."""
 
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -81,6 +81,13 @@
         """Return whether an answer states that its server leaves."""
         ...
 
+    def read_pause(self, status: int, headers: Headers) -> float:
+        """Return the seconds for which the server wants no requests from this node.
+
+        0 if it states none, or none that can be read.
+        """
+        ...
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         ...
--- a/ebonybend/platform/calls.py
+++ b/ebonybend/platform/calls.py
@@ -29,6 +29,8 @@
 # States that the server did not run the request.
 NOT_RUN_HEADER = b"Not-Executed"
 RETRY_AFTER_HEADER = "Retry-After"
+# Statuses of a server that is full; Retry-After in others is not about this node.
+PAUSE_STATUSES = frozenset({429, 503})
 MS_PER_S = 1000.0
 
 
@@ -94,6 +96,16 @@
         """Return whether an answer states that its server leaves."""
         return _first_value(headers, LEAVING_HEADER) == b"1"
 
+    def read_pause(self, status: int, headers: Headers) -> float:
+        """Return the seconds for which the server wants no requests from this node.
+
+        0 if it states none, or none that can be read.
+        """
+        value = _first_value(headers, RETRY_AFTER_HEADER.encode())
+        if status not in PAUSE_STATUSES or value is None:
+            return 0.0
+        return float(value) if DECIMAL_NUMBER.fullmatch(value) else 0.0
+
     def retry_after_header(self, seconds: float) -> tuple[str, str]:
         """Return the header that states the delay before a client's retry."""
         return RETRY_AFTER_HEADER, f"{seconds:.3f}"
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -191,6 +191,28 @@
         self.assertEqual(self.leaves, found)
 
 
+class PauseTest(TestWithScenarios, TestCase):
+    """Guards against a pause that no server asked for, or that is not kept."""
+
+    scenarios = [
+        ("whole number", {"text": "2", "pause_s": 2.0}),
+        ("fraction", {"text": "0.25", "pause_s": 0.25}),
+        ("zero", {"text": "0", "pause_s": 0.0}),
+        ("too many requests", {"status": 429, "text": "2", "pause_s": 2.0}),
+        ("success", {"status": 200, "text": "2", "pause_s": 0.0}),
+        ("another server", {"status": 421, "text": "2", "pause_s": 0.0}),
+    ] + [
+        (text or "empty", {"text": text, "pause_s": 0.0})
+        for text in ("", "x", "-1", "nan", "inf", "1e9", "Wed, 2 Dec", "1" * 400)
+    ]
+    status = 503
+
+    def test_read(self):
+        headers = Headers({"Retry-After": [self.text]})
+        found = PlatformWireFormat().read_pause(self.status, headers)
+        self.assertEqual(self.pause_s, found)
+
+
 class NotRunTest(TestWithScenarios, TestCase):
     """Guards against "not run" being concluded from any other answer."""
 
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -106,9 +106,11 @@
         """Return the estimated seconds until the preferred server has capacity."""
         state = self._preferred(query, now)
         delay_s = 0.0
-        if state is not None and not self._is_within_limit(state, query, now):
+        if state is None:
+            delay_s = self._pause_wait_s(query, now)
+        elif not self._is_within_limit(state, query, now):
             delay_s = self._limit_wait_s(query, now)
-        elif state is not None:
+        else:
             mean_s = state.service_s or query.route.objective_s
             slots = state.server.slots
             excess = state.load(now) + 1 - slots * LOAD_LIMIT
@@ -118,6 +120,9 @@
     def describe(self, query: PlacementQuery, now: float) -> str:
         """Describe the server load that led to a refusal, for the log."""
         text = f"{len(self._candidates(query, now))} usable"
+        paused = [s for s in self.table.usable(query.service.name) if s.is_paused(now)]
+        if paused:
+            text += f", {len(paused)} asked for a pause"
         state = self._preferred(query, now)
         if state is None:
             return text
@@ -145,6 +150,7 @@
             state
             for state in self.table.usable(query.service.name)
             if state.server.name not in query.excluded
+            and not state.is_paused(now)
             and (not home_regions or state.server.region in home_regions)
             and not (state.is_cold(now) and not self._may_warm_up(state, query, now))
         ]
@@ -194,6 +200,15 @@
         ]
         return min(waits, default=0.0)
 
+    def _pause_wait_s(self, query: PlacementQuery, now: float) -> float:
+        """Return the time until a server that asked for a pause takes requests."""
+        waits = [
+            state.paused_until - now
+            for state in self.table.usable(query.service.name)
+            if state.is_paused(now)
+        ]
+        return min(waits, default=0.0)
+
     def _by_preference(
         self, states: list[TrackedServer], query: PlacementQuery, now: float
     ) -> list[TrackedServer]:
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -1,6 +1,6 @@
 """Track load, latency and failures of backend servers from the list and answers."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 
 from attrs import define, field
 
@@ -28,6 +28,9 @@
 ANSWER_LIFETIME_S = 1.0
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
+# Time for which the state of a server without an entry is retained. Entries that
+# expired while the store was unavailable return within seconds after it.
+UNLISTED_RETENTION_S = 60.0
 # First ejection time of a server that refuses connections.
 REFUSED_EJECTION_S = 0.5
 # Largest fraction of a service's servers in a region that may be ejected at once.
@@ -65,6 +68,8 @@
     pacer: ColdPacer = field(factory=ColdPacer)
     # The rate of requests that the server takes from all nodes, if it names one.
     limit: ServerLimit = field(factory=ServerLimit)
+    # Time until which the server wants no requests from this node.
+    paused_until: float = float("-inf")
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server."""
@@ -85,6 +90,19 @@
         """
         return now < self.ejected_until or (self.ejections > 0 and self.trials > 0)
 
+    def is_paused(self, now: float) -> bool:
+        """Return whether the server asked this node to send nothing for a time."""
+        return now < self.paused_until
+
+    def record_pause(self, seconds: float, now: float) -> bool:
+        """Record for how long the server wants nothing; return whether that begins.
+
+        Answers to several requests may arrive in any order, so none ends a pause.
+        """
+        begins = seconds > 0 and not self.is_paused(now)
+        self.paused_until = max(self.paused_until, now + seconds)
+        return begins
+
     def start_request(self) -> bool:
         """Count a request in flight; return whether it tries an ejected server."""
         self.in_flight += 1
@@ -180,16 +198,21 @@
         # Returns the phase of a new server's pacer.
         self.new_phase = new_phase
         self.states: dict[str, TrackedServer] = {}
+        # Servers without an entry, and the times until which their state is retained.
+        self.unlisted: dict[str, tuple[float, TrackedServer]] = {}
         self.by_service: dict[str, list[TrackedServer]] = {}
         # Failure domains whose servers get no requests.
         self.evacuated: frozenset[str] = frozenset()
         self.leaving = LeavingServers()
 
     def update(self, servers: Mapping[str, BackendServer], now: float) -> None:
-        """Apply a list of servers; preserve the state of servers that stay listed."""
+        """Apply a list of servers; preserve the state of servers that stay listed.
+
+        The state is that of a process, whose entry may expire and return.
+        """
         states: dict[str, TrackedServer] = {}
         for name, server in servers.items():
-            state = self.states.get(name)
+            state = self.states.get(name) or self._unlisted_state(name)
             if state is None or _restarted(state.server, server):
                 state = TrackedServer(
                     server,
@@ -202,11 +225,26 @@
                 state.cold_until = max(state.cold_until, now + server.cold_for_s)
             state.server = server
             states[name] = state
+        self._retain_unlisted(servers, now)
         self.states = states
         self.by_service = {}
         for state in states.values():
             self.by_service.setdefault(state.server.service, []).append(state)
 
+    def _unlisted_state(self, name: str) -> TrackedServer | None:
+        return self.unlisted[name][1] if name in self.unlisted else None
+
+    def _retain_unlisted(self, listed: Container[str], now: float) -> None:
+        for name, state in self.states.items():
+            if name not in listed:
+                until = max(now + UNLISTED_RETENTION_S, state.paused_until)
+                self.unlisted[name] = until, state
+        self.unlisted = {
+            name: (until, state)
+            for name, (until, state) in self.unlisted.items()
+            if now < until and name not in listed
+        }
+
     def ejected_servers(self, now: float, max_count: int) -> tuple[str, ...]:
         """Return the servers that this node ejected by its own evidence, latest first.
 
--- a/ebonybend/steering/tests/test_server_state.py
+++ b/ebonybend/steering/tests/test_server_state.py
@@ -1,3 +1,4 @@
+from attrs import evolve
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
@@ -69,6 +70,40 @@
         self.assertEqual(self.ejected, state.is_ejected(now))
 
 
+class PauseTest(TestWithScenarios, TestCase):
+    """Guards against a node that forgets that a server asked for a pause."""
+
+    scenarios = [
+        ("kept", {"lists": [7], "paused": True}),
+        ("its entry expires and returns", {"lists": [None, 7], "paused": True}),
+        ("a new incarnation", {"lists": [8], "paused": False}),
+        ("a new incarnation, late", {"lists": [None, 8], "paused": False}),
+        ("its end", {"lists": [7], "now": 5.1, "paused": False}),
+        ("a shorter one later", {"lists": [7], "then_s": 0.5, "paused": True}),
+        ("none in a later answer", {"lists": [7], "then_s": 0.0, "paused": True}),
+        ("a longer one later", {"then_s": 9.0, "now": 5.1, "paused": True}),
+        (
+            "an entry that is long gone",
+            {"lists": [None, 7], "pause_s": 3600.0, "now": 999.0, "paused": True},
+        ),
+    ]
+    lists = (7,)
+    pause_s = 5.0
+    then_s = 0.1
+    now = 4.9
+
+    def test_paused(self):
+        table = ServerTable()
+        table.update({"s1": evolve(SERVER, started_ms=7)}, 0.0)
+        state = table.states["s1"]
+        self.assertTrue(state.record_pause(self.pause_s, 0.0))
+        self.assertFalse(state.record_pause(self.then_s, 0.0))
+        for started_ms in self.lists:
+            listed = evolve(SERVER, started_ms=started_ms or 0)
+            table.update({"s1": listed} if started_ms else {}, self.now)
+        self.assertEqual(self.paused, table.states["s1"].is_paused(self.now))
+
+
 class SilenceTest(TestWithScenarios, TestCase):
     """Guards against a server that takes requests and never answers.
 
