Count a crash whichever node sees that its server ended

Losses stay pending now until their server's process is known to live or to have ended. The node opens a connection after a loss (and keeps it for the next request); a refused connection, a 421, a list without the process, or another node's report show the end. Crashes are named by process, so nodes merge them by union. Half of the runs may succeed before a suspect counts as innocent, where one success cleared it; successes are reported, too. Suspects are reported in turn, the latest first, where the same four filled each heartbeat; a crash is told at once, a refusal to all nodes.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -157,6 +157,9 @@
         self.connections[server.name] = connection
         return connection
 
+    def add_idle(self, _server: BackendServer, _connection: ModelConnection) -> None:
+        """Do nothing; connect has kept the connection."""
+
 
 class ModelNode:
     """One node: the forwarder and what it believes of servers and other nodes."""
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -106,6 +106,10 @@
         enable_dead_peer_detection(connection.transport, ACK_TIMEOUT_MS)
         return connection
 
+    def add_idle(self, server: BackendServer, connection: BackendConnection) -> None:
+        """Keep a new connection for the next request to its server."""
+        self._release_callback(process_key(server))(connection)
+
     def _release_callback(
         self, process: ProcessKey
     ) -> Callable[[BackendConnection], None]:
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,12 +1,14 @@
 """Forward a request to a backend server; retry on another where that is safe."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from math import ceil, inf
 from random import Random
 from typing import Any
 
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.logs import get_logger
@@ -28,7 +30,8 @@
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.steering.suspects import fingerprint
 from ebonybend.timeouts import Timeout
-from ebonybend.world import BackendServer
+from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.backend_server import ServerProcess
 from ebonybend.world.route import ServiceLimits
 
 # Hop-by-hop headers, and headers that the node sets itself.
@@ -49,6 +52,8 @@
 MAX_EVENT_LINES_PER_S = 50
 # Failed connection attempts after which a request is refused.
 MAX_CONNECT_FAILURES = 3
+# A server that ends closes its connections and its port at nearly the same time.
+CHECK_DELAY_S = 0.05
 # With less time than this until the deadline, an answer can no longer arrive.
 MIN_REMAINING_S = 0.02
 # From this status on, an answer counts as a failure of the server.
@@ -58,6 +63,23 @@
 MS_PER_S = 1000
 
 
+# Called with a server, the crashes by request, and what showed its end.
+OnCrashes = Callable[[str, Mapping[str, int], str], None]
+
+
+def log_crashes(server: str, crashes: Mapping[str, int], evidence: str) -> None:
+    """Log the crashes that are known for the requests that a server ran."""
+    if crashes:
+        get_logger().warning(
+            "crash_counted", server=server, crashes=dict(crashes), evidence=evidence
+        )
+
+
+def log_check_failure(failure: Failure) -> None:
+    """Log an error that a check of a server did not expect."""
+    get_logger().error("check_failed", error=failure.getErrorMessage())
+
+
 @define
 class _Progress:
     """The attempts made so far for one request."""
@@ -86,6 +108,7 @@
         random: Random,
         crash_detector: CrashDetector,
         pause_gate: PauseGate,
+        on_crashes: OnCrashes = log_crashes,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -98,6 +121,10 @@
         self.random = random
         self.crash_detector = crash_detector
         self.pause_gate = pause_gate
+        # Called with a server that ended, and the crashes counted for its requests.
+        self.on_crashes = on_crashes
+        # Processes that are about to be checked.
+        self.checked: set[ServerProcess] = set()
         # Bounds the lines about servers that are full or lose requests.
         self.event_lines = LineBudget(MAX_EVENT_LINES_PER_S)
         self.retry_windows: dict[str, RetryWindow] = {}
@@ -131,7 +158,7 @@
                 if failure.counts_as_failure:
                     self._record_unreachable(tracked, failure.refused, str(failure))
                 if failure.refused:
-                    self._record_refused_connection(tracked)
+                    self._record_end(tracked.server, "refused connection")
                 progress.error = SteeringError(
                     ErrorKind.BACKEND_UNREACHABLE, str(failure)
                 )
@@ -142,7 +169,8 @@
                 else:
                     self._record_failure(tracked, str(failure))
                 if failure.loss in (LossReason.CLOSED, LossReason.UNACKNOWLEDGED):
-                    self._record_lost_request(request, tracked, failure.loss)
+                    self._record_lost_request(request, tracked, failure.loss.value)
+                    self._start_liveness_check(tracked.server)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -157,26 +185,52 @@
                 return answer
 
     def _record_lost_request(
-        self, request: ClientRequest, tracked: TrackedServer, loss: LossReason
+        self, request: ClientRequest, tracked: TrackedServer, loss: str
     ) -> None:
+        """Record a request without an answer, unless its server's end is planned."""
+        server = tracked.server
+        if server.state is not LifeState.LIVE or (
+            server.process in self.placement.table.leaving
+        ):
+            return
         name = _fingerprint(request)
-        self.crash_detector.record_lost_request(tracked.server.name, name)
+        self.crash_detector.record_lost_request(server.process, name)
         if not self.event_lines.allow(self._now()):
             return
         get_logger().info(
             "request_lost",
-            server=tracked.server.name,
+            server=server.name,
             request_id=request.request_id.decode("latin-1"),
             suspect=name,
-            loss=loss.value,
+            loss=loss,
         )
 
-    def _record_refused_connection(self, tracked: TrackedServer) -> None:
-        crashes = self.crash_detector.record_refused_connection(tracked.server.name)
-        if crashes:
-            get_logger().warning(
-                "crash_counted", server=tracked.server.name, crashes=crashes
-            )
+    def _start_liveness_check(self, server: BackendServer) -> None:
+        """Find out whether a server that closed a connection has ended.
+
+        Other requests for it may not follow soon enough to show that.
+        """
+        if server.process not in self.checked:
+            self.checked.add(server.process)
+            checking = Deferred.fromCoroutine(self._check_liveness(server))
+            checking.addErrback(log_check_failure)
+
+    async def _check_liveness(self, server: BackendServer) -> None:
+        await deferLater(self.reactor, CHECK_DELAY_S)
+        self.checked.discard(server.process)
+        started = self._now()
+        try:
+            connection = await self.pool.connect(server)
+        except BackendUnreachable as failure:
+            if failure.refused:
+                self._record_end(server, "refused connection")
+            return
+        self.crash_detector.record_alive(server.process, started)
+        self.pool.add_idle(server, connection)
+
+    def _record_end(self, server: BackendServer, evidence: str) -> None:
+        crashes = self.crash_detector.record_end(server.process)
+        self.on_crashes(server.name, crashes, evidence)
 
     def _record_failure(self, tracked: TrackedServer, reason: str) -> None:
         previous_ejected_until = tracked.ejected_until
@@ -214,12 +268,20 @@
             )
 
     def _refuse_suspect(self, request: ClientRequest) -> None:
-        """Raise SUSPECT_REFUSED for a request that crashed several servers."""
-        if not self.crash_detector.has_suspects():
+        """Raise SUSPECT_REFUSED for a request that crashed several servers.
+
+        Raises ANSWER_LOST if it may have run.
+        """
+        if not self._is_refused(request):
             return
-        name = _fingerprint(request)
-        if self.crash_detector.is_refused(name):
-            raise SteeringError(ErrorKind.SUSPECT_REFUSED, f"suspect {name}")
+        kind = ErrorKind.SUSPECT_REFUSED
+        if request.may_have_run:
+            kind = ErrorKind.ANSWER_LOST
+        raise SteeringError(kind, f"suspect {_fingerprint(request)}")
+
+    def _is_refused(self, request: ClientRequest) -> bool:
+        detector = self.crash_detector
+        return detector.has_suspects() and detector.is_refused(_fingerprint(request))
 
     def _select_server(
         self, request: ClientRequest, progress: "_Progress"
@@ -334,12 +396,16 @@
             answer = await self._await_answer(waiting, request)
         except SteeringError:
             self._record_silence(request, tracked, started)
+            self._record_lost_request(request, tracked, "no answer in time")
             raise
         finally:
             tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = may_have_run_before
-        if answer.status != MISDIRECTED_STATUS:
+        if answer.status == MISDIRECTED_STATUS:
+            self._record_end(server, "another server at its address")
+        else:
+            self.crash_detector.record_alive(server.process, started)
             self._record_leaving(server, answer)
             self._record_answer(request, tracked, answer, started)
         return answer
@@ -372,7 +438,7 @@
             seconds = max(now - started - (tracked.round_trip_s or 0.0), 0.001)
             tracked.record_success(seconds, now)
             if self.crash_detector.has_suspects():
-                self.crash_detector.registry.record_success(_fingerprint(request))
+                self.crash_detector.record_success(_fingerprint(request))
             waited = request.load >= tracked.server.slots
             self.times.record_answer_time(
                 request.route.name, tracked, request.object_key, seconds, waited
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -6,8 +6,8 @@
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
 
+from ebonybend.steering.crashes import CrashReport, EndReport
 from ebonybend.steering.leaving import LeavingReport
-from ebonybend.steering.suspects import SuspectView
 
 # The liveness timeout covers three periods, so two lost datagrams in a row are
 # tolerated.
@@ -46,7 +46,9 @@
     """What a node's own requests showed of servers, for all other nodes."""
 
     # Requests suspected of crashing servers.
-    suspects: tuple[SuspectView, ...] = ()
+    suspects: tuple[CrashReport, ...] = ()
+    # Servers whose end the node saw lately.
+    ended: tuple[EndReport, ...] = ()
     # Servers that state in their answers that they leave.
     leaving: tuple[LeavingReport, ...] = ()
 
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -20,7 +20,7 @@
 from ebonybend.node.decisions import RequestLog
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.followed import WatchedState
-from ebonybend.node.forwarder import Forwarder
+from ebonybend.node.forwarder import Forwarder, log_crashes
 from ebonybend.node.kept_state import WRITE_PERIOD_S, CheckpointManager
 from ebonybend.node.members import (
     HEARTBEAT_PERIOD_S,
@@ -41,6 +41,7 @@
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_limits import LimitDivision
@@ -49,7 +50,7 @@
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks
-from ebonybend.world import BackendServer
+from ebonybend.world import BackendServer, LifeState
 
 MS_PER_S = 1000
 CLEANUP_PERIOD_S = 1.0
@@ -57,7 +58,6 @@
 BATCH_DELAY_S = 0.4
 # Bounds the size of a heartbeat.
 MAX_REPORTED_SERVERS = 16
-MAX_REPORTED_LEAVING = 6
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
 # Descriptors reserved for the store, other nodes, files and backend servers.
@@ -198,6 +198,7 @@
             self.random,
             self.crash_detector,
             self.pause_gate,
+            self.on_crashes,
         )
 
     def new_retry_window(self) -> RetryWindow:
@@ -306,12 +307,14 @@
 
     def _server_reports(self) -> ServerReports | None:
         reports = ServerReports(
-            suspects=self.crash_detector.suspects_to_report(),
+            suspects=self.crash_detector.reports(),
+            ended=self.crash_detector.end_reports(),
             leaving=self.servers.leaving_reports(
                 self.reactor.seconds(), MAX_REPORTED_LEAVING
             ),
         )
-        return reports if reports.suspects or reports.leaving else None
+        is_empty = reports == ServerReports()
+        return None if is_empty else reports
 
     def on_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
         """Apply the suspects, servers and versions that another node reports."""
@@ -323,12 +326,29 @@
         self.watched_state.apply_heartbeat(heartbeat)
 
     def _apply_reports(self, node: str, reports: ServerReports) -> None:
-        if reports.suspects:
-            self.crash_detector.registry.merge(*reports.suspects)
+        for name in self.crash_detector.merge(node, reports.suspects):
+            get_logger().warning("suspect_refused", suspect=name, told_by=node)
+        for report in reports.ended:
+            crashes = self.crash_detector.merge_end(report)
+            self.on_crashes(report.name, crashes, f"told by {node}")
         now = self.reactor.seconds()
         for name in self.servers.leaving.merge(reports.leaving, now):
             get_logger().info("server_leaving", server=name, told_by=node)
 
+    def on_crashes(
+        self, server: str, crashes: Mapping[str, int], evidence: str
+    ) -> None:
+        """Tell other nodes at once of requests that crash servers.
+
+        Those that are refused from now on have to be known everywhere, the others are
+        reported to the next recipients.
+        """
+        log_crashes(server, crashes, evidence)
+        if any(self.crash_detector.is_refused(name) for name in crashes):
+            self.heartbeats.send_to_all()
+        elif crashes:
+            self.heartbeats.send()
+
     def on_routing(self) -> None:
         """Apply the services and limits of a new configuration."""
         self.forwarder.services = self.routing.services
@@ -336,12 +356,25 @@
 
     def on_servers(self, servers: Mapping[str, BackendServer]) -> None:
         """Drop connections and statistics of removed servers and routes."""
+        self._count_unlisted(servers)
         self.pool.retain(servers.values())
         if self.routing.version is None:
             return
         routes = {route.name for route in self.routing.routes}
         self.times.retain(set(servers), routes)
 
+    def _count_unlisted(self, servers: Mapping[str, BackendServer]) -> None:
+        """Count a crash for what was lost on servers that the list no longer names."""
+        for process in list(self.crash_detector.lost):
+            server = servers.get(process.name)
+            is_listed = server is not None and server.process == process
+            is_leaving = is_listed and server.state is not LifeState.LIVE
+            if is_leaving or process in self.servers.leaving:
+                self.crash_detector.forget_losses(process)
+            elif not is_listed:
+                crashes = self.crash_detector.record_end(process)
+                self.on_crashes(process.name, crashes, "no longer listed")
+
     def refresh_metrics(self) -> None:
         """Update the gauges before the metrics are served."""
         self.metrics.store_calls.set(getattr(self.store, "platform_calls", 0))
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -9,7 +9,6 @@
 from twisted.internet.task import Clock
 from twisted.web.http_headers import Headers
 
-from ebonybend.clock import ManualClock
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.node.backend_connection import (
     ACK_TIMEOUT_MS,
@@ -26,6 +25,7 @@
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
+from ebonybend.tasks import ReactorClock
 from ebonybend.world import BackendServer
 from ebonybend.world.route import Route, RoutePart
 
@@ -95,6 +95,7 @@
         self.sent = []
         self.ack_timeouts_ms = []
         self.waiting = None
+        self.checked = []
         # If set, the next connection is delayed until it fires.
         self.connecting = None
 
@@ -109,6 +110,10 @@
             raise self.script.pop(0)
         return self
 
+    def add_idle(self, server, connection):
+        """Count a connection that a check opened."""
+        self.checked.append(server.name)
+
     def close(self):
         """Do nothing."""
 
@@ -139,7 +144,7 @@
         table.update(
             {n: BackendServer(n, "s", "a-1", "1:1", 4, region="a") for n in names}, 0.0
         )
-        self.crash_detector = CrashDetector(ManualClock())
+        self.crash_detector = CrashDetector(ReactorClock(self.clock))
         self.forwarder = Forwarder(
             self.clock,
             self.pool,
@@ -340,16 +345,32 @@
         self.assertTrue(sent.endswith(b"Content-Length: 4\r\n\r\nbody"))
 
     def test_request_that_crashes_servers_is_refused(self):
-        fixture = ForwarderFixture([CLOSED] * CRASHES_TO_REFUSE, max_sends=1)
+        fixture = ForwarderFixture([CLOSED, REFUSED] * CRASHES_TO_REFUSE, max_sends=1)
         for _ in range(CRASHES_TO_REFUSE):
-            fixture.forward()
-            for name in fixture.forwarder.placement.table.states:
-                fixture.crash_detector.record_refused_connection(name)
-            fixture.crash_detector.clock.advance(2.0)
+            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+            # No other request is for this server.
+            fixture.clock.advance(2.0)
+        self.assertEqual(CRASHES_TO_REFUSE, len(fixture.pool.sent))
         fixture.results.clear()
-        fixture.forward()
+        fixture.forward(deadline=fixture.clock.seconds() + 1.0)
         self.assertEqual(ErrorKind.SUSPECT_REFUSED, fixture.outcome())
 
+    def test_server_that_still_listens_did_not_crash(self):
+        fixture = ForwarderFixture([CLOSED] * 9, max_sends=1)
+        for _ in range(9):
+            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+            fixture.clock.advance(2.0)
+        self.assertEqual(9, len(fixture.pool.checked))
+        self.assertFalse(fixture.crash_detector.has_suspects())
+
+    def test_one_check_for_many_requests_lost_at_once(self):
+        fixture = ForwarderFixture([CLOSED] * 3, max_sends=1)
+        for _ in range(3):
+            fixture.forward()
+        fixture.clock.advance(1.0)
+        self.assertLessEqual(len(fixture.pool.checked), 3)
+        self.assertEqual(len(set(fixture.pool.checked)), len(fixture.pool.checked))
+
 
 class LeavingAnswerTest(TestWithScenarios, TestCase):
     """Guards against requests to a server that stated that it leaves."""
--- a/ebonybend/node/tests/test_members.py
+++ b/ebonybend/node/tests/test_members.py
@@ -10,8 +10,17 @@
     MAX_REMOTE_RECIPIENTS,
     Member,
     Members,
+    ServerReports,
 )
 from ebonybend.node.tests.beat_double import heartbeat
+from ebonybend.steering.crashes import (
+    MAX_REPORTED_CRASHES,
+    MAX_REPORTED_ENDS,
+    MAX_REPORTED_SUSPECTS,
+    CrashReport,
+    EndReport,
+)
+from ebonybend.steering.leaving import MAX_REPORTED_LEAVING, LeavingReport
 
 # Budget for a node's control traffic in the two-year target, in bytes per second.
 CONTROL_BYTES_PER_S = 11_000
@@ -59,6 +68,24 @@
         per_s = len(pack(sent)) * len(local + remote) / HEARTBEAT_PERIOD_S
         self.assertLess(per_s, CONTROL_BYTES_PER_S)
 
+    def test_full_heartbeat_fits_into_a_datagram(self):
+        name, started_ms = "i-0123456789", 1_764_909_355_000
+        crashes = (f"{name}/{started_ms}",) * MAX_REPORTED_CRASHES
+        suspects = CrashReport("f" * 32, crashes, 3, False, 1234.5)
+        reports = ServerReports(
+            suspects=(suspects,) * MAX_REPORTED_SUSPECTS,
+            ended=(EndReport(name, started_ms),) * MAX_REPORTED_ENDS,
+            leaving=(LeavingReport(name, started_ms, 12.5),) * MAX_REPORTED_LEAVING,
+        )
+        membership = members(self.count, self.regions)
+        sent = heartbeat(
+            membership.own,
+            demand={f"service-{i}": 12_345 for i in range(4)},
+            newest=dict.fromkeys(("config", "servers", "evacuations"), 123_456),
+            reports=reports,
+        )
+        self.assertLess(len(pack(sent)), 1400)
+
     def test_every_node_is_reached_within_the_liveness_timeout(self):
         membership = members(self.count, self.regions)
         for number, group in enumerate(membership.local_and_remote_peers()):
--- a/ebonybend/steering/leaving.py
+++ b/ebonybend/steering/leaving.py
@@ -17,6 +17,8 @@
 LIFETIME_S = 3600.0
 # Bounds the memory; the oldest statements are dropped.
 MAX_PROCESSES = 10_000
+# Leaving servers in a heartbeat.
+MAX_REPORTED_LEAVING = 4
 MS_PER_S = 1000.0
 
 
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -1,7 +1,58 @@
+from itertools import count
+from math import inf, nan
+
+from attrs import frozen
+from testscenarios import TestWithScenarios
 from testtools import TestCase
 
 from ebonybend.clock import ManualClock
-from ebonybend.steering.crashes import CRASH_WINDOW_S, CRASHES_TO_REFUSE, CrashDetector
+from ebonybend.steering.crashes import (
+    CRASHES_TO_REFUSE,
+    END_REPORT_S,
+    LOSS_LIFETIME_S,
+    MAX_LOST_PER_SERVER,
+    MAX_REPORTED_SUSPECTS,
+    MAX_SUSPECTS,
+    REFUSED_LIFETIME_S,
+    SUSPECT_LIFETIME_S,
+    CrashDetector,
+    CrashReport,
+)
+from ebonybend.world.backend_server import ServerProcess
+
+BEAT_S = 0.7
+
+
+@frozen(eq=False)
+class Nodes:
+    """Detectors that exchange their reports by heartbeats."""
+
+    clock: ManualClock
+    detectors: tuple[CrashDetector, ...]
+
+    def exchange(self, beats=1):
+        for _ in range(beats):
+            self.clock.advance(BEAT_S)
+            sent = [(d.reports(), d.end_reports()) for d in self.detectors]
+            for number, (suspects, ended) in enumerate(sent):
+                for receiver in self.detectors:
+                    if receiver is self.detectors[number]:
+                        continue
+                    receiver.merge(f"n{number}", suspects)
+                    for report in ended:
+                        receiver.merge_end(report)
+
+    def refused(self, name="bad"):
+        return [detector.is_refused(name) for detector in self.detectors]
+
+
+def nodes(number=2):
+    clock = ManualClock()
+    return Nodes(clock, tuple(CrashDetector(clock) for _ in range(number)))
+
+
+def process(number, started_ms=7):
+    return ServerProcess(f"s{number}", started_ms)
 
 
 class CrashDetectorTest(TestCase):
@@ -12,36 +63,220 @@
         self.clock = ManualClock()
         self.detector = CrashDetector(self.clock)
 
-    def crash(self, server, *fingerprints):
+    def crash(self, number, *fingerprints):
         for fingerprint in fingerprints:
-            self.detector.record_lost_request(server, fingerprint)
+            self.detector.record_lost_request(process(number), fingerprint)
         self.clock.advance(0.1)
-        self.detector.record_refused_connection(server)
+        self.detector.record_end(process(number))
         self.clock.advance(2.0)
 
     def test_refused_after_the_third_crash(self):
         for number in range(CRASHES_TO_REFUSE):
             self.assertFalse(self.detector.is_refused("bad"))
-            self.crash(f"s{number}", "bad")
+            self.crash(number, "bad")
         self.assertTrue(self.detector.is_refused("bad"))
 
-    def test_lost_answers_without_refusals_are_no_crash(self):
+    def test_lost_answers_without_an_end_are_no_crash(self):
         for number in range(10):
-            self.detector.record_lost_request(f"s{number}", "good")
-            self.clock.advance(CRASH_WINDOW_S + 0.1)
-            self.detector.record_refused_connection(f"s{number}")
+            self.detector.record_lost_request(process(number), "good")
+            self.clock.advance(LOSS_LIFETIME_S + 0.1)
+            self.detector.record_end(process(number))
         self.assertFalse(self.detector.has_suspects())
 
     def test_a_success_clears_requests_that_ran_beside_the_culprit(self):
-        for number in range(CRASHES_TO_REFUSE):
-            self.crash(f"s{number}", "bad", "good")
-            self.detector.registry.record_success("good")
+        for number in range(9):
+            self.crash(number, "bad", "good")
+            self.detector.record_success("good")
         self.assertFalse(self.detector.is_refused("good"))
         self.assertTrue(self.detector.is_refused("bad"))
 
     def test_other_nodes_refuse_reported_suspects(self):
         for number in range(CRASHES_TO_REFUSE):
-            self.crash(f"s{number}", "bad")
+            self.crash(number, "bad")
         other = CrashDetector(self.clock)
-        other.registry.merge(*self.detector.suspects_to_report())
+        self.assertEqual(["bad"], other.merge("n1", self.detector.reports()))
         self.assertTrue(other.is_refused("bad"))
+
+    def test_a_server_without_a_start_time_counts_each_end(self):
+        for _ in range(CRASHES_TO_REFUSE):
+            server = process(1, started_ms=0)
+            self.detector.record_lost_request(server, "bad")
+            self.detector.record_end(server)
+            self.detector.record_lost_request(server, "bad")
+            self.detector.record_end(server)
+            self.clock.advance(2.0)
+        self.assertTrue(self.detector.is_refused("bad"))
+        self.assertEqual(CRASHES_TO_REFUSE, len(self.detector.suspects["bad"].crashes))
+
+    def test_suspicion_ends(self):
+        self.crash(1, "once")
+        for number in range(CRASHES_TO_REFUSE):
+            self.crash(number, "bad")
+        self.clock.advance(SUSPECT_LIFETIME_S)
+        self.detector.reports()
+        self.assertEqual(["bad"], list(self.detector.suspects))
+        self.clock.advance(REFUSED_LIFETIME_S)
+        self.assertFalse(self.detector.is_refused("bad"))
+        self.detector.reports()
+        self.assertFalse(self.detector.has_suspects())
+
+    def test_memory_is_bounded(self):
+        for number in range(MAX_LOST_PER_SERVER + 10):
+            self.detector.record_lost_request(process(1), f"r{number}")
+        self.assertEqual(MAX_LOST_PER_SERVER, len(self.detector.lost[process(1)]))
+        reports = [CrashReport(f"r{n}", ("s1/7",)) for n in range(MAX_SUSPECTS + 10)]
+        self.detector.merge("n1", [CrashReport("bad", refused=True), *reports])
+        self.assertEqual(MAX_SUSPECTS, len(self.detector.suspects))
+        self.assertTrue(self.detector.is_refused("bad"))
+
+    def test_malformed_ages(self):
+        reports = [CrashReport("r", refused=True, age_ms=x) for x in (nan, inf, -inf)]
+        self.assertEqual([], self.detector.merge("n1", reports))
+        self.detector.merge("n1", [CrashReport("r", refused=True, age_ms=-1e300)])
+        self.assertTrue(self.detector.is_refused("r"))
+
+
+class EvidenceTest(TestWithScenarios, TestCase):
+    """Guards against crashes that are not counted, and losses that are no crash."""
+
+    scenarios = [
+        ("the end is seen at once", {"steps": ("lost", "end"), "crashes": 1}),
+        ("the end is seen late", {"steps": ("lost", "wait", "end"), "crashes": 1}),
+        ("seen twice", {"steps": ("lost", "end", "wait", "end"), "crashes": 1}),
+        ("alive afterwards", {"steps": ("lost", "alive", "wait", "end"), "crashes": 0}),
+        ("alive, lost, ended", {"steps": ("alive", "lost", "end"), "crashes": 1}),
+        ("never seen", {"steps": ("lost", "wait"), "crashes": 0}),
+        ("long before the end", {"steps": ("lost", "long", "end"), "crashes": 0}),
+        ("planned", {"steps": ("lost", "planned", "end"), "crashes": 0}),
+        ("not running there", {"steps": ("end", "wait", "lost"), "crashes": 0}),
+    ]
+
+    def test_crashes(self):
+        clock = ManualClock()
+        detector = CrashDetector(clock)
+        for step in self.steps:
+            match step:
+                case "lost":
+                    detector.record_lost_request(process(1), "bad")
+                case "end":
+                    detector.record_end(process(1))
+                case "alive":
+                    clock.advance(0.01)
+                    detector.record_alive(process(1), clock.monotonic())
+                case "planned":
+                    detector.forget_losses(process(1))
+                case "wait":
+                    clock.advance(5.0)
+                case "long":
+                    clock.advance(LOSS_LIFETIME_S + 0.1)
+            clock.advance(0.01)
+        suspect = detector.suspects.get("bad")
+        self.assertEqual(self.crashes, len(suspect.crashes) if suspect else 0)
+
+
+class SharedEvidenceTest(TestWithScenarios, TestCase):
+    """Guards against crashes that no node counts because each knows a part."""
+
+    scenarios = [
+        ("one node sees both", {"loser": [0, 0, 0], "observer": [0, 0, 0]}),
+        ("another node sees the end", {"loser": [0, 0, 0], "observer": [1, 1, 1]}),
+        ("each at another node", {"loser": [0, 1, 2], "observer": [1, 2, 0]}),
+        ("both see the end", {"loser": [0, 1, 0], "observer": [0, 0, 0, 1, 1, 1]}),
+    ]
+
+    def test_all_refuse_it(self):
+        fleet = nodes(3)
+        observers = iter(self.observer)
+        for number, loser in enumerate(self.loser):
+            fleet.detectors[loser].record_lost_request(process(number), "bad")
+            fleet.clock.advance(0.5)
+            for _ in range(len(self.observer) // len(self.loser)):
+                fleet.detectors[next(observers)].record_end(process(number))
+            fleet.exchange(2)
+        self.assertEqual([True] * 3, fleet.refused())
+
+    def test_one_crash_seen_by_all_counts_once(self):
+        fleet = nodes(3)
+        for detector in fleet.detectors:
+            detector.record_lost_request(process(1), "good")
+            detector.record_end(process(1))
+        fleet.exchange(3)
+        self.assertEqual([False] * 3, fleet.refused("good"))
+
+    def test_old_end_is_not_reported(self):
+        fleet = nodes()
+        fleet.detectors[1].record_end(process(1))
+        fleet.clock.advance(END_REPORT_S)
+        fleet.detectors[0].record_lost_request(process(1), "good")
+        fleet.exchange(2)
+        self.assertFalse(fleet.detectors[0].has_suspects())
+
+
+class ManySuspectsTest(TestCase):
+    """Guards against suspects that never fit into a heartbeat."""
+
+    def test_all_are_reported_in_turn(self):
+        fleet = nodes()
+        names = [f"bad{number}" for number in range(3 * MAX_REPORTED_SUSPECTS)]
+        for server in range(CRASHES_TO_REFUSE):
+            for name in names:
+                fleet.detectors[0].record_lost_request(process(server), name)
+            fleet.detectors[0].record_end(process(server))
+        fleet.exchange(len(names))
+        self.assertEqual([True] * len(names), [fleet.refused(x)[1] for x in names])
+
+    def test_the_latest_is_reported_at_once(self):
+        fleet = nodes()
+        for number in range(100):
+            fleet.clock.advance(0.01)
+            for server in range(CRASHES_TO_REFUSE):
+                fleet.detectors[0].record_lost_request(process(server), f"bad{number}")
+                fleet.detectors[0].record_end(process(server))
+        fleet.exchange()
+        self.assertEqual([True, True], fleet.refused("bad99"))
+
+
+class SuccessTest(TestWithScenarios, TestCase):
+    """Guards against a culprit that another client's success clears.
+
+    The same content crashes servers for one client only.
+    """
+
+    scenarios = [
+        ("none", {"pattern": "ccc", "refused": True}),
+        ("after every second crash", {"pattern": "ccsccs", "refused": True}),
+        ("at another node", {"pattern": "ccSccS", "refused": True}),
+        ("after each crash", {"pattern": "cscscscs", "refused": False}),
+        ("after each crash, elsewhere", {"pattern": "cScScScS", "refused": False}),
+        ("many", {"pattern": "cssscssscsssc", "refused": False}),
+    ]
+
+    def test_refused(self):
+        fleet = nodes()
+        numbers = count()
+        for step in self.pattern:
+            match step:
+                case "c":
+                    server = process(next(numbers))
+                    fleet.detectors[0].record_lost_request(server, "bad")
+                    fleet.detectors[0].record_end(server)
+                case "s":
+                    fleet.detectors[0].record_success("bad")
+                case "S":
+                    fleet.detectors[1].record_success("bad")
+            fleet.exchange()
+        self.assertEqual([self.refused] * 2, fleet.refused())
+
+
+class RestartedNodeTest(TestCase):
+    """Guards against a restarted node that sends what others know to crash servers."""
+
+    def test_learns_from_the_others(self):
+        fleet = nodes()
+        for server in range(CRASHES_TO_REFUSE):
+            fleet.detectors[0].record_lost_request(process(server), "bad")
+            fleet.detectors[0].record_end(process(server))
+        fleet.exchange()
+        restarted = CrashDetector(fleet.clock)
+        restarted.merge("n1", fleet.detectors[1].reports())
+        self.assertTrue(restarted.is_refused("bad"))
