Look a request up among the suspects before each send

A request was compared with the suspects once, when it arrived. One that waited after a pause or for a connection, or was sent a second time, could reach a server although other nodes had reported meanwhile that it crashes servers (BUDGET). It is looked up before each choice of a server and after a connection was opened. If it may have run, it ends as such and not as refused.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -142,11 +142,12 @@
         Raises a SteeringError whose kind states whether the request may have run.
         """
         self.regions.record_request(request.route, request.service)
-        self._refuse_suspect(request)
         progress = _Progress()
         while True:
             if self.pause_gate.is_holding():
                 await self.pause_gate.wait()
+            # Others may have found out meanwhile that it crashes servers.
+            self._refuse_suspect(request)
             tracked = self._select_server(request, progress)
             if tracked is None:
                 return self._final_answer(request, progress)
@@ -366,6 +367,11 @@
                 raise BackendUnreachable(
                     "it began to leave while connecting", False, False
                 )
+            if self._is_refused(request):
+                connection.close()
+                raise BackendUnreachable(
+                    "the request crashed servers meanwhile", False, False
+                )
             if tracked.is_paused(started):
                 connection.close()
                 raise BackendUnreachable(
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -20,11 +20,12 @@
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.pause_gate import PauseGate
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector
+from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector, CrashReport
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import ServiceTimes
 from ebonybend.steering.shared_rates import RetryWindow
+from ebonybend.steering.suspects import fingerprint
 from ebonybend.tasks import ReactorClock
 from ebonybend.world import BackendServer
 from ebonybend.world.route import Route, RoutePart
@@ -371,6 +372,27 @@
         self.assertLessEqual(len(fixture.pool.checked), 3)
         self.assertEqual(len(set(fixture.pool.checked)), len(fixture.pool.checked))
 
+    def test_retry_is_refused_if_the_request_is_a_suspect_by_then(self):
+        fixture = ForwarderFixture([])
+        connecting = fixture.pool.connecting = Deferred()
+        fixture.forward()
+        report = CrashReport("", refused=True)
+        name = fingerprint("s", "POST", "/x?y=1", b"body")
+        fixture.crash_detector.merge("n2", [evolve(report, fingerprint=name)])
+        fixture.pool.connecting = None
+        connecting.callback(None)
+        self.assertEqual(ErrorKind.SUSPECT_REFUSED, fixture.outcome())
+        self.assertEqual([], fixture.pool.sent)
+
+    def test_suspect_that_may_have_run_is_not_refused_as_not_run(self):
+        fixture = ForwarderFixture([])
+        fixture.forward()
+        name = fingerprint("s", "POST", "/x?y=1", b"body")
+        fixture.crash_detector.merge("n2", [CrashReport(name, refused=True)])
+        fixture.pool.waiting.errback(CLOSED)
+        self.assertEqual(ErrorKind.ANSWER_LOST, fixture.outcome())
+        self.assertEqual(1, len(fixture.pool.sent))
+
 
 class LeavingAnswerTest(TestWithScenarios, TestCase):
     """Guards against requests to a server that stated that it leaves."""
