--- a/bench/tests/test_server_words.py
+++ b/bench/tests/test_server_words.py
@@ -166,6 +166,26 @@
         self.assertLessEqual(len(late), MAX_LATE_RETRIES, crashes)
         self.wait_until_serving()
 
+    def test_is_refused_after_all_nodes_were_killed(self):
+        servers = [self.add_server() for _ in range(5)]
+        self.wait_until_serving()
+        for server in servers:
+            server.endpoint.crash_marker = "crash"
+        for _ in range(3):
+            self.send(path="/read/crash")
+            sleep(1.0)
+        crashes = sum(len(server.endpoint.crashed) for server in servers)
+        for node in NODES:
+            self.fleet.processes.kill(node)
+        for node in NODES:
+            self.fleet.processes.restart(node)
+        self.fleet.wait_until(self.fleet.all_ready, 15.0)
+        self.wait_until_serving()
+        self.assertEqual([503] * 3, [self.send(x, "/read/crash") for x in NODES])
+        self.assertEqual(
+            crashes, sum(len(server.endpoint.crashed) for server in servers)
+        )
+
     def restart_crashed(self, servers, round_number):
         state = self.fleet.store.state
         for server in servers:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -34,6 +34,7 @@
 from ebonybend.node.pause_gate import TICK_PERIOD_S, PauseGate
 from ebonybend.node.ports import Directory, metrics_router, readiness_router
 from ebonybend.node.pulses import PING_TIMEOUT_S, PulseProtocol, relay_address
+from ebonybend.node.refused_requests import RefusedRequestStore
 from ebonybend.node.relay_changes import RelayClient, relay_router
 from ebonybend.node.relayed_store import NodeStore, RelayedStore
 from ebonybend.node.routing_state import RoutingState
@@ -158,6 +159,15 @@
             reactor.seconds,
             Backoff(self.random),
         )
+        self.refused_requests = RefusedRequestStore(
+            store,
+            documents,
+            self.crash_detector,
+            self.members,
+            time,
+            reactor.seconds,
+            Backoff(self.random),
+        )
         self._build_sites()
         self.heartbeats = HeartbeatProtocol(
             self.members, self.build_heartbeat, reactor.seconds, self.on_heartbeat
@@ -346,6 +356,7 @@
         log_crashes(server, crashes, evidence)
         if any(self.crash_detector.is_refused(name) for name in crashes):
             self.heartbeats.send_to_all()
+            self.tasks.start(self.refused_requests.write())
         elif crashes:
             self.heartbeats.send()
 
@@ -400,9 +411,11 @@
         entry = OwnEntryWriter(self.store, self.documents, self.own, self.random)
         self.tasks.start(entry.write(self.tasks))
         self.tasks.start(self.checkpoints.restore(self.tasks))
+        self.tasks.start(self.refused_requests.restore(self.tasks))
         self.tasks.repeat(HEARTBEAT_PERIOD_S, self._send_heartbeat)
         self.tasks.repeat(PULSE_PERIOD_S, self.pulses.send_if_in_contact)
         self.tasks.repeat(WRITE_PERIOD_S, self.checkpoints.write)
+        self.tasks.repeat(WRITE_PERIOD_S, self.refused_requests.write_if_first)
         self.tasks.repeat(TICK_PERIOD_S, self.pause_gate.tick)
         self.tasks.repeat(CLEANUP_PERIOD_S, self._clean_up)
         self.tasks.repeat(RELOAD_PERIOD_S, self._reload)
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -32,6 +32,14 @@
     slots: int
 
 
+@frozen
+class RefusedRequests:
+    """The requests that all nodes refuse because they crash servers."""
+
+    # Unix time of the last crash in milliseconds, by fingerprint.
+    crashed_ms: dict[str, int]
+
+
 @frozen
 class RegionCheckpoint:
     """The state that the nodes of a region need after all of them restarted."""
@@ -111,6 +119,8 @@
     members_kind: str
     # Kind of the checkpoints: one object for each region; not watched.
     checkpoint_kind: str
+    # Kind of the one object with the refused requests; not watched.
+    refused_kind: str
 
     def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
         """Return the routing configuration, or None if it can't be decoded."""
@@ -137,3 +147,11 @@
     def encode_checkpoint(self, checkpoint: RegionCheckpoint) -> bytes:
         """Return an encoded checkpoint."""
         ...
+
+    def decode_refused(self, stored: StoredObject) -> RefusedRequests | None:
+        """Return the refused requests, or None if they can't be decoded."""
+        ...
+
+    def encode_refused(self, refused: RefusedRequests) -> bytes:
+        """Return the encoded refused requests."""
+        ...
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -5,7 +5,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.node.members import Member
-from ebonybend.node.wire import RegionCheckpoint
+from ebonybend.node.wire import RefusedRequests, RegionCheckpoint
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.route import (
@@ -24,6 +24,8 @@
 MEMBERS_KIND = "ebonybend-nodes"
 # A kind that this project defines: one checkpoint for each region.
 CHECKPOINT_KIND = "ebonybend-kept"
+# A kind that this project defines: one object with the refused requests.
+REFUSED_KIND = "ebonybend-refused"
 
 MS_PER_S = 1000.0
 # Downloads have large answers; repeating one is as harmless as for other reads.
@@ -128,6 +130,11 @@
     Spec: RegionCheckpoint
 
 
+@frozen
+class _RefusedObject:
+    Spec: RefusedRequests
+
+
 def _decode_route(host: str, path: _Path) -> Route:
     parts = tuple(RoutePart(part.Service, part.Weight) for part in path.Backends)
     return Route(
@@ -154,6 +161,7 @@
     evacuations_kind = EVACUATIONS_KIND
     members_kind = MEMBERS_KIND
     checkpoint_kind = CHECKPOINT_KIND
+    refused_kind = REFUSED_KIND
 
     def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
         """Return the routing configuration, or None if it can't be decoded."""
@@ -226,3 +234,14 @@
     def encode_checkpoint(self, checkpoint: RegionCheckpoint) -> bytes:
         """Return an encoded checkpoint."""
         return to_json(checkpoint)
+
+    def decode_refused(self, stored: StoredObject) -> RefusedRequests | None:
+        """Return the refused requests, or None if they can't be decoded."""
+        try:
+            return from_json(bytes(stored.value), _RefusedObject).Spec
+        except SteeringError:
+            return None
+
+    def encode_refused(self, refused: RefusedRequests) -> bytes:
+        """Return the encoded refused requests."""
+        return to_json(refused)
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -151,6 +151,21 @@
             and self.clock.monotonic() - suspect.crashed_at <= suspect.lifetime_s()
         )
 
+    def refused_ages_s(self) -> dict[str, float]:
+        """Return the times since the last crash of all refused requests."""
+        now = self.clock.monotonic()
+        self._expire_suspects(now)
+        return {
+            name: now - suspect.crashed_at
+            for name, suspect in self.suspects.items()
+            if suspect.refused
+        }
+
+    def restore_refused(self, fingerprint: str, age_s: float) -> None:
+        """Refuse a request whose last crash is some seconds ago."""
+        report = CrashReport(fingerprint, refused=True, age_ms=age_s * MS_PER_S)
+        self.merge("", [report])
+
     def has_suspects(self) -> bool:
         """Return whether there is any suspect."""
         return bool(self.suspects)
