--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,14 +5,27 @@
 
 import json
 from collections.abc import Mapping
+from copy import deepcopy
 from http.server import BaseHTTPRequestHandler
 from threading import Condition, Thread
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from attrs import frozen
+
 from standins.threaded_server import ThreadedServer
 
 PAGE_SIZE = 500
+ERA_HEADER = "Store-Era"
+
+
+@frozen
+class StoreCopy:
+    """The contents of a store at some time."""
+
+    revision: int
+    kinds: dict[str, dict[str, Any]]
+    history: list[tuple[int, str, Any, bool]]
 
 
 class PlatformStoreState:
@@ -21,6 +34,8 @@
     def __init__(self) -> None:
         self.changed = Condition()
         self.revision = 1
+        # Rises each time the store comes back from an older copy.
+        self.era = 1
         self.kinds: dict[str, dict[str, Any]] = {}
         # Entries: revision, kind, object, whether the object was removed.
         self.history: list[tuple[int, str, Any, bool]] = []
@@ -42,6 +57,24 @@
             removed["Metadata"]["Rev"] = self.revision
             self._record_change(kind, removed, True)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        with self.changed:
+            return deepcopy(StoreCopy(self.revision, self.kinds, self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy; revisions since then are given out again.
+
+        Watches that wait are cut off.
+        """
+        with self.changed:
+            restored = deepcopy(copy)
+            self.era += 1
+            self.revision = restored.revision
+            self.kinds = restored.kinds
+            self.history = restored.history
+            self.changed.notify_all()
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from earlier revisions get 410."""
         with self.changed:
@@ -98,11 +131,18 @@
     def watch(self, kind: str, since: int, wait_s: float) -> tuple[int, Any]:
         """Return the changes after a revision; wait up to wait_s for the first."""
         with self.changed:
+            era = self.era
+
+            def is_unknown() -> bool:
+                return not self.compacted_revision <= since <= self.revision
+
             self.changed.wait_for(
-                lambda: since < self.compacted_revision or self._events(kind, since),
+                lambda: self.era != era or is_unknown() or self._events(kind, since),
                 wait_s,
             )
-            if since < self.compacted_revision:
+            if self.era != era:
+                raise ConnectionAbortedError
+            if is_unknown():
                 return 410, {"Error": "the history is gone"}
             events = self._events(kind, since)
             return 200, {"events": events, "StoreRevision": self.revision}
@@ -128,6 +168,7 @@
             status, value = self._dispatch(state, body)
         data = json.dumps(value).encode()
         self.send_response(status)
+        self.send_header(ERA_HEADER, str(state.era))
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
         self.end_headers()
