Follow the store into the history that follows an older copy

After the store had come back from an older copy, nodes stayed in the history before it: a confirmed configuration was never in force, a removed server went on to get requests (CONFIG, DRAIN), since revisions are given out again and a watch that resumes from one of them misses what is below. Each answer states Store-Era. A revision counts within its era now: another era in an answer makes each watch list all objects; decoded servers, heartbeats, pulses and relays compare versions of one era only; a node that doesn't reach the store lists from a relay. An answer of an earlier era to a call from before the change is no answer. Era news in heartbeats make a node ask, only the store or a relay states an era that counts. A heartbeat names its node once instead of twice, so it is smaller than before.

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -7,17 +7,21 @@
 from ebonybend.logs import get_logger
 from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Members, NodeHeartbeat
+from ebonybend.node.relayed_store import NodeStore
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.wire import Documents
 from ebonybend.steering.lapsed import ExpiredServers
 from ebonybend.steering.server_state import ServerTable
-from ebonybend.store.client import ObjectStore, StoredObject
+from ebonybend.store.client import StoredObject
+from ebonybend.store.era import UNKNOWN_ERA
 from ebonybend.store.watcher import OnChange, Watcher
 from ebonybend.world import BackendServer
 
 # Added to the retention time of expired servers before the list is evaluated again.
 EXPIRY_MARGIN_S = 0.05
+# Under which the lag detector compares eras, beside the kinds of objects.
+ERA = "era"
 # Index of the servers' watcher.
 SERVERS_INDEX = 1
 # Long, because each answer without a change costs a call; a dead watch is detected by
@@ -41,7 +45,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: NodeStore,
         documents: Documents,
         reactor: Any,
         random: Random,
@@ -66,10 +70,14 @@
         self.on_change = on_change
         # Returns whether changes are read from relays and not from the store.
         self.is_following = is_following
+        self.eras = store.eras
+        self.eras.on_change = self.on_new_era
         self.expired_servers = ExpiredServers()
         self.lag_detector = LagDetector()
-        # Version of each server's entry, and the decoded server.
-        self.decoded_servers: dict[str, tuple[int, BackendServer | None]] = {}
+        # Era and version of each server's entry, and the decoded server.
+        self.decoded_servers: dict[
+            str, tuple[tuple[int, int], BackendServer | None]
+        ] = {}
         watch_s = min(MAX_WATCH_S, HISTORY_FRACTION * settings().store_history_s)
         self.watchers = [
             Watcher(
@@ -181,6 +189,9 @@
             )
             if not self.expired_servers.remaining_s(now):
                 self.reapply_servers()
+        if heartbeat.era != self.era:
+            self._compare_era(heartbeat, now)
+            return
         for watcher in self.watchers:
             reported = heartbeat.newest.get(watcher.kind, 0)
             # A list doesn't contain the newest change if that was a deletion, but it is
@@ -196,6 +207,19 @@
                 )
                 watcher.resync()
 
+    def _compare_era(self, heartbeat: NodeHeartbeat, now: float) -> None:
+        """Ask the store at once if another node stays in a later era.
+
+        Only the store, or a relay, states an era that counts.
+        """
+        known = self.eras.current
+        if self.lag_detector.should_relist(ERA, known, heartbeat.era, now):
+            get_logger().warning(
+                "era_behind", era=known, told=heartbeat.era, peer=heartbeat.name
+            )
+            for watcher in self.watchers:
+                watcher.resync()
+
     def on_config(
         self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
     ) -> None:
@@ -247,11 +271,12 @@
 
     def _decode_server(self, stored: StoredObject) -> BackendServer | None:
         """Return a server; decode its entry only if it changed."""
+        version = self.watchers[SERVERS_INDEX].era, stored.version
         known = self.decoded_servers.get(stored.name)
-        if known is None or known[0] != stored.version:
+        if known is None or known[0] != version:
             regions = self.settings().regions
             server = self.documents.decode_server(stored, regions)
-            known = self.decoded_servers[stored.name] = stored.version, server
+            known = self.decoded_servers[stored.name] = version, server
         return known[1]
 
     def redecode_servers(self) -> None:
@@ -259,6 +284,22 @@
         self.decoded_servers.clear()
         self.reapply_servers()
 
+    @property
+    def era(self) -> int:
+        """Return the era of all versions known here; 0 if they are of several."""
+        eras = {watcher.era for watcher in self.watchers}
+        return eras.pop() if len(eras) == 1 else UNKNOWN_ERA
+
+    def on_new_era(self) -> None:
+        """List all kinds again, because the store came back from an older copy."""
+        # The call whose answer showed it has to end first.
+        self.reactor.callLater(0, self._begin_era)
+
+    def _begin_era(self) -> None:
+        for watcher in self.watchers:
+            if watcher.era != self.eras.current:
+                watcher.begin_era()
+
     def on_recovery(self) -> None:
         """Retain servers whose entries expired while the store was unreachable."""
         settle_s = self.settings().bounds.settle_s
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -57,13 +57,14 @@
 class NodeHeartbeat:
     """The state that a node sends to other nodes once per period."""
 
-    name: str
     incarnation: int
     # Sequence number within an incarnation; an older datagram is ignored.
     count: int
     # Whether clients may use the node.
     ready: bool
-    # Newest version of an object of each kind that the node watches in the store.
+    # Era of the store that the node knows, and the newest version in it of an object of
+    # each kind that the node watches.
+    era: int
     newest: dict[str, int]
     # Time for which the store has answered the node without a failure; 0 while the
     # store is unreachable.
@@ -77,6 +78,11 @@
     # None if there is nothing to report.
     reports: ServerReports | None = None
 
+    @property
+    def name(self) -> str:
+        """Return the name of the node."""
+        return self.member.name
+
 
 class Members:
     """The nodes known from the store's list and from heartbeats."""
--- a/ebonybend/node/pulses.py
+++ b/ebonybend/node/pulses.py
@@ -25,6 +25,7 @@
         relays: Relays,
         address: str,
         versions: Callable[[], dict[str, int] | None],
+        era: Callable[[], int],
         ping: Callable[[], Awaitable[bool]],
         clock: Callable[[], float],
         on_pulse: Callable[[], None],
@@ -35,6 +36,8 @@
         # Returns the versions that this node has read from the store itself; None if
         # it is no relay.
         self.versions = versions
+        # Returns the era of these versions.
+        self.era = era
         # Returns whether the store answers.
         self.ping = ping
         self.clock = clock
@@ -64,6 +67,7 @@
             count=self.count,
             address=self.address,
             versions=versions,
+            era=self.era(),
         )
         data = pack(pulse)
         for member in self.members.local_and_remote_peers()[0]:
--- a/ebonybend/node/relay_changes.py
+++ b/ebonybend/node/relay_changes.py
@@ -26,6 +26,8 @@
 FETCH_TIMEOUT_S = 0.5
 # Status for a version whose changes are no longer known.
 GONE = 410
+# Of a version or an era.
+MAX_DIGITS = 18
 
 
 @frozen
@@ -46,6 +48,8 @@
     items: list[RelayedObject] = field(factory=list)
     # Whether these are all objects, because the reader's version is too old.
     complete: bool = False
+    # Era of the store in which the version was given out.
+    era: int = 0
 
 
 def relay_router(watchers: Callable[[], Mapping[str, Watcher]]) -> Router:
@@ -54,9 +58,11 @@
     async def changes(incoming: IncomingRequest) -> OutgoingAnswer:
         watcher = watchers().get(incoming.argument("kind") or "")
         since = incoming.argument("since") or ""
-        if watcher is None or not since.isdigit():
-            return OutgoingAnswer(400, b"no such kind, or since is no number\n")
-        found = watcher.changes_since(int(since))
+        era = incoming.argument("era") or "0"
+        if watcher is None or not (_is_number(since) and _is_number(era)):
+            message = b"no such kind, or since or era is no number\n"
+            return OutgoingAnswer(400, message)
+        found = watcher.changes_since(int(since), int(era))
         if found is None:
             return OutgoingAnswer(GONE)
         items = [
@@ -64,7 +70,7 @@
             for item in found.items
         ]
         return OutgoingAnswer(
-            200, pack(RelayedChanges(found.version, items, found.complete))
+            200, pack(RelayedChanges(found.version, items, found.complete, found.era))
         )
 
     router = Router()
@@ -72,6 +78,10 @@
     return router
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 class RelayClient:
     """Read changes from a relay."""
 
@@ -79,10 +89,10 @@
         self.http = http
 
     async def fetch(
-        self, address: str, kind: str, since: int
+        self, address: str, kind: str, since: int, era: int = 0
     ) -> Result[ObjectList, StoreFailure]:
-        """Return the changes of a kind since a version."""
-        path = f"{CHANGES_PATH}?kind={quote(kind, safe='')}&since={since}"
+        """Return the changes of a kind since a version of an era."""
+        path = f"{CHANGES_PATH}?kind={quote(kind, safe='')}&since={since}&era={era}"
         try:
             answer = await self.http.request(
                 "GET",
@@ -103,4 +113,6 @@
             StoredObject(item.name, item.version, Raw(item.value), item.deleted)
             for item in changes.items
         )
-        return Success(ObjectList(changes.version, tuple(items), changes.complete))
+        return Success(
+            ObjectList(changes.version, tuple(items), changes.complete, changes.era)
+        )
--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -3,12 +3,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from ebonybend.logs import get_logger
-from ebonybend.steering.relays import Relays
+from ebonybend.steering.relays import Pulse, Relays
 from ebonybend.store.client import (
     ObjectList,
     ObjectStore,
@@ -17,6 +17,7 @@
     StoreFailureKind,
 )
 from ebonybend.store.contact import OnReturn, StoreContact, ignore_return
+from ebonybend.store.era import EraTracker
 from ebonybend.tasks import Timers
 
 # Time for which a node reads from relays after a call to the store failed.
@@ -27,13 +28,16 @@
 # Longest time for which a call waits for one for another kind to find that out.
 PROBE_TIMEOUT_S = 4.0
 
-# Returns the changes of a kind since a version from the relay with an address.
-Fetch = Callable[[str, str, int], Awaitable[Result[ObjectList, StoreFailure]]]
+# Returns the changes of a kind since a version of an era from the relay with an
+# address.
+Fetch = Callable[[str, str, int, int], Awaitable[Result[ObjectList, StoreFailure]]]
 
 
 class NodeStore(ObjectStore, Protocol):
     """The object store as a node uses it."""
 
+    eras: EraTracker
+
     async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
         """Return whether the store answers a cheap call for an object in time."""
         ...
@@ -53,6 +57,7 @@
         on_return: OnReturn = ignore_return,
     ):
         self.store = store
+        self.eras = store.eras
         self.relays = relays
         self.fetch = fetch
         self.timers = timers
@@ -104,7 +109,11 @@
             deferred.callback(None)
 
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, from a relay if the store is out of reach."""
+        if self.timers.seconds() < self.cut_off_until:
+            relayed = await self._list_from_relay(kind)
+            if relayed is not None:
+                return relayed
         until = self.timers.seconds() + PROBE_TIMEOUT_S
         while self._is_probing_other(kind) and self.timers.seconds() < until:
             await self._wait_for_pulse(until - self.timers.seconds())
@@ -196,6 +205,31 @@
                 return relayed
         return None
 
+    async def _list_from_relay(
+        self, kind: str
+    ) -> Result[ObjectList, StoreFailure] | None:
+        """Return all objects that a relay has; None without such a relay."""
+        now = self.timers.seconds()
+        source = self.relays.source(kind, 0, now, self.eras.current)
+        if source is None:
+            return None
+        answer = await self._fetch(source, kind, 0)
+        is_usable = isinstance(answer, Success) and answer.unwrap().complete
+        return answer if is_usable else None
+
+    async def _fetch(
+        self, relay: Pulse, kind: str, since: int
+    ) -> Result[ObjectList, StoreFailure]:
+        """Return the changes of a kind that a relay has, and record its era."""
+        asked_at = self.timers.seconds()
+        answer = await self.fetch(relay.address, kind, since, self.eras.current)
+        if isinstance(answer, Success) and not self.eras.record(
+            answer.unwrap().era, asked_at
+        ):
+            message = "the relay's changes are older than the store's last return"
+            return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
+        return answer
+
     async def _watch_relays(
         self, kind: str, since: int
     ) -> Result[ObjectList, StoreFailure] | None:
@@ -209,12 +243,14 @@
             self._log_mode(until > now)
             if until <= now:
                 return None
-            source = self.relays.source(kind, since, now)
+            source = self.relays.source(kind, since, now, self.eras.current)
             if source is None:
                 await self._wait_for_pulse(until - now)
                 continue
-            answer = await self.fetch(source.address, kind, since)
-            if isinstance(answer, Success) and answer.unwrap().version > since:
+            answer = await self._fetch(source, kind, since)
+            if isinstance(answer, Success) and (
+                answer.unwrap().complete or answer.unwrap().version > since
+            ):
                 return answer
             message = (
                 "no changes"
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -145,6 +145,7 @@
             self.relays,
             relay_address(self.own.peer_address),
             self.versions_to_relay,
+            lambda: self.watched_state.era,
             self.ping_store,
             reactor.seconds,
             self.relayed_store.wake,
@@ -301,11 +302,11 @@
         demand = regions.own_demand() if is_local else regions.region_demand()
         self.heartbeat_count += 1
         return NodeHeartbeat(
-            name=self.own.name,
             incarnation=self.own.incarnation,
             count=self.heartbeat_count,
             ready=self.is_ready(),
             demand={name: round(slots * 100) for name, slots in demand.items()},
+            era=self.watched_state.era,
             newest=self.watched_state.newest_versions(),
             followed_s=self.watched_state.store_contact_s(),
             member=self.own,
--- a/ebonybend/node/tests/simulated_region.py
+++ b/ebonybend/node/tests/simulated_region.py
@@ -59,6 +59,7 @@
     def __init__(self, region, name, kinds):
         self.region = region
         self.client = StoreClient(region.memory)
+        self.client.eras.on_change = lambda: region.clock.callLater(0, self.begin_era)
         self.relays = Relays(name)
         self.store = RelayedStore(
             self.client,
@@ -75,6 +76,7 @@
             self.relays,
             name,
             self.versions,
+            lambda: self.watcher.era,
             self.ping,
             region.clock.seconds,
             self.store.wake,
@@ -116,6 +118,11 @@
     async def ping(self):
         return await self.store.ping(KIND, "own", PING_TIMEOUT_S)
 
+    def begin_era(self):
+        for watcher in self.watchers.values():
+            if watcher.era != self.client.eras.current:
+                watcher.begin_era()
+
     def renew_watches(self, lost_at, answered_kind):
         for kind, watcher in self.watchers.items():
             if kind != answered_kind:
@@ -127,7 +134,7 @@
 
     def __init__(self, kinds=(KIND,), down=False, nodes=NODES):
         self.clock = Clock()
-        self.memory = MemoryStore(self.clock)
+        self.memory = MemoryStore(self.clock, era=1)
         self.memory.write(KIND, "first", b"1")
         names = [f"10.0.0.{number}" for number in range(nodes)]
         self.nodes = {name: Node(self, name, kinds) for name in names}
@@ -147,11 +154,11 @@
     def member(self, name):
         return Member(name, "a-1", "a", f"{name}:80", f"{name}:81", 1)
 
-    async def fetch(self, address, kind, since):
+    async def fetch(self, address, kind, since, era):
         await deferLater(self.clock, FETCH_S)
         node = self.nodes[address]
         watcher = node.watchers[kind]
-        changes = None if node.silent else watcher.changes_since(since)
+        changes = None if node.silent else watcher.changes_since(since, era)
         if changes is None or node.refuses:
             return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, "no answer"))
         return Success(changes)
--- a/ebonybend/node/tests/test_foreign_bytes.py
+++ b/ebonybend/node/tests/test_foreign_bytes.py
@@ -106,7 +106,7 @@
         members, relays = Members(OWN), Relays(OWN.name)
         heartbeats = HeartbeatProtocol(members, None, float, lambda _: None)
         pulses = PulseProtocol(
-            members, relays, "10.1.0.1:82", lambda: None, None, float, lambda: None
+            members, relays, "10.1.0.1:82", lambda: None, int, None, float, lambda: None
         )
         for protocol in (heartbeats, pulses):
             protocol.datagramReceived(data, ("10.1.0.9", 81))
--- a/ebonybend/platform/__main__.py
+++ b/ebonybend/platform/__main__.py
@@ -35,7 +35,7 @@
         service = NodeService(
             reactor,
             settings,
-            PlatformStore(http, settings.store_address),
+            PlatformStore(http, settings.store_address, reactor.seconds),
             PlatformWireFormat(),
             PlatformDocuments(),
             int(os.environ.get(METRICS_PORT_VARIABLE, METRICS_PORT)),
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -1,14 +1,17 @@
 """A client of the platform's object store."""
 
+import re
+from collections.abc import Awaitable, Callable
+from time import monotonic
 from urllib.parse import quote
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 from msgspec import Raw
 from returns.result import Failure, Result, Success
 
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
-from ebonybend.http_client import HttpAnswer, HttpClient
+from ebonybend.http_client import AnswerLost, HttpAnswer, HttpClient
 from ebonybend.store.client import (
     CALL_TIMEOUT_S,
     MAX_ANSWER_BYTES,
@@ -20,9 +23,13 @@
     decode_answer,
     store_result,
 )
+from ebonybend.store.era import UNKNOWN_ERA, EraTracker
 
 # Limit on the pages of one list; the store puts about 500 objects on a page.
 MAX_PAGES = 10_000
+# Rises each time the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
+ERA_PATTERN = re.compile(r"[0-9]{1,18}")
 # Statuses that state that the call was not carried out.
 REFUSALS = frozenset({429, 503})
 
@@ -71,9 +78,12 @@
 class PlatformStore:
     """The object store behind the platform's HTTP API; values are whole objects."""
 
-    def __init__(self, http: HttpClient, address: str):
+    def __init__(
+        self, http: HttpClient, address: str, clock: Callable[[], float] = monotonic
+    ):
         self.http = http
         self.address = address
+        self.eras = EraTracker(clock)
         # Calls since the start, for metrics.
         self.platform_calls = 0
 
@@ -81,6 +91,7 @@
         """Return all objects of a kind."""
         items: list[StoredObject] = []
         revision: int | None = None
+        era = UNKNOWN_ERA
         path = f"/objects/{quote(kind, safe='')}"
         cursor = ""
         for _ in range(MAX_PAGES):
@@ -91,10 +102,13 @@
             found = page.unwrap()
             # The first revision; the next watch reads changes made between two pages.
             if revision is None:
-                revision = found.StoreRevision
+                revision, era = found.StoreRevision, self.eras.current
+            if era != self.eras.current:
+                message = "the store came back from a copy between two pages"
+                return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
             items += [stored for raw in found.items if (stored := _decode_object(raw))]
             if not found.HasMore or not items:
-                return Success(ObjectList(revision, tuple(items)))
+                return Success(ObjectList(revision, tuple(items), era=era))
             cursor = f"?after={quote(items[-1].name, safe='')}"
         message = f"list of {kind!r} has more than {MAX_PAGES} pages"
         return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
@@ -136,7 +150,8 @@
         path = f"/objects/{quote(kind, safe='')}?Watch={since}&WaitMs={timeout_ms}"
         timeout = timeout_ms / 1000 + WATCH_MARGIN_S
         answer = await self._call("GET", path, timeout=timeout)
-        return answer.bind(_decode_changes)
+        changes = answer.bind(_decode_changes)
+        return changes.map(lambda found: evolve(found, era=self.eras.current))
 
     async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
         """Return whether the store answers a cheap call for an object in time."""
@@ -154,7 +169,20 @@
         request = self.http.request(
             method, self.address, path, headers, body, timeout, MAX_ANSWER_BYTES
         )
-        return await store_result(request, _decode_failure)
+        return await store_result(self._checked(request), _decode_failure)
+
+    async def _checked(self, request: Awaitable[HttpAnswer]) -> HttpAnswer:
+        """Return an answer; raise AnswerLost if it is of an earlier era."""
+        asked_at = self.eras.clock()
+        answer = await request
+        if not self.eras.record(_era(answer), asked_at):
+            raise AnswerLost("the answer is older than the store's last return")
+        return answer
+
+
+def _era(answer: HttpAnswer) -> int:
+    text = answer.header(ERA_HEADER) or ""
+    return int(text) if ERA_PATTERN.fullmatch(text) else UNKNOWN_ERA
 
 
 def _decode_failure(answer: HttpAnswer) -> StoreFailure:
--- /dev/null
+++ b/ebonybend/platform/tests/test_store.py
@@ -0,0 +1,100 @@
+from returns.result import Success
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from ebonybend.codec import to_json
+from ebonybend.http_client import HttpAnswer
+from ebonybend.platform.store import PlatformStore
+
+NONE = object()
+
+
+def item(name, revision=1):
+    return {"Metadata": {"Name": name, "Rev": revision}, "Spec": {}}
+
+
+def page(*names, more=False, revision=5):
+    return {
+        "items": [item(name) for name in names],
+        "HasMore": more,
+        "StoreRevision": revision,
+    }
+
+
+class ScriptedHttp:
+    """An HTTP client whose answers follow a script of eras, statuses and bodies."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.paths = []
+
+    async def request(self, method, address, path, *_arguments):
+        """Return the next answer of the script."""
+        self.paths.append(path)
+        era, status, value = self.script.pop(0)
+        headers = {} if era is NONE else {"Store-Era": [era]}
+        return HttpAnswer(status, Headers(headers), to_json(value))
+
+
+def result(coroutine):
+    found = []
+    Deferred.fromCoroutine(coroutine).addCallback(found.append)
+    return found[0]
+
+
+class EraHeaderTest(TestWithScenarios, TestCase):
+    """Guards against an era that is missed, or one that no store stated."""
+
+    scenarios = [
+        ("stated", {"era": "7", "known": 7}),
+        ("with an answer that refuses", {"era": "7", "status": 503, "known": 7}),
+        ("with a dropped history", {"era": "7", "status": 410, "known": 7}),
+        ("not stated", {"era": NONE, "known": 0}),
+    ] + [
+        (text or "empty", {"era": text, "known": 0})
+        for text in ("", "x", "-1", "1.5", "1e3", "\u00b2", "9" * 400)
+    ]
+    status = 200
+
+    def test_known_era(self):
+        store = PlatformStore(
+            ScriptedHttp([(self.era, self.status, page("a"))]), "a:1", float
+        )
+        result(store.list("servers"))
+        self.assertEqual(self.known, store.eras.current)
+
+
+class PageTest(TestWithScenarios, TestCase):
+    """Guards against a list whose pages belong to two copies of the store."""
+
+    scenarios = [
+        ("one era", {"eras": ("3", "3"), "names": ["a", "b"]}),
+        ("restored between two pages", {"eras": ("3", "4"), "names": None}),
+    ]
+
+    def test_list(self):
+        first, second = self.eras
+        http = ScriptedHttp(
+            [(first, 200, page("a", more=True)), (second, 200, page("b"))]
+        )
+        found = result(PlatformStore(http, "a:1", float).list("servers"))
+        names = None
+        if isinstance(found, Success):
+            names = [stored.name for stored in found.unwrap().items]
+            self.assertEqual(3, found.unwrap().era)
+        self.assertEqual(self.names, names)
+
+
+class LateAnswerTest(TestCase):
+    """Guards against an answer that an earlier copy of the store gave."""
+
+    def test_is_no_answer(self):
+        http = ScriptedHttp([("3", 200, page("a")), ("4", 200, page("b"))])
+        store = PlatformStore(http, "a:1", lambda: 1.0)
+        for _ in range(2):
+            self.assertIsInstance(result(store.list("servers")), Success)
+        http.script = [("3", 200, page("a")), ("4", 200, page("b"))]
+        self.assertNotIsInstance(result(store.list("servers")), Success)
+        self.assertEqual(4, result(store.watch("servers", 5, 0)).unwrap().era)
--- a/ebonybend/steering/relays.py
+++ b/ebonybend/steering/relays.py
@@ -38,6 +38,8 @@
     address: str
     # Version up to which the relay has read each kind of object.
     versions: dict[str, int]
+    # Era of the store in which these versions were given out.
+    era: int = 0
 
 
 @define
@@ -98,18 +100,22 @@
         needed = 1 if is_cut_off else RELAYS_NEEDED
         return expiries[-needed] if len(expiries) >= needed else float("-inf")
 
-    def source(self, kind: str, since: int, now: float) -> Pulse | None:
-        """Return the relay to read the changes of a kind from; None without changes."""
+    def source(self, kind: str, since: int, now: float, era: int = 0) -> Pulse | None:
+        """Return the relay to read the changes of a kind from; None without changes.
+
+        The version is of an era; a relay of a later one has changes in any case.
+        """
         ahead = [
             relay.pulse
             for relay in self.known.values()
             if now < relay.expires_at
             and relay.failed_until <= now
-            and relay.pulse.versions.get(kind, 0) > since
+            and (relay.pulse.era, relay.pulse.versions.get(kind, 0)) > (era, since)
+            and kind in relay.pulse.versions
         ]
         return max(ahead, key=lambda pulse: self._preference(pulse, kind), default=None)
 
-    def _preference(self, pulse: Pulse, kind: str) -> tuple[int, int]:
+    def _preference(self, pulse: Pulse, kind: str) -> tuple[int, int, int]:
         # Equally new relays share the nodes that read from them.
         spread = xxh3_64_intdigest(f"{pulse.name} {self.own_name}".encode())
-        return pulse.versions.get(kind, 0), spread
+        return pulse.era, pulse.versions[kind], spread
--- a/ebonybend/steering/tests/test_relays.py
+++ b/ebonybend/steering/tests/test_relays.py
@@ -16,13 +16,14 @@
 NAMES = sorted((f"n{number}" for number in range(8)), key=rank)
 
 
-def pulse(name, version=5, count=1, incarnation=1):
+def pulse(name, version=5, count=1, incarnation=1, era=0):
     return Pulse(
         name=name,
         incarnation=incarnation,
         count=count,
         address=f"{name}:1",
         versions={"servers": version},
+        era=era,
     )
 
 
@@ -119,6 +120,15 @@
         self.assertIsNone(relays.source("config", 0, 0.1))
         self.assertIsNone(relays.source("servers", 4, PULSE_TIMEOUT_S))
 
+    def test_versions_count_within_their_era(self):
+        relays = Relays(NAMES[4])
+        relays.record_pulse(pulse(NAMES[0], 9, era=1), 0.0)
+        relays.record_pulse(pulse(NAMES[1], 3, era=2), 0.0)
+        self.assertEqual(NAMES[1], relays.source("servers", 9, 0.1, 1).name)
+        self.assertEqual(NAMES[1], relays.source("servers", 2, 0.1, 2).name)
+        self.assertIsNone(relays.source("servers", 3, 0.1, 2))
+        self.assertIsNone(relays.source("config", 0, 0.1, 1))
+
     def test_readers_are_spread_over_equally_new_relays(self):
         sources = set()
         for number in range(20):
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -60,6 +60,8 @@
     items: tuple[StoredObject, ...] = ()
     # Whether these are all objects, though only changes were asked for.
     complete: bool = False
+    # Era in which the version was given out; 0 if the store states none.
+    era: int = 0
 
 
 @frozen
--- a/ebonybend/store/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -12,6 +12,7 @@
     StoreFailure,
     StoreFailureKind,
 )
+from ebonybend.store.era import EraTracker
 
 CALL_S = 0.005
 TIMEOUT_S = 2.0
@@ -28,6 +29,20 @@
     writes: list[tuple[str, str]] = field(factory=list)
     # Watches of an older version are rejected, since their history was dropped.
     history_from: int = 0
+    era: int = 0
+
+    def copy(self):
+        """Return a copy from which the store can be restored."""
+        return self.version, dict(self.objects)
+
+    def restore(self, copy):
+        """Come back from an older copy, with the next era; waiting watches end."""
+        self.era += 1
+        self.version, objects = copy
+        self.objects = dict(objects)
+        watchers, self.watchers = self.watchers, []
+        for watcher in watchers:
+            watcher.cancel()
 
     def write(self, kind, name, value, deleted=False):
         """Write unconditionally; return the new version."""
@@ -77,14 +92,19 @@
     delay_writes_s: float = 0.0
     calls: int = 0
     pings: int = 0
+    eras: EraTracker = field(init=False)
+
+    def __attrs_post_init__(self):
+        self.eras = EraTracker(self.store.clock.seconds)
 
     async def list(self, kind) -> Result:
         """Return all objects of a kind."""
         failure = await self._call()
         if failure:
             return Failure(failure)
+        self._record_era()
         items = tuple(x for x in self.store.changes(kind, 0) if not x.deleted)
-        return Success(ObjectList(self.store.version, items))
+        return Success(ObjectList(self.store.version, items, era=self.store.era))
 
     async def get(self, kind, name) -> Result:
         """Return one object."""
@@ -119,7 +139,8 @@
         failure = await self._call(timeout_ms / 1000 + TIMEOUT_S)
         if failure:
             return Failure(failure)
-        if since < self.store.history_from:
+        self._record_era()
+        if not self.store.history_from <= since <= self.store.version:
             return Failure(StoreFailure(StoreFailureKind.REJECTED, "history dropped"))
         clock = self.store.clock
         deadline = clock.seconds() + timeout_ms / 1000
@@ -137,8 +158,9 @@
                     timer.cancel()
         if self.down:
             return Failure(_lost())
+        self._record_era()
         items = self.store.changes(kind, since)
-        return Success(ObjectList(self.store.version, items))
+        return Success(ObjectList(self.store.version, items, era=self.store.era))
 
     async def ping(self, kind, name, timeout_s) -> bool:
         """Return whether the store answers in time."""
@@ -146,8 +168,13 @@
         self.pings += 1
         answers = not (self.down or self.silent)
         await deferLater(clock, CALL_S if answers else min(timeout_s, self.down_s))
+        if answers:
+            self._record_era()
         return answers
 
+    def _record_era(self):
+        self.eras.record(self.store.era, self.store.clock.seconds())
+
     async def _call(self, timeout_s=TIMEOUT_S):
         self.calls += 1
         clock = self.store.clock
--- a/ebonybend/store/tests/test_watcher.py
+++ b/ebonybend/store/tests/test_watcher.py
@@ -77,6 +77,33 @@
         self.run_for(15)
         self.assertEqual(["b"], self.seen[-1])
 
+    def test_reads_everything_when_revisions_are_given_out_again(self):
+        self.memory.era = 1
+        self.memory.write("rules", "a", b"1")
+        self.watcher.start()
+        self.run_for(0.1)
+        copy = self.memory.copy()
+        self.memory.write("rules", "b", b"2")
+        self.memory.write("rules", "c", b"2")
+        self.run_for(0.1)
+        self.memory.restore(copy)
+        self.memory.write("rules", "a", b"null", deleted=True)
+        self.memory.write("rules", "d", b"3")
+        self.memory.write("rules", "e", b"3")
+        self.run_for(15)
+        self.assertEqual(["d", "e"], self.seen[-1])
+        self.assertEqual((2, 4), (self.watcher.era, self.watcher.newest_version))
+
+    def test_relays_all_objects_to_readers_of_another_era(self):
+        self.memory.era = 2
+        self.memory.write("rules", "a", b"1")
+        self.watcher.start()
+        self.run_for(0.1)
+        for since, era in ((9, 1), (1, 1), (0, 3)):
+            found = self.watcher.changes_since(since, era)
+            self.assertEqual((True, 2, 1), (found.complete, found.era, found.version))
+        self.assertEqual((), self.watcher.changes_since(1, 2).items)
+
     def test_continues_after_a_change_that_cannot_be_applied(self):
         self.memory.write("rules", "a", b"1")
         self.watcher.start()
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
+from attrs import evolve
 from returns.result import Result, Success
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -15,6 +16,7 @@
     StoreFailure,
     StoreFailureKind,
 )
+from ebonybend.store.era import UNKNOWN_ERA
 from ebonybend.tasks import Tasks, Timers
 
 # Short enough to detect a dead connection in about 12 s, and long enough that an idle
@@ -75,6 +77,8 @@
         self.change_log = ChangeLog()
         # Version of the last answer; stays known while the objects are listed again.
         self.last_version = 0
+        # Era of the last list, in which all versions here were given out.
+        self.era = UNKNOWN_ERA
         # Version from which the watch resumes; None until the first list.
         self.version: int | None = None
         # Newest version of an object of this kind, deleted ones included.
@@ -122,18 +126,27 @@
         if not self.failing:
             self._begin_outage()
 
-    def changes_since(self, since: int) -> ObjectList | None:
+    def begin_era(self) -> None:
+        """List all objects at once, because versions are given out again."""
+        self.version = None
+        self.resync()
+
+    def changes_since(self, since: int, era: int = UNKNOWN_ERA) -> ObjectList | None:
         """Return the objects changed since a version; None if there is none newer.
 
-        Returns all objects if the version is older than the log of deletions.
+        Returns all objects if the version is older than the log of deletions, or of
+        another era.
         """
         if self.version is None:
             return None
-        changes = self.change_log.changes_since(since, self.version, self.objects)
-        if changes is None and since < self.version:
+        is_same_era = era == self.era
+        changes = None
+        if is_same_era:
+            changes = self.change_log.changes_since(since, self.version, self.objects)
+        if changes is None and (not is_same_era or since < self.version):
             objects = tuple(self.objects.values())
-            return ObjectList(self.version, objects, complete=True)
-        return changes
+            return ObjectList(self.version, objects, True, self.era)
+        return changes and evolve(changes, era=self.era)
 
     async def read(self) -> bool:
         """List the objects once; return whether the platform answered."""
@@ -170,11 +183,13 @@
         is_urgent = self.failing or self.resyncing
         timeout_ms = 0 if is_urgent else self.watch_timeout_ms
         answer = await self.store.watch(self.kind, since, timeout_ms)
-        if isinstance(answer, Success) and answer.unwrap().version < since:
-            # The platform lost its state or no longer has this version, so list all.
-            self.version = None
-            return True
         complete = isinstance(answer, Success) and answer.unwrap().complete
+        if isinstance(answer, Success) and not complete:
+            found = answer.unwrap()
+            if found.era != self.era or found.version < since:
+                # The version was given out in another history, so list all.
+                self.version = None
+                return True
         return self._apply(answer, complete)
 
     def _apply(self, answer: Result[ObjectList, StoreFailure], complete: bool) -> bool:
@@ -192,6 +207,7 @@
         self.resyncing = False
         if complete:
             self._replace_objects(found)
+            self.era = found.era
         changed = complete or bool(found.items)
         for item in found.items:
             self.newest_version = max(self.newest_version, item.version)
@@ -207,7 +223,10 @@
 
     def _replace_objects(self, found: ObjectList) -> None:
         objects = {item.name: item for item in found.items}
-        if self.change_log.start is None or found.version < self.last_version:
+        is_other_history = found.era != self.era or found.version < self.last_version
+        if is_other_history:
+            self.newest_version = 0
+        if is_other_history or self.change_log.start is None:
             self.change_log.restart(found.version)
         else:
             for name in self.objects.keys() - objects.keys():
