Hold what a node knew against an older copy of the store

When the store came back from an older copy, a server that leaves was ready again, one that had left was listed, and an evacuation was missing, until those who wrote them had written again; the nodes believed it and sent requests there (DRAIN, EVAC). A node's contact with the store counts from the new era, so no other node takes a missing entry for an old one.

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -12,6 +12,11 @@
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.wire import Documents
 from ebonybend.steering.lapsed import ExpiredServers
+from ebonybend.steering.restored import (
+    ENTRY_LIFETIME_S,
+    HeldEvacuations,
+    RestoredServers,
+)
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.store.client import StoredObject
 from ebonybend.store.era import UNKNOWN_ERA
@@ -73,6 +78,10 @@
         self.eras = store.eras
         self.eras.on_change = self.on_new_era
         self.expired_servers = ExpiredServers()
+        self.restored_servers = RestoredServers()
+        self.held_evacuations = HeldEvacuations(reactor.seconds)
+        # Era of the last list of each kind that was applied.
+        self.applied_eras: dict[str, int] = {}
         self.lag_detector = LagDetector()
         # Era and version of each server's entry, and the decoded server.
         self.decoded_servers: dict[
@@ -235,7 +244,7 @@
             self.on_routing()
 
     def on_servers(
-        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+        self, kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Apply the list of backend servers."""
         decoded = (self._decode_server(stored) for stored in objects.values())
@@ -244,6 +253,10 @@
         previous = self.servers.states
         now = self.reactor.seconds()
         known = {name: state.server for name, state in previous.items()}
+        if self._enters_era(kind):
+            self._hold_servers(known, listed, objects)
+        versions = {name: stored.version for name, stored in objects.items()}
+        listed = self.restored_servers.merge(known, listed, versions, now)
         servers = self.expired_servers.merge(known, listed, now)
         missing = servers.keys() - listed.keys()
         if missing:
@@ -269,6 +282,26 @@
         for name in previous.keys() - servers.keys():
             get_logger().info("server_gone", server=name, revision=version)
 
+    def _hold_servers(
+        self,
+        known: Mapping[str, BackendServer],
+        listed: Mapping[str, BackendServer],
+        objects: Mapping[str, StoredObject],
+    ) -> None:
+        """Hold what was known of servers before the store was restored."""
+        now = self.reactor.seconds()
+        settle_s = self.settings().bounds.settle_s
+        self.expired_servers.record_store_recovery(now, now, settle_s)
+        versions = {name: stored.version for name, stored in objects.items()}
+        gone = self.servers.unlisted_servers()
+        self.restored_servers.begin_era(known, gone, listed, versions, now)
+        if self.restored_servers.outdated:
+            outdated = sorted(self.restored_servers.outdated)
+            get_logger().info("restored_entries_not_used", servers=outdated)
+            self.reactor.callLater(
+                ENTRY_LIFETIME_S + EXPIRY_MARGIN_S, self.reapply_servers
+            )
+
     def _decode_server(self, stored: StoredObject) -> BackendServer | None:
         """Return a server; decode its entry only if it changed."""
         version = self.watchers[SERVERS_INDEX].era, stored.version
@@ -295,6 +328,13 @@
         # The call whose answer showed it has to end first.
         self.reactor.callLater(0, self._begin_era)
 
+    def _enters_era(self, kind: str) -> bool:
+        """Return whether the objects of a kind are the first of a later era."""
+        era = self.watchers_by_kind[kind].era
+        before = self.applied_eras.get(kind, era)
+        self.applied_eras[kind] = era
+        return before != era
+
     def _begin_era(self) -> None:
         for watcher in self.watchers:
             if watcher.era != self.eras.current:
@@ -316,13 +356,29 @@
         self.on_servers(watcher.kind, watcher.newest_version, watcher.objects)
 
     def on_evacuations(
-        self, _kind: str, version: int, objects: Mapping[str, StoredObject]
+        self, kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Apply the list of evacuated failure domains."""
+        if self._enters_era(kind):
+            settle_s = self.settings().bounds.settle_s
+            self.held_evacuations.begin_era(self.servers.evacuated, objects, settle_s)
+            if self.held_evacuations.until:
+                held = sorted(self.held_evacuations.until)
+                get_logger().info("evacuations_kept", domains=held)
+                self.reactor.callLater(
+                    settle_s + EXPIRY_MARGIN_S, self.reapply_evacuations
+                )
+        domains = self.held_evacuations.merge(objects)
         cold_s = {name: s.cold_s for name, s in self.routing.services.items()}
-        if frozenset(objects) != self.servers.evacuated:
-            get_logger().info("evacuations", domains=sorted(objects), revision=version)
-        self.servers.set_evacuated(objects, cold_s, self.reactor.seconds())
+        if domains != self.servers.evacuated:
+            get_logger().info("evacuations", domains=sorted(domains), revision=version)
+        self.servers.set_evacuated(domains, cold_s, self.reactor.seconds())
+
+    def reapply_evacuations(self) -> None:
+        """Apply the last list of evacuations again, without those that were held."""
+        watcher = self.watchers_by_kind[self.documents.evacuations_kind]
+        if watcher.version is not None:
+            self.on_evacuations(watcher.kind, watcher.version, watcher.objects)
 
     def on_members(
         self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -231,6 +231,10 @@
         for state in states.values():
             self.by_service.setdefault(state.server.service, []).append(state)
 
+    def unlisted_servers(self) -> dict[str, BackendServer]:
+        """Return the servers that were listed lately and aren't any more."""
+        return {name: state.server for name, (_, state) in self.unlisted.items()}
+
     def _unlisted_state(self, name: str) -> TrackedServer | None:
         return self.unlisted[name][1] if name in self.unlisted else None
 
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -128,7 +128,7 @@
 
     def begin_era(self) -> None:
         """List all objects at once, because versions are given out again."""
-        self.version = None
+        self._leave_history()
         self.resync()
 
     def changes_since(self, since: int, era: int = UNKNOWN_ERA) -> ObjectList | None:
@@ -187,11 +187,18 @@
         if isinstance(answer, Success) and not complete:
             found = answer.unwrap()
             if found.era != self.era or found.version < since:
-                # The version was given out in another history, so list all.
-                self.version = None
+                self._leave_history()
                 return True
         return self._apply(answer, complete)
 
+    def _leave_history(self) -> None:
+        """List all next, because the version was given out in another history.
+
+        Entries that expired while the store was away return within a time after it.
+        """
+        self.version = None
+        self.available_since = None
+
     def _apply(self, answer: Result[ObjectList, StoreFailure], complete: bool) -> bool:
         if not isinstance(answer, Success):
             self._record_failure(answer.failure())
