Write again what a restored store has lost of the nodes' objects

After the store had come back from an older copy, a node that had written its entry since was never listed again, and checkpoints and refused requests of those seconds were gone: nothing wrote them a second time. With a new era each node creates its entry again within a second (and leaves one alone that is its own already), and the writers of checkpoints and refused requests write theirs in the next period. All begin without a revision, so none of an earlier era is taken for one that was given out again.

--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -42,7 +42,7 @@
 
 
 def _do_nothing() -> None:
-    """Do nothing when the store has recovered."""
+    """Do nothing."""
 
 
 class WatchedState:
@@ -62,6 +62,7 @@
         on_server_list: Callable[[Mapping[str, BackendServer]], None],
         on_change: Callable[[], None] = _do_nothing,
         is_following: Callable[[], bool] = lambda: False,
+        on_new_era: Callable[[], None] = _do_nothing,
     ):
         self.documents = documents
         self.reactor = reactor
@@ -76,7 +77,9 @@
         # Returns whether changes are read from relays and not from the store.
         self.is_following = is_following
         self.eras = store.eras
-        self.eras.on_change = self.on_new_era
+        self.eras.on_change = self._schedule_new_era
+        # Called when the store came back from an older copy.
+        self.on_new_era = on_new_era
         self.expired_servers = ExpiredServers()
         self.restored_servers = RestoredServers()
         self.held_evacuations = HeldEvacuations(reactor.seconds)
@@ -323,8 +326,7 @@
         eras = {watcher.era for watcher in self.watchers}
         return eras.pop() if len(eras) == 1 else UNKNOWN_ERA
 
-    def on_new_era(self) -> None:
-        """List all kinds again, because the store came back from an older copy."""
+    def _schedule_new_era(self) -> None:
         # The call whose answer showed it has to end first.
         self.reactor.callLater(0, self._begin_era)
 
@@ -336,9 +338,11 @@
         return before != era
 
     def _begin_era(self) -> None:
+        """List all kinds again, because the store came back from an older copy."""
         for watcher in self.watchers:
             if watcher.era != self.eras.current:
                 watcher.begin_era()
+        self.on_new_era()
 
     def on_recovery(self) -> None:
         """Retain servers whose entries expired while the store was unreachable."""
--- a/ebonybend/node/kept_state.py
+++ b/ebonybend/node/kept_state.py
@@ -80,6 +80,11 @@
             self.regions.restore(checkpoint.shares)
             self.times.restore(checkpoint.times)
 
+    def begin_era(self) -> None:
+        """Write the checkpoint again, which the store may have lost."""
+        self.version = 0
+        self.written_shares = {}
+
     async def write(self) -> None:
         """Write the checkpoint if it changed and this node is the region's writer."""
         shares = self.regions.current_shares()
--- a/ebonybend/node/refused_requests.py
+++ b/ebonybend/node/refused_requests.py
@@ -74,6 +74,11 @@
             get_logger().info("refused_requests_not_read", error=error)
             await tasks.sleep(self.backoff.next())
 
+    def begin_era(self) -> None:
+        """Write the refused requests again, which the store may have lost."""
+        self.version = 0
+        self.stored = {}
+
     async def write_if_first(self) -> None:
         """Write what is missing if this is the first live node of its region."""
         own = self.members.own
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -139,6 +139,7 @@
             self.on_servers,
             lambda: self.pulses.send(),
             self.relayed_store.is_following,
+            self.on_new_era,
         )
         self.pulses = PulseProtocol(
             self.members,
@@ -169,6 +170,7 @@
             reactor.seconds,
             Backoff(self.random),
         )
+        self.entry_writer = OwnEntryWriter(store, documents, self.own, self.random)
         self._build_sites()
         self.heartbeats = HeartbeatProtocol(
             self.members, self.build_heartbeat, reactor.seconds, self.on_heartbeat
@@ -361,6 +363,12 @@
         elif crashes:
             self.heartbeats.send()
 
+    def on_new_era(self) -> None:
+        """Write again what the store may have lost of this node's objects."""
+        self.checkpoints.begin_era()
+        self.refused_requests.begin_era()
+        self.tasks.start(self.entry_writer.write_again(self.tasks))
+
     def on_routing(self) -> None:
         """Apply the services and limits of a new configuration."""
         self.forwarder.services = self.routing.services
@@ -409,8 +417,7 @@
         loop.add_signal_handler(SIGINT, self.stop.begin_or_abort)
         loop.add_signal_handler(SIGHUP, self.on_reload)
         self.watched_state.start()
-        entry = OwnEntryWriter(self.store, self.documents, self.own, self.random)
-        self.tasks.start(entry.write(self.tasks))
+        self.tasks.start(self.entry_writer.write(self.tasks))
         self.tasks.start(self.checkpoints.restore(self.tasks))
         self.tasks.start(self.refused_requests.restore(self.tasks))
         self.tasks.repeat(HEARTBEAT_PERIOD_S, self._send_heartbeat)
--- a/ebonybend/node/tests/test_kept_state.py
+++ b/ebonybend/node/tests/test_kept_state.py
@@ -114,9 +114,14 @@
         ("another node", {"own": SECOND, "writes": 0}),
         ("nothing changed", {"own": FIRST, "again": True, "writes": 1}),
         ("the store was not read", {"own": FIRST, "read": False, "writes": 0}),
+        (
+            "the store lost it",
+            {"own": FIRST, "era_begins": True, "again": True, "writes": 2},
+        ),
         ("the answer is lost", {"own": FIRST, "lost": 1, "again": True, "writes": 2}),
     ]
     again = False
+    era_begins = False
     read = True
     lost = 0
 
@@ -133,6 +138,9 @@
         node.regions.update()
         node.client.lose_answers = self.lost
         result_of(store.clock, node.checkpoints.write())
+        if self.era_begins:
+            store.objects.clear()
+            node.checkpoints.begin_era()
         if self.again:
             for _ in range(2):
                 result_of(store.clock, node.checkpoints.write())
--- a/ebonybend/node/tests/test_refused_requests.py
+++ b/ebonybend/node/tests/test_refused_requests.py
@@ -111,6 +111,20 @@
             result_of(first.clock, first.refused.write_if_first())
         self.assertEqual([(REFUSED_KIND, "all")], store.writes)
 
+    def test_object_that_the_store_lost_is_written_again(self):
+        store = MemoryStore(Clock())
+        node = Node(store)
+        node.restore()
+        copy = store.copy()
+        node.detector.restore_refused("bad", 0.0)
+        node.write()
+        store.restore(copy)
+        node.refused.begin_era()
+        node.write()
+        after = Node(store)
+        after.restore()
+        self.assertTrue(after.detector.is_refused("bad"))
+
     def test_odd_object_is_replaced(self):
         store = MemoryStore(Clock())
         store.write(REFUSED_KIND, "all", b"{}")
