Leave out an odd entry of the store and read the others

Another writer's entry, nested 5,000 deep or with an invalid escape, made the whole page or change unreadable, so that nodes stopped following the list and a starting node did not become ready; an entry with a port out of range or a number of many digits was taken for a server, and one in the list of nodes stopped a node's heartbeats.

A page that can't be decoded whole is split into its entries, which are decoded one by one; errors of depth and of digits count as undecodable everywhere. Names, addresses and numbers of servers, nodes, heartbeats and pulses are checked, and an entry that fails is logged and names no server. A name with a line break would have been sent as a header of its own.

--- /dev/null
+++ b/bench/tests/test_odd_entries.py
@@ -0,0 +1,103 @@
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from testscenarios import TestWithScenarios
+from testtools import TestCase
+
+from bench.http_calls import call
+from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet, server_object
+
+NODES = ("kingston-a-1", "kingston-b-1", "montego-a-1")
+DRAIN_LIMIT_S = 2.5
+DEPTH = 5000
+
+
+def entry(**changes):
+    """Return the JSON text of a server's entry with some fields replaced."""
+    value = server_object("history", "kingston-a", "127.0.0.1:9")
+    for name, changed in changes.items():
+        target = next(x for x in (value, value["Info"], value["Status"]) if name in x)
+        target[name] = changed
+    return json.dumps(value)
+
+
+def with_extra(text):
+    """Return the JSON text of a server's entry with an unknown field."""
+    return entry()[:-1] + f', "Extra": {text}' + "}"
+
+
+MEMBER = {
+    "name": "odd",
+    "failure_domain": "kingston-a",
+    "region": "kingston",
+    "callers_address": "127.0.0.1:9",
+    "peer_address": "127.0.0.1:99999",
+    "incarnation": 1,
+}
+
+
+class OddEntryTest(TestWithScenarios, TestCase):
+    """Guards against nodes that end, or stop following a list with an odd entry."""
+
+    scenarios = [
+        ("nested", {"text": with_extra("[" * DEPTH + "]" * DEPTH)}),
+        ("surrogate", {"text": with_extra('"\\ud800"')}),
+        ("port out of range", {"text": entry(Addr="127.0.0.1:99999")}),
+        ("port of many digits", {"text": entry(Addr="127.0.0.1:" + "1" * 5000)}),
+        ("slots of many digits", {"text": entry(MaxConcurrency=10**400)}),
+        ("start of many digits", {"text": entry(born=10**400)}),
+        (
+            "address of a node",
+            {"text": json.dumps(MEMBER), "kind": "ebonybend-nodes"},
+        ),
+        (
+            "nested entry of a node",
+            {"text": "[" * DEPTH + "]" * DEPTH, "kind": "ebonybend-nodes"},
+        ),
+    ]
+    kind = "servers"
+
+    def setUp(self):
+        super().setUp()
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = NodeFleet(Path(directory.name), nodes_per_zone=1)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+        self.count = 0
+
+    def send(self, node):
+        self.count += 1
+        headers = {"Host": HOST, "Attempt-Id": f"id-{self.count}"}
+        address = f"{self.fleet.nodes[node].ip}:{CALLERS_PORT}"
+        return call("GET", address, f"/read/{self.count}", headers=headers).status
+
+    def test_nodes_go_on(self):
+        self.fleet.store.state.put_raw(self.kind, "odd", self.text)
+        sleep(1.0)
+        leaving = [s for s in self.fleet.servers.values() if s.zone == "kingston-a"]
+        for server in leaving:
+            self.fleet.set_state(server, "draining")
+        left_at = monotonic()
+        # One node reads the entry in a list, the others in a change.
+        self.fleet.processes.kill(NODES[0])
+        self.fleet.processes.restart(NODES[0])
+        self.fleet.wait_until(self.fleet.all_ready, 10.0)
+        sleep(max(left_at + DRAIN_LIMIT_S - monotonic(), 0.0))
+        statuses = {self.send(node) for node in NODES for _ in range(20)}
+        self.assertEqual({200}, statuses)
+        late = [
+            at - left_at
+            for server in leaving
+            for at, _ in server.endpoint.arrived
+            if at > left_at + DRAIN_LIMIT_S
+        ]
+        self.assertEqual([], late)
+        self.assertEqual([], self.fleet.processes.crashes)
+        for text in ("Traceback", "step_failed"):
+            self.assertEqual([], self.fleet.log_lines(NODES, text))
+        # Each still hears from the others.
+        listed = {len(self.fleet.listed_nodes(n, "kingston-a")) for n in NODES}
+        self.assertEqual({2}, listed)
--- a/ebonybend/codec.py
+++ b/ebonybend/codec.py
@@ -10,6 +10,9 @@
 from ebonybend.errors import ErrorKind, SteeringError
 
 T = TypeVar("T")
+# Raised for malformed data, for values that are nested too deeply, and for numbers with
+# too many digits.
+UNDECODABLE = (DecodeError, ValidationError, RecursionError, ValueError, OverflowError)
 
 
 def pack(message: Any) -> bytes:
@@ -21,7 +24,7 @@
     """Decode a MessagePack message; raise BAD_REQUEST if it doesn't match the type."""
     try:
         return msgpack.decode(data, type=message_type)
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         raise SteeringError(ErrorKind.BAD_REQUEST, str(error)) from error
 
 
@@ -34,5 +37,5 @@
     """Decode a JSON message; raise BAD_REQUEST if it doesn't match the type."""
     try:
         return json.decode(data, type=message_type)
-    except (DecodeError, ValidationError) as error:
+    except UNDECODABLE as error:
         raise SteeringError(ErrorKind.BAD_REQUEST, str(error)) from error
--- a/ebonybend/node/beats.py
+++ b/ebonybend/node/beats.py
@@ -57,5 +57,9 @@
         except SteeringError as error:
             get_logger().warning("bad_beat", sender=str(addr), error=error.message)
             return
+        if not heartbeat.is_valid():
+            error = "an address or a number is out of range"
+            get_logger().warning("bad_beat", sender=str(addr), error=error)
+            return
         if self.members.record_heartbeat(heartbeat, self.clock()):
             self.on_heartbeat(heartbeat)
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -312,6 +312,10 @@
         if known is None or known[0] != version:
             regions = self.settings().regions
             server = self.documents.decode_server(stored, regions)
+            if server is None:
+                get_logger().warning(
+                    "server_entry_not_used", server=stored.name, revision=version[1]
+                )
             known = self.decoded_servers[stored.name] = version, server
         return known[1]
 
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -1,11 +1,12 @@
 """The nodes of the system, and which of them are alive by their heartbeats."""
 
 from collections.abc import Iterable, Mapping, Sequence
-from math import ceil
+from math import ceil, inf
 
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
 
+from ebonybend.addresses import is_ipv4_address, split_address
 from ebonybend.steering.crashes import CrashReport, EndReport
 from ebonybend.steering.leaving import LeavingReport
 
@@ -25,6 +26,12 @@
 # Time that a newly listed node has to send its first heartbeat.
 FIRST_HEARTBEAT_TIMEOUT_S = 3.0
 
+# The port after the one for heartbeats is that for pulses.
+MAX_PORT = 65535
+# Unix time in milliseconds, far in the future.
+MAX_INCARNATION = 10**15
+MAX_DEMAND = 10**9
+
 
 @frozen
 class Member:
@@ -40,6 +47,16 @@
     # Rate of the machine's link; 0 if unknown.
     link_mbps: float = 0.0
 
+    def is_valid(self) -> bool:
+        """Return whether the addresses and numbers can be used."""
+        return (
+            is_ipv4_address(self.callers_address)
+            and is_ipv4_address(self.peer_address)
+            and split_address(self.peer_address)[1] < MAX_PORT
+            and 0 <= self.incarnation <= MAX_INCARNATION
+            and 0.0 <= self.link_mbps < inf
+        )
+
 
 @frozen(kw_only=True)
 class ServerReports:
@@ -83,6 +100,15 @@
         """Return the name of the node."""
         return self.member.name
 
+    def is_valid(self) -> bool:
+        """Return whether the addresses and numbers can be used."""
+        return (
+            self.member.is_valid()
+            and 0 <= self.incarnation <= MAX_INCARNATION
+            and 0.0 <= self.followed_s < inf
+            and all(0 <= slots <= MAX_DEMAND for slots in self.demand.values())
+        )
+
 
 class Members:
     """The nodes known from the store's list and from heartbeats."""
--- a/ebonybend/node/pulses.py
+++ b/ebonybend/node/pulses.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
-from ebonybend.addresses import split_address
+from ebonybend.addresses import is_ipv4_address, split_address
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import SteeringError
 from ebonybend.logs import get_logger
@@ -84,6 +84,9 @@
         except SteeringError as error:
             get_logger().warning("bad_pulse", sender=str(addr), error=error.message)
             return
+        if not is_ipv4_address(pulse.address):
+            get_logger().warning("bad_pulse", sender=str(addr), error="no address")
+            return
         if self.relays.record_pulse(pulse, self.clock()):
             self.on_pulse()
 
--- a/ebonybend/node/tests/simulated_region.py
+++ b/ebonybend/node/tests/simulated_region.py
@@ -74,7 +74,7 @@
         self.pulses = PulseProtocol(
             self.members,
             self.relays,
-            name,
+            f"{name}:82",
             self.versions,
             lambda: self.watcher.era,
             self.ping,
@@ -156,7 +156,7 @@
 
     async def fetch(self, address, kind, since, era):
         await deferLater(self.clock, FETCH_S)
-        node = self.nodes[address]
+        node = self.nodes[address.partition(":")[0]]
         watcher = node.watchers[kind]
         changes = None if node.silent else watcher.changes_since(since, era)
         if changes is None or node.refuses:
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -1,7 +1,10 @@
 """Decode and encode the objects in the platform's store."""
 
+import re
+
 from attrs import field, frozen
 
+from ebonybend.addresses import is_ipv4_address
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.node.members import Member
@@ -27,6 +30,12 @@
 # A kind that this project defines: one object with the refused requests.
 REFUSED_KIND = "ebonybend-refused"
 
+# A server's name is sent in a header of each request to it.
+SERVER_NAME = re.compile(r"[!-~]{1,200}")
+# Limits on the numbers in a server's entry; one above them isn't an endpoint's.
+MAX_SLOTS = 100_000
+MAX_TIME_MS = 10**15
+MAX_COLD_MS = 86_400_000.0
 MS_PER_S = 1000.0
 # Downloads have large answers; repeating one is as harmless as for other reads.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
@@ -198,8 +207,14 @@
             return None
         info, status = spec.Info, spec.Status
         state = LIFE_STATES.get(status.State)
-        host, _, port = spec.Addr.rpartition(":")
-        if state is None or not host or not port.isdigit() or info.MaxConcurrency < 1:
+        is_valid = (
+            SERVER_NAME.fullmatch(stored.name)
+            and is_ipv4_address(spec.Addr)
+            and 1 <= info.MaxConcurrency <= MAX_SLOTS
+            and 0 <= spec.born <= MAX_TIME_MS
+            and status.WarmupLeftMs <= MAX_COLD_MS
+        )
+        if state is None or not is_valid:
             return None
         return BackendServer(
             name=stored.name,
@@ -210,15 +225,16 @@
             state=state,
             region=regions.get(info.Zone, ""),
             started_ms=spec.born,
-            cold_for_s=status.WarmupLeftMs / MS_PER_S,
+            cold_for_s=max(status.WarmupLeftMs, 0.0) / MS_PER_S,
         )
 
     def decode_member(self, stored: StoredObject) -> Member | None:
         """Return a node's own entry, or None if it can't be decoded."""
         try:
-            return from_json(bytes(stored.value), _MemberObject).Spec
+            member = from_json(bytes(stored.value), _MemberObject).Spec
         except SteeringError:
             return None
+        return member if member.is_valid() else None
 
     def encode_member(self, member: Member) -> bytes:
         """Return the encoded entry of a node."""
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -1,7 +1,7 @@
 """A client of the platform's object store."""
 
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from time import monotonic
 from urllib.parse import quote
 
@@ -12,6 +12,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import AnswerLost, HttpAnswer, HttpClient
+from ebonybend.json_scan import split_array, split_object
 from ebonybend.store.client import (
     CALL_TIMEOUT_S,
     MAX_ANSWER_BYTES,
@@ -93,10 +94,10 @@
         revision: int | None = None
         era = UNKNOWN_ERA
         path = f"/objects/{quote(kind, safe='')}"
-        cursor = ""
+        cursor, last_name = "", None
         for _ in range(MAX_PAGES):
             answer = await self._call("GET", path + cursor)
-            page = answer.bind(lambda body: decode_answer(body, _Page))
+            page = answer.bind(_decode_page)
             if not isinstance(page, Success):
                 return Failure(page.failure())
             found = page.unwrap()
@@ -109,7 +110,11 @@
             items += [stored for raw in found.items if (stored := _decode_object(raw))]
             if not found.HasMore or not items:
                 return Success(ObjectList(revision, tuple(items), era=era))
-            cursor = f"?after={quote(items[-1].name, safe='')}"
+            if items[-1].name == last_name:
+                message = "a page of the list has no readable object"
+                return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
+            last_name = items[-1].name
+            cursor = f"?after={quote(last_name, safe='')}"
         message = f"list of {kind!r} has more than {MAX_PAGES} pages"
         return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
 
@@ -205,14 +210,69 @@
 
 
 def _decode_object(raw: Raw, deleted: bool = False) -> StoredObject | None:
-    """Return an object, or None if its name or revision can't be decoded."""
+    """Return an object, or None if its name or revision can't be decoded.
+
+    Another part of it, which isn't decoded here, may be malformed.
+    """
+    data = bytes(raw)
     try:
-        metadata = from_json(bytes(raw), _Head).Metadata
+        metadata = from_json(data, _Head).Metadata
     except SteeringError:
-        return None
+        try:
+            metadata = from_json(split_object(data)["Metadata"], _Metadata)
+        except (SteeringError, ValueError, KeyError):
+            return None
     return StoredObject(metadata.Name, metadata.Rev, raw, deleted)
 
 
+def _decode_page(body: bytes) -> Result[_Page, StoreFailure]:
+    """Return a page; malformed objects in it don't invalidate the others."""
+    page = decode_answer(body, _Page)
+    if isinstance(page, Success):
+        return page
+    try:
+        members = split_object(body)
+        items = [Raw(item) for item in split_array(members.pop("items"))]
+    except (ValueError, KeyError):
+        return page
+    rest = decode_answer(_join_object(members), _Page)
+    return rest.map(lambda found: evolve(found, items=items))
+
+
+def _decode_event(data: bytes) -> _Event | None:
+    """Return an event, or None if it can't be decoded."""
+    try:
+        return from_json(data, _Event)
+    except SteeringError:
+        pass
+    try:
+        members = split_object(data)
+        deleted = from_json(members.get("Deleted", b"false"), bool)
+        return _Event(Raw(members["Object"]), deleted)
+    except (SteeringError, ValueError, KeyError):
+        return None
+
+
+def _decode_events(body: bytes) -> Result[_Changes, StoreFailure]:
+    """Return changes; malformed objects in them don't invalidate the others."""
+    changes = decode_answer(body, _Changes)
+    if isinstance(changes, Success):
+        return changes
+    try:
+        members = split_object(body)
+        parts = split_array(members.pop("events"))
+    except (ValueError, KeyError):
+        return changes
+    events = [event for part in parts if (event := _decode_event(part)) is not None]
+    rest = decode_answer(_join_object(members), _Changes)
+    return rest.map(lambda found: evolve(found, events=events))
+
+
+def _join_object(members: Mapping[str, bytes]) -> bytes:
+    pairs = (to_json(name) + b":" + value for name, value in members.items())
+    return b"{" + b",".join(pairs) + b"}"
+
+
 def _decode_body(body: bytes) -> Result[StoredObject, StoreFailure]:
     stored = _decode_object(Raw(body))
     if stored is None:
@@ -222,7 +282,7 @@
 
 
 def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
-    decoded = decode_answer(body, _Changes)
+    decoded = _decode_events(body)
     if not isinstance(decoded, Success):
         return decoded
     changes = decoded.unwrap()
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -1,7 +1,9 @@
-from math import inf
+from math import inf, nan
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import ClassVar
 
+from attrs import evolve
 from msgspec import Raw
 from testscenarios import TestWithScenarios
 from testtools import TestCase
@@ -10,6 +12,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.node.members import Member
+from ebonybend.node.tests.beat_double import heartbeat
 from ebonybend.node.wire import ClientHeaders, ServerLoad
 from ebonybend.platform.calls import PlatformWireFormat
 from ebonybend.platform.documents import PlatformDocuments
@@ -67,11 +70,47 @@
         ("no slots", {"spec": {**SERVER, "Info": {"Service": "s", "Zone": "z"}}}),
         ("a text", {"spec": "text"}),
         ("nothing", {"spec": None}),
+        ("name with a line break", {"name": "i-1\r\nX: 1"}),
+        ("long name", {"name": "i" * 300}),
+        ("many slots", {"info": {"MaxConcurrency": 10**18}}),
+        ("slots of many digits", {"info": {"MaxConcurrency": 10**400}}),
+        ("negative slots", {"info": {"MaxConcurrency": -1}}),
+        ("start of many digits", {"spec": {**SERVER, "born": 10**400}}),
+        ("negative start", {"spec": {**SERVER, "born": -1}}),
+        ("cold for ever", {"status": {"WarmupLeftMs": 1e300}}),
+        (
+            "cold for less than nothing",
+            {"status": {"WarmupLeftMs": -5}, "state": "live"},
+        ),
+    ] + [
+        (f"address {address[:20]!r}", {"spec": {**SERVER, "Addr": address}})
+        for address in (
+            "10.1.0.9:0",
+            "10.1.0.9:99999",
+            "10.1.0.9:" + "1" * 5000,
+            "10.1.0.9:\u00b2",
+            "10.1.0.9: 80",
+            "10.1.0.9:8_0",
+            "10.1.0.9:",
+            "10.1.0.999:80",
+            "h.example:80",
+            "[::1]:80",
+            "10.1.0.9\x00:80",
+        )
     ]
+    spec = SERVER
+    name = "i-1"
+    info: ClassVar[dict] = {}
+    status: ClassVar[dict] = {}
     state = None
 
     def test_decode(self):
-        server = PlatformDocuments().decode_server(stored(self.spec), REGIONS)
+        spec = self.spec
+        if self.info or self.status:
+            info = {**spec["Info"], **self.info}
+            spec = {**spec, "Info": info, "Status": {**spec["Status"], **self.status}}
+        entry = stored(spec, self.name)
+        server = PlatformDocuments().decode_server(entry, REGIONS)
         if self.state is None:
             self.assertIsNone(server)
             return
@@ -120,6 +159,47 @@
         self.assertEqual(member, documents.decode_member(stored(spec)))
 
 
+class OddMemberTest(TestWithScenarios, TestCase):
+    """Guards against an entry or a heartbeat of a node that stops the heartbeats."""
+
+    scenarios = [
+        ("whole", {"changes": {}, "valid": True}),
+        ("port out of range", {"changes": {"peer_address": "10.1.0.1:70000"}}),
+        ("no port for pulses", {"changes": {"peer_address": "10.1.0.1:65535"}}),
+        ("no address", {"changes": {"peer_address": "x"}}),
+        ("no address for clients", {"changes": {"callers_address": "h:1"}}),
+        ("negative incarnation", {"changes": {"incarnation": -1}}),
+        ("large incarnation", {"changes": {"incarnation": 10**300}}),
+        ("negative link", {"changes": {"link_mbps": -1.0}}),
+        ("link without end", {"changes": {"link_mbps": inf}}),
+    ]
+    valid = False
+
+    def test_is_used(self):
+        member = Member("n", "kingston-a", "kingston", "10.1.0.1:1", "10.1.0.1:2", 5)
+        member = evolve(member, **self.changes)
+        self.assertEqual(self.valid, heartbeat(member).is_valid())
+        found = PlatformDocuments().decode_member(stored(member))
+        self.assertEqual(self.valid, found is not None)
+
+
+class OddHeartbeatTest(TestWithScenarios, TestCase):
+    """Guards against numbers in a heartbeat that distort traffic shares."""
+
+    scenarios = [
+        ("whole", {"changes": {"demand": {"s": 5}}, "valid": True}),
+        ("negative demand", {"changes": {"demand": {"s": -5}}}),
+        ("large demand", {"changes": {"demand": {"s": 2**63}}}),
+        ("time without end", {"changes": {"followed_s": inf}}),
+        ("no time", {"changes": {"followed_s": nan}}),
+    ]
+    valid = False
+
+    def test_is_used(self):
+        member = Member("n", "kingston-a", "kingston", "10.1.0.1:1", "10.1.0.1:2", 5)
+        self.assertEqual(self.valid, heartbeat(member, **self.changes).is_valid())
+
+
 class HeadersTest(TestWithScenarios, TestCase):
     """Guards against forwarding a request without an id or with a bad deadline."""
 
--- a/ebonybend/platform/tests/test_store.py
+++ b/ebonybend/platform/tests/test_store.py
@@ -1,3 +1,6 @@
+import json
+
+from msgspec import Raw
 from returns.result import Success
 from testscenarios import TestWithScenarios
 from testtools import TestCase
@@ -87,6 +90,48 @@
         self.assertEqual(self.names, names)
 
 
+class OddItemTest(TestWithScenarios, TestCase):
+    """Guards against one entry that makes the others of its answer unreadable."""
+
+    scenarios = [
+        ("nested", {"odd": "[" * 5000 + "]" * 5000}),
+        ("surrogate", {"odd": '"\\ud800"'}),
+        ("number of many digits", {"odd": "1" * 5000}),
+    ]
+
+    def body(self, text):
+        """Return an answer with the odd value in an unknown field of one entry."""
+        return text.replace('"odd value"', self.odd).encode()
+
+    def found(self, method, value):
+        value["StoreRevision"] = 9
+        http = ScriptedHttp([("3", 200, Raw(self.body(json.dumps(value))))])
+        store = PlatformStore(http, "a:1", float)
+        return result(method(store)).unwrap()
+
+    def test_page(self):
+        odd = {**item("b"), "Spec": {"Extra": "odd value"}}
+        value = {"items": [item("a"), odd, item("c")], "HasMore": False}
+        found = self.found(lambda store: store.list("servers"), value)
+        self.assertEqual((9, 3), (found.version, found.era))
+        self.assertEqual(["a", "b", "c"], [stored.name for stored in found.items])
+
+    def test_changes(self):
+        odd = {**item("b"), "Spec": {"Extra": "odd value"}}
+        events = [
+            {"Object": value, "Deleted": deleted}
+            for value, deleted in ((item("a"), True), (odd, False), (item("c"), False))
+        ]
+        found = self.found(lambda s: s.watch("servers", 1, 0), {"events": events})
+        changes = [(stored.name, stored.deleted) for stored in found.items]
+        self.assertEqual([("a", True), ("b", False), ("c", False)], changes)
+
+    def test_object(self):
+        odd = {**item("b"), "Spec": {"Extra": "odd value"}}
+        found = self.found(lambda store: store.get("servers", "b"), odd)
+        self.assertEqual(("b", 1), (found.name, found.version))
+
+
 class LateAnswerTest(TestCase):
     """Guards against an answer that an earlier copy of the store gave."""
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -43,6 +43,21 @@
         self.compacted_revision = 0
         # Status with which every call is answered, if set.
         self.error_status: int | None = None
+        # JSON text of specs that json.dumps can't write, by the marker in its place.
+        self.raw_specs: dict[str, str] = {}
+
+    def put_raw(self, kind: str, name: str, text: str) -> None:
+        """Write an object whose spec is any JSON text, as another writer may."""
+        marker = f"raw spec {len(self.raw_specs)}"
+        self.raw_specs[marker] = text
+        self.put(kind, name, marker)
+
+    def encode(self, value: Any) -> bytes:
+        """Return the JSON text of an answer."""
+        text = json.dumps(value)
+        for marker, raw in self.raw_specs.items():
+            text = text.replace(f'"{marker}"', raw)
+        return text.encode()
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object, regardless of its revision."""
@@ -166,7 +181,7 @@
             status, value = state.error_status, {"Error": "refused"}
         else:
             status, value = self._dispatch(state, body)
-        data = json.dumps(value).encode()
+        data = state.encode(value)
         self.send_response(status)
         self.send_header(ERA_HEADER, str(state.era))
         self.send_header("Content-Type", "application/json")
