Check the numbers in headers and checkpoints before they are used

A deadline or a load report of more than 4,300 digits raised an error in the middle of a request, although its server had answered; a checkpoint with negative or huge shares and times was taken over by a restarted region.

--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -12,6 +12,11 @@
 from ebonybend.world import BackendServer
 from ebonybend.world.route import RoutingConfig
 
+# Unix time in milliseconds, far in the future.
+MAX_TIME_MS = 10**15
+# A longer mean service time isn't a measured one.
+MAX_SERVICE_S = 3600.0
+
 
 @frozen
 class ClientHeaders:
@@ -39,6 +44,10 @@
     # Unix time of the last crash in milliseconds, by fingerprint.
     crashed_ms: dict[str, int]
 
+    def is_valid(self) -> bool:
+        """Return whether all times are in their range."""
+        return all(0 <= at <= MAX_TIME_MS for at in self.crashed_ms.values())
+
 
 @frozen
 class RegionCheckpoint:
@@ -52,6 +61,16 @@
     # Service times by route.
     times: dict[str, RouteTimes]
 
+    def is_valid(self) -> bool:
+        """Return whether all shares and times are in their ranges."""
+        shares = [x for by_region in self.shares.values() for x in by_region.values()]
+        times = [x for t in self.times.values() for x in (t.warm_s, t.cold_s, t.mean_s)]
+        return (
+            0 <= self.written_ms <= MAX_TIME_MS
+            and all(0.0 <= share <= 1.0 for share in shares)
+            and all(x is None or 0.0 < x <= MAX_SERVICE_S for x in times)
+        )
+
 
 class WireFormat(Protocol):
     """The formats of calls between clients, nodes and servers."""
--- a/ebonybend/platform/calls.py
+++ b/ebonybend/platform/calls.py
@@ -25,6 +25,7 @@
 LIMIT_HEADER = b"Server-Limit"
 # States that the server leaves, if it is 1.
 LEAVING_HEADER = b"Server-Leaving"
+WHOLE_NUMBER = re.compile(rb"[0-9]{1,12}")
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 # States that the server did not run the request.
 NOT_RUN_HEADER = b"Not-Executed"
@@ -49,7 +50,7 @@
         value = _first_value(headers, DEADLINE_HEADER)
         deadline_s = None
         if value is not None:
-            if not value.isdigit():
+            if not WHOLE_NUMBER.fullmatch(value):
                 return None
             deadline_s = int(value) / MS_PER_S
         return ClientHeaders(
@@ -75,8 +76,8 @@
         value = _first_value(headers, LOAD_HEADER)
         if value is None:
             return None
-        parts = value.split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        parts = [part.strip() for part in value.split(b",")]
+        if len(parts) != 3 or not all(map(WHOLE_NUMBER.fullmatch, parts)):
             return None
         return ServerLoad(*(int(part) for part in parts))
 
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -8,7 +8,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.node.members import Member
-from ebonybend.node.wire import RefusedRequests, RegionCheckpoint
+from ebonybend.node.wire import MAX_TIME_MS, RefusedRequests, RegionCheckpoint
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.route import (
@@ -34,7 +34,6 @@
 SERVER_NAME = re.compile(r"[!-~]{1,200}")
 # Limits on the numbers in a server's entry; one above them isn't an endpoint's.
 MAX_SLOTS = 100_000
-MAX_TIME_MS = 10**15
 MAX_COLD_MS = 86_400_000.0
 MS_PER_S = 1000.0
 # Downloads have large answers; repeating one is as harmless as for other reads.
@@ -243,9 +242,10 @@
     def decode_checkpoint(self, stored: StoredObject) -> RegionCheckpoint | None:
         """Return a region's checkpoint, or None if it can't be decoded."""
         try:
-            return from_json(bytes(stored.value), _CheckpointObject).Spec
+            checkpoint = from_json(bytes(stored.value), _CheckpointObject).Spec
         except SteeringError:
             return None
+        return checkpoint if checkpoint.is_valid() else None
 
     def encode_checkpoint(self, checkpoint: RegionCheckpoint) -> bytes:
         """Return an encoded checkpoint."""
@@ -254,9 +254,10 @@
     def decode_refused(self, stored: StoredObject) -> RefusedRequests | None:
         """Return the refused requests, or None if they can't be decoded."""
         try:
-            return from_json(bytes(stored.value), _RefusedObject).Spec
+            refused = from_json(bytes(stored.value), _RefusedObject).Spec
         except SteeringError:
             return None
+        return refused if refused.is_valid() else None
 
     def encode_refused(self, refused: RefusedRequests) -> bytes:
         """Return the encoded refused requests."""
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -183,6 +183,41 @@
         self.assertEqual(self.valid, found is not None)
 
 
+class OddCheckpointTest(TestWithScenarios, TestCase):
+    """Guards against a checkpoint of another writer that distorts traffic shares."""
+
+    scenarios = [
+        ("whole", {"changes": {}, "valid": True}),
+        ("no means yet", {"changes": {"times": {"r": {}}}, "valid": True}),
+        ("negative share", {"changes": {"shares": {"s": {"k": -0.1}}}}),
+        ("large share", {"changes": {"shares": {"s": {"k": 1e300}}}}),
+        ("negative time", {"changes": {"times": {"r": {"warm_s": -1.0}}}}),
+        ("large time", {"changes": {"times": {"r": {"mean_s": 1e300}}}}),
+        ("time of many digits", {"changes": {"written_ms": 10**400}}),
+    ]
+    valid = False
+
+    def test_is_used(self):
+        whole = {
+            "written_ms": 1_786_893_926_004,
+            "shares": {"s": {"k": 0.4, "m": 0.6}},
+            "times": {"r": {"warm_s": 0.1, "cold_s": 0.3, "mean_s": 0.2}},
+        }
+        entry = stored({**whole, **self.changes})
+        found = PlatformDocuments().decode_checkpoint(entry)
+        self.assertEqual(self.valid, found is not None)
+
+
+class OddRefusedRequestsTest(TestCase):
+    """Guards against refused requests of another writer with times out of range."""
+
+    def test_refused_requests(self):
+        documents = PlatformDocuments()
+        for crashed_ms, valid in ((1, True), (-1, False), (10**400, False)):
+            entry = stored({"crashed_ms": {"bad": crashed_ms}})
+            self.assertEqual(valid, documents.decode_refused(entry) is not None)
+
+
 class OddHeartbeatTest(TestWithScenarios, TestCase):
     """Guards against numbers in a heartbeat that distort traffic shares."""
 
@@ -214,6 +249,10 @@
         ("no deadline", {"raw": {"Attempt-Id": "a"}, "expected": (b"a", None, b"")}),
         ("no id", {"raw": {"Deadline-Ms": "5"}, "expected": None}),
         ("bad deadline", {"raw": {"Attempt-Id": "a", "Deadline-Ms": "x"}}),
+        (
+            "deadline of many digits",
+            {"raw": {"Attempt-Id": "a", "Deadline-Ms": "1" * 5000}},
+        ),
     ]
     expected = None
 
@@ -233,6 +272,7 @@
         ("whole", {"text": "3,0,8", "load": ServerLoad(3, 0, 8)}),
         ("too short", {"text": "3,0", "load": None}),
         ("no number", {"text": "3,x,8", "load": None}),
+        ("number of many digits", {"text": f"3,{'1' * 5000},8", "load": None}),
     ]
 
     def test_read(self):
