Let the soak of nodes restore the store and make servers speak

New faults: the store comes back from an older copy and its other writers write again, a server says in answers only that it leaves, a server turns requests away with Retry-After; and a check of the requests in such a pause. The check is tested on made-up records.

--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -19,6 +19,7 @@
 from bench.node_callers import Caller, SentRequest, start_callers
 from bench.node_fleet import SERVICES, FleetServer, NodeFleet
 from standins.command import parse_flags
+from standins.platform_store import StoreCopy
 from standins.proxy_rules import ProxyRule
 
 CALLERS = 9
@@ -31,6 +32,16 @@
 # to date after an impairment.
 DRAIN_LIMIT_S = 2.5
 CONTACT_S = 4.0
+# Planned changes; a server that asks for a pause is no impairment either.
+PLANNED_KINDS = ("stop", "config", "leave", "says_leaving", "asks_for_pause")
+# Faults of servers whose names don't say so.
+SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause")
+# Time for which the store is away before it comes back from an older copy, and until
+# its other writers have written again.
+RESTORE_S, REWRITE_S = 0.5, 1.0
+# Requests that a server may get from a node in a pause, and from when on.
+MAX_LATE_REQUESTS = 2
+REFUSAL_LIMIT_S = 0.5
 # Time for a request between a node's decision and the server's record of it.
 TRANSIT_S = 0.3
 STATUSES_NOT_RUN = (408, 421, 429, 503)
@@ -51,7 +62,7 @@
     @property
     def is_planned(self) -> bool:
         """Return whether operators or the platform made the change on purpose."""
-        return self.kind in ("stop", "config", "leave")
+        return self.kind in PLANNED_KINDS
 
 
 @frozen
@@ -62,6 +73,15 @@
     at: float
 
 
+@frozen
+class Pause:
+    """A server that asked each node to send nothing for some seconds."""
+
+    server: FleetServer
+    at: float
+    seconds: float
+
+
 @define
 class FaultInjector:
     """Inject faults at random times, each in a thread of its own."""
@@ -70,6 +90,9 @@
     random: Random
     faults: list[Fault] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
+    pauses: list[Pause] = field(factory=list)
+    # Servers whose entries were removed.
+    removed: set[str] = field(factory=set)
     busy: set[str] = field(factory=set)
     threads: list[Thread] = field(factory=list)
     problems: list[str] = field(factory=list)
@@ -103,13 +126,16 @@
             "server_cut": self._server_rule,
             "server_frozen": self._server_rule,
             "server_slow": self._server_rule,
+            "store_restored": self._store_restored,
+            "says_leaving": self._say_leaving,
+            "asks_for_pause": self._ask_for_pause,
             "answers_lost": self._answers,
             "answers_repeated": self._answers,
         }
 
     def _start(self, kind: str) -> None:
         is_node = kind in ("pause", "kill", "stop", "store_cut", "store_frozen")
-        is_server = kind.startswith(("server", "answers")) or kind == "leave"
+        is_server = kind.startswith(("server", "answers")) or kind in SERVER_KINDS
         names = sorted(self.fleet.nodes) if is_node else ["store"]
         if is_server:
             gone = {leaving.server.name for leaving in self.leavings}
@@ -175,7 +201,68 @@
         self.fleet.set_state(server, "draining")
         self.leavings.append(Leaving(server, monotonic()))
         sleep(DRAIN_LIMIT_S)
-        self.fleet.store.state.remove("servers", name)
+        self._remove(name)
+
+    def _store_restored(self, _target: str, seconds: float, _kind: str) -> None:
+        """Come back from an older copy; its other writers write again afterwards."""
+        state = self.fleet.store.state
+        copy = state.copy()
+        sleep(seconds)
+        state.error_status = 503
+        sleep(RESTORE_S)
+        with state.changed:
+            newest = state.copy()
+            state.restore(copy)
+        for number in range(self.random.choice((0, 40))):
+            state.put("other", f"o{number}", {})
+        state.error_status = None
+        sleep(REWRITE_S)
+        with state.changed:
+            for kind in ("config", "servers"):
+                self._write_again(kind, copy, newest)
+
+    def _write_again(self, kind: str, copy: StoreCopy, newest: StoreCopy) -> None:
+        """Write the objects again that nobody has written since the store's return."""
+        state = self.fleet.store.state
+        objects = state.kinds[kind]
+        for name, written in newest.kinds[kind].items():
+            current = objects.get(name, {}).get("Metadata", {}).get("Rev")
+            known = copy.kinds[kind].get(name, {}).get("Metadata", {}).get("Rev")
+            is_lost = written["Metadata"]["Rev"] != known
+            if is_lost and current == known and name not in self.removed:
+                state.put(kind, name, written["Spec"])
+        for name in objects.keys() - newest.kinds[kind].keys():
+            if name in copy.kinds[kind]:
+                state.remove(kind, name)
+
+    def _remove(self, name: str) -> None:
+        """Remove a server's entry, which a restored store may not have."""
+        state = self.fleet.store.state
+        with state.changed:
+            self.removed.add(name)
+            if name in state.kinds["servers"]:
+                state.remove("servers", name)
+
+    def _say_leaving(self, name: str, _seconds: float, _kind: str) -> None:
+        """Say in answers only that a server leaves, and remove it much later."""
+        server = self.fleet.servers[name]
+        self.fleet.add_server(server.service, server.zone)
+        # Each node is bound from its own answers on, so the limit counts from the
+        # time at which all nodes know it.
+        server.endpoint.answer_headers = {"Server-Leaving": "1"}
+        sleep(CONTACT_S)
+        self.leavings.append(Leaving(server, monotonic()))
+        sleep(DRAIN_LIMIT_S)
+        self._remove(name)
+
+    def _ask_for_pause(self, name: str, seconds: float, _kind: str) -> None:
+        """Turn requests away for some seconds, with a Retry-After."""
+        server = self.fleet.servers[name]
+        server.endpoint.retry_after = f"{seconds:.2f}"
+        self.pauses.append(Pause(server, monotonic(), seconds))
+        sleep(seconds / 2)
+        server.endpoint.retry_after = None
+        sleep(seconds / 2)
 
     def _server_rule(self, name: str, seconds: float, kind: str) -> None:
         action = {"server_cut": "cut", "server_frozen": "freeze"}.get(kind, "none")
@@ -261,6 +348,30 @@
     return violations
 
 
+def work_in_pauses(
+    pauses: Iterable[Pause], faults: Iterable[Fault], nodes: int
+) -> list[str]:
+    """Return the servers that got too many requests while they asked for a pause.
+
+    Each node may learn it from one request, and send two more. Not counted: pauses near
+    a fault of a node, which may forget them.
+    """
+    unplanned = [x for x in faults if not x.is_planned or x.kind == "stop"]
+    violations = []
+    for pause in pauses:
+        refused = [at for at in pause.server.endpoint.turned_away if at > pause.at]
+        if not refused:
+            continue
+        start, end = refused[0] + REFUSAL_LIMIT_S, refused[0] + pause.seconds
+        arrived = [x for x, _ in list(pause.server.endpoint.arrived) if start < x < end]
+        is_near = _overlaps(unplanned, pause.at - CONTACT_S, end)
+        if len(arrived) > (1 + MAX_LATE_REQUESTS) * nodes and not is_near:
+            violations.append(
+                f"{pause.server.name} got {len(arrived)} requests in a pause"
+            )
+    return violations
+
+
 def cut_off_requests(
     sent: Iterable[SentRequest], faults: Iterable[Fault], runs: Counter
 ) -> list[str]:
@@ -320,6 +431,7 @@
         runs = count_runs(fleet)
         violations += broken_answers(sent, runs)
         violations += late_work(injector.leavings, injector.faults)
+        violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
         violations += cut_off_requests(sent, injector.faults, runs)
         violations += injector.problems
         violations += [f"{name} ended" for _, name in fleet.processes.crashes]
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -15,10 +15,12 @@
     TRANSIT_S,
     Fault,
     Leaving,
+    Pause,
     broken_answers,
     cut_off_requests,
     late_work,
     run_soak,
+    work_in_pauses,
 )
 
 SENT = SentRequest("c1-1", "n1", True, 10.0, 10.1, 200, True)
@@ -85,6 +87,31 @@
         self.assertEqual(self.late, len(found), found)
 
 
+class PauseTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see requests in a pause."""
+
+    scenarios = [
+        ("one of each node", {"count": 6, "late": 0}),
+        ("too many", {"count": 19, "late": 1}),
+        ("before it binds", {"count": 19, "at": 100.2, "late": 0}),
+        ("after its end", {"count": 19, "at": 102.2, "late": 0}),
+        ("beside a leaving server", {"fault": Fault("leave", "i", 99.0, 101.0)}),
+        ("beside a stop", {"fault": Fault("stop", "n", 99.0, 101.0), "late": 0}),
+    ]
+    count = 19
+    at = 101.0
+    fault = Fault("config", "store", 99.0, 101.0)
+    late = 1
+
+    def test_found(self):
+        endpoint = SimpleNamespace(
+            turned_away=[100.0], arrived=[(self.at, "x")] * self.count
+        )
+        server = SimpleNamespace(name="i-1", endpoint=endpoint)
+        found = work_in_pauses([Pause(server, 99.9, 2.0)], [self.fault], 6)
+        self.assertEqual(self.late, len(found), found)
+
+
 class CutOffTest(TestWithScenarios, TestCase):
     """Guards against a soak that doesn't see what a planned stop cuts off."""
 
