Bound the cost of what servers say and of checks after a loss

Each request looked up the process of each server of its service among the leaving ones; the state of a server keeps the answer now. A server is checked at most once a second after losses, since one that is short of connections closes some; a check that falls in that second is made at its end. The new test bounds the checks for 4 s of losses.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -54,6 +54,8 @@
 MAX_CONNECT_FAILURES = 3
 # A server that ends closes its connections and its port at nearly the same time.
 CHECK_DELAY_S = 0.05
+# Shortest time between two checks of a server, which may be short of connections.
+CHECK_PERIOD_S = 1.0
 # With less time than this until the deadline, an answer can no longer arrive.
 MIN_REMAINING_S = 0.02
 # From this status on, an answer counts as a failure of the server.
@@ -123,8 +125,8 @@
         self.pause_gate = pause_gate
         # Called with a server that ended, and the crashes counted for its requests.
         self.on_crashes = on_crashes
-        # Processes that are about to be checked.
-        self.checked: set[ServerProcess] = set()
+        # Times of the last or next check of each process.
+        self.checks: dict[ServerProcess, float] = {}
         # Bounds the lines about servers that are full or lose requests.
         self.event_lines = LineBudget(MAX_EVENT_LINES_PER_S)
         self.retry_windows: dict[str, RetryWindow] = {}
@@ -211,14 +213,18 @@
 
         Other requests for it may not follow soon enough to show that.
         """
-        if server.process not in self.checked:
-            self.checked.add(server.process)
-            checking = Deferred.fromCoroutine(self._check_liveness(server))
+        now = self._now()
+        checks = {p: at for p, at in self.checks.items() if at > now - CHECK_PERIOD_S}
+        last_at = checks.get(server.process, -inf)
+        if last_at <= now:
+            at = max(now + CHECK_DELAY_S, last_at + CHECK_PERIOD_S)
+            checks[server.process] = at
+            checking = Deferred.fromCoroutine(self._check_liveness(server, at - now))
             checking.addErrback(log_check_failure)
+        self.checks = checks
 
-    async def _check_liveness(self, server: BackendServer) -> None:
-        await deferLater(self.reactor, CHECK_DELAY_S)
-        self.checked.discard(server.process)
+    async def _check_liveness(self, server: BackendServer, delay_s: float) -> None:
+        await deferLater(self.reactor, delay_s)
         started = self._now()
         try:
             connection = await self.pool.connect(server)
@@ -417,8 +423,8 @@
         return answer
 
     def _record_leaving(self, server: BackendServer, answer: BackendAnswer) -> None:
-        leaving = self.placement.table.leaving
-        if self.wire.states_leaving(answer.headers) and leaving.record(
+        table = self.placement.table
+        if self.wire.states_leaving(answer.headers) and table.record_leaving(
             server.process, self._now()
         ):
             get_logger().info("server_leaving", server=server.name, told_by=None)
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -345,7 +345,7 @@
             crashes = self.crash_detector.merge_end(report)
             self.on_crashes(report.name, crashes, f"told by {node}")
         now = self.reactor.seconds()
-        for name in self.servers.leaving.merge(reports.leaving, now):
+        for name in self.servers.merge_leaving(reports.leaving, now):
             get_logger().info("server_leaving", server=name, told_by=node)
 
     def on_crashes(
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from math import inf
 from random import Random
 from typing import ClassVar
@@ -364,6 +365,16 @@
         self.assertEqual(9, len(fixture.pool.checked))
         self.assertFalse(fixture.crash_detector.has_suspects())
 
+    def test_a_server_is_checked_once_a_second(self):
+        fixture = ForwarderFixture([CLOSED] * 40, max_sends=1)
+        for _ in range(40):
+            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+            fixture.clock.advance(0.1)
+        counts = Counter(fixture.pool.checked)
+        self.assertLessEqual(max(counts.values()), 5)
+        # Losses after a check are followed by another one.
+        self.assertGreaterEqual(max(counts.values()), 2)
+
     def test_one_check_for_many_requests_lost_at_once(self):
         fixture = ForwarderFixture([CLOSED] * 3, max_sends=1)
         for _ in range(3):
@@ -424,7 +435,7 @@
         fixture.forward()
         table = fixture.forwarder.placement.table
         (chosen,) = [s for s in table.states.values() if s.in_flight]
-        table.leaving.record(chosen.server.process, 0.0)
+        table.record_leaving(chosen.server.process, 0.0)
         fixture.pool.connecting = None
         connecting.callback(None)
         self.assertEqual(200, fixture.outcome())
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -8,6 +8,7 @@
 from ebonybend.steering.server_limits import ServerLimit
 from ebonybend.steering.shared_rates import ColdPacer
 from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.backend_server import ServerProcess
 
 # Weight of a new sample in a moving average, which spans about the last ten answers.
 GAIN = 0.2
@@ -70,6 +71,8 @@
     limit: ServerLimit = field(factory=ServerLimit)
     # Time until which the server wants no requests from this node.
     paused_until: float = float("-inf")
+    # Whether the server stated in its answers that it leaves.
+    states_leaving: bool = False
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server."""
@@ -224,6 +227,7 @@
                 # so an unchanged entry must not extend the warm-up.
                 state.cold_until = max(state.cold_until, now + server.cold_for_s)
             state.server = server
+            state.states_leaving = server.process in self.leaving
             states[name] = state
         self._retain_unlisted(servers, now)
         self.states = states
@@ -270,8 +274,27 @@
             if state is not None:
                 state.record_report(node, now)
 
+    def record_leaving(self, process: ServerProcess, now: float) -> bool:
+        """Record that a server states that it leaves; return whether that is new."""
+        is_new = self.leaving.record(process, now)
+        state = self.states.get(process.name)
+        if state is not None and state.server.process == process:
+            state.states_leaving = True
+        return is_new
+
+    def merge_leaving(self, reports: Iterable[LeavingReport], now: float) -> list[str]:
+        """Record another node's reports; return the names of newly leaving servers."""
+        found = self.leaving.merge(reports, now)
+        for name in found:
+            state = self.states.get(name)
+            if state is not None:
+                state.states_leaving = state.server.process in self.leaving
+        return found
+
     def leaving_reports(self, now: float, max_count: int) -> tuple[LeavingReport, ...]:
         """Return the leaving servers that the list still names as live."""
+        if not self.leaving.stated_at:
+            return ()
         live = {
             state.server.process
             for state in self.states.values()
@@ -299,7 +322,7 @@
             for state in self.by_service.get(service, ())
             if state.server.state is LifeState.LIVE
             and state.server.failure_domain not in self.evacuated
-            and state.server.process not in self.leaving
+            and not state.states_leaving
         ]
 
 
--- a/ebonybend/steering/tests/test_leaving.py
+++ b/ebonybend/steering/tests/test_leaving.py
@@ -34,7 +34,7 @@
     def test_usable(self):
         table = ServerTable()
         table.update({"s1": LISTED}, 0.0)
-        table.leaving.record(PROCESS, 1.0)
+        table.record_leaving(PROCESS, 1.0)
         for started in self.lists:
             servers = {
                 name: BackendServer(name, "s", "a-1", "1:1", 4, started_ms=started_ms)
