--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -21,6 +21,7 @@
 )
 from ebonybend.node.backend_pool import BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
+from ebonybend.node.crash_watch import CrashWatch
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.members import (
@@ -207,7 +208,7 @@
             lambda: RetryWindow(RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S),
             self.members.node_count,
             random,
-            CrashDetector(clock),
+            CrashWatch(clock, self.pool, CrashDetector(clock)),
             PauseGate(clock, lambda: None, lambda time: True),
         )
         self.forwarder.services = {
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -415,27 +415,37 @@
 
 def run_soak(seconds: float, seed: int, directory: Path) -> SoakResult:
     """Run a fleet under load and faults, then check the promises."""
-    with NodeFleet(directory) as fleet:
-        ended = Event()
-        callers: list[Caller] = start_callers(fleet, CALLERS, seed, ended)
-        injector = FaultInjector(fleet, Random(seed))
-        injector.run(max(seconds - SETTLE_S, 0.0))
-        sleep(SETTLE_S)
-        settled_at = monotonic() - SETTLE_S + CONTACT_S
-        sent = [request for caller in callers for request in list(caller.sent)]
-        violations = not_recovered(fleet, sent, settled_at)
+    ended = Event()
+    try:
+        with NodeFleet(directory) as fleet:
+            callers = start_callers(fleet, CALLERS, seed, ended)
+            return _soak(fleet, callers, seconds, seed, ended)
+    finally:
+        # Callers of a run that was broken off would use the next fleet's addresses.
         ended.set()
-        for caller in callers:
-            caller.thread.join()
-        sent = [request for caller in callers for request in caller.sent]
-        runs = count_runs(fleet)
-        violations += broken_answers(sent, runs)
-        violations += late_work(injector.leavings, injector.faults)
-        violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
-        violations += cut_off_requests(sent, injector.faults, runs)
-        violations += injector.problems
-        violations += [f"{name} ended" for _, name in fleet.processes.crashes]
-        violations += fleet.log_lines(fleet.nodes, "Traceback")
+
+
+def _soak(
+    fleet: NodeFleet, callers: list[Caller], seconds: float, seed: int, ended: Event
+) -> SoakResult:
+    injector = FaultInjector(fleet, Random(seed))
+    injector.run(max(seconds - SETTLE_S, 0.0))
+    sleep(SETTLE_S)
+    settled_at = monotonic() - SETTLE_S + CONTACT_S
+    sent = [request for caller in callers for request in list(caller.sent)]
+    violations = not_recovered(fleet, sent, settled_at)
+    ended.set()
+    for caller in callers:
+        caller.thread.join()
+    sent = [request for caller in callers for request in caller.sent]
+    runs = count_runs(fleet)
+    violations += broken_answers(sent, runs)
+    violations += late_work(injector.leavings, injector.faults)
+    violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
+    violations += cut_off_requests(sent, injector.faults, runs)
+    violations += injector.problems
+    violations += [f"{name} ended" for _, name in fleet.processes.crashes]
+    violations += fleet.log_lines(fleet.nodes, "Traceback")
     statuses = Counter(request.status for request in sent)
     return SoakResult(seed, injector.faults, statuses, violations)
 
--- /dev/null
+++ b/bench/tests/fleet_case.py
@@ -0,0 +1,38 @@
+"""Base of tests that run nodes of the users' platform as processes."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from bench.http_calls import call
+from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet
+
+DEADLINE_MS = "2000"
+
+
+class FleetCase(TestCase):
+    """A fleet of nodes with their store and servers, for each test."""
+
+    nodes_per_zone = 1
+
+    def setUp(self):
+        super().setUp()
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = NodeFleet(Path(directory.name), self.nodes_per_zone)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+        self.state = self.fleet.store.state
+        self.count = 0
+
+    def send(self, node, path="/read/x"):
+        """Send a request to a node; return the status, 0 without an answer."""
+        self.count += 1
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": f"id-{self.count}",
+            "Deadline-Ms": DEADLINE_MS,
+        }
+        address = f"{self.fleet.nodes[node].ip}:{CALLERS_PORT}"
+        return call("GET", address, path, headers=headers, timeout=3.0).status
--- a/bench/tests/test_odd_entries.py
+++ b/bench/tests/test_odd_entries.py
@@ -1,13 +1,10 @@
 import json
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 
 from testscenarios import TestWithScenarios
-from testtools import TestCase
 
-from bench.http_calls import call
-from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet, server_object
+from bench.node_fleet import server_object
+from bench.tests.fleet_case import FleetCase
 
 NODES = ("kingston-a-1", "kingston-b-1", "montego-a-1")
 DRAIN_LIMIT_S = 2.5
@@ -38,7 +35,7 @@
 }
 
 
-class OddEntryTest(TestWithScenarios, TestCase):
+class OddEntryTest(TestWithScenarios, FleetCase):
     """Guards against nodes that end, or stop following a list with an odd entry."""
 
     scenarios = [
@@ -59,23 +56,8 @@
     ]
     kind = "servers"
 
-    def setUp(self):
-        super().setUp()
-        directory = TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.fleet = NodeFleet(Path(directory.name), nodes_per_zone=1)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__)
-        self.count = 0
-
-    def send(self, node):
-        self.count += 1
-        headers = {"Host": HOST, "Attempt-Id": f"id-{self.count}"}
-        address = f"{self.fleet.nodes[node].ip}:{CALLERS_PORT}"
-        return call("GET", address, f"/read/{self.count}", headers=headers).status
-
     def test_nodes_go_on(self):
-        self.fleet.store.state.put_raw(self.kind, "odd", self.text)
+        self.state.put_raw(self.kind, "odd", self.text)
         sleep(1.0)
         leaving = [s for s in self.fleet.servers.values() if s.zone == "kingston-a"]
         for server in leaving:
--- a/bench/tests/test_restored_store.py
+++ b/bench/tests/test_restored_store.py
@@ -1,11 +1,7 @@
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 
-from testtools import TestCase
-
-from bench.http_calls import call
-from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet, server_object
+from bench.node_fleet import server_object
+from bench.tests.fleet_case import FleetCase
 from standins.proxy_rules import ProxyRule
 
 SERVICE, ZONE, REGION_ZONES = "history", "kingston-a", ("kingston-a", "kingston-b")
@@ -20,23 +16,12 @@
 REWRITE_S = 1.5
 
 
-class RestoredStoreTest(TestCase):
+class RestoredStoreTest(FleetCase):
     """Nodes as processes, and a store that comes back from an older copy."""
 
-    nodes_per_zone = 1
     # Revisions that the store gives out before a node asks again.
     revisions = 40
 
-    def setUp(self):
-        super().setUp()
-        directory = TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.fleet = NodeFleet(Path(directory.name), self.nodes_per_zone)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__)
-        self.state = self.fleet.store.state
-        self.count = 0
-
     def restore(self, copy, write=lambda: None):
         """Come back from a copy; others write before the nodes reach the store."""
         self.state.error_status = 503
@@ -47,13 +32,6 @@
             self.state.put("other", f"o{number}", {})
         self.state.error_status = None
 
-    def send(self, node):
-        """Send a request to a node; return the status."""
-        self.count += 1
-        headers = {"Host": HOST, "Attempt-Id": f"id-{self.count}"}
-        address = f"{self.fleet.nodes[node].ip}:{CALLERS_PORT}"
-        return call("GET", address, f"/read/{self.count}", headers=headers).status
-
     def send_for(self, seconds):
         until = monotonic() + seconds
         while monotonic() < until:
--- a/bench/tests/test_server_words.py
+++ b/bench/tests/test_server_words.py
@@ -1,13 +1,8 @@
-from http.client import HTTPConnection, HTTPException
-from itertools import count
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from threading import Timer
 from time import monotonic, sleep
 
-from testtools import TestCase
-
-from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet, server_object
+from bench.node_fleet import server_object
+from bench.tests.fleet_case import FleetCase
 
 SERVICE, ZONE = "history", "kingston-a"
 NODES = ("kingston-a-1", "kingston-b-1", "montego-a-1")
@@ -21,20 +16,14 @@
 LIST_DELAY_S = 1.0
 
 
-class ServerWordsTest(TestCase):
+class ServerWordsTest(FleetCase):
     """Three nodes as processes, and servers that nothing but their answers describe."""
 
     def setUp(self):
         super().setUp()
-        directory = TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.fleet = NodeFleet(Path(directory.name), nodes_per_zone=1)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__)
         for server in list(self.fleet.servers.values()):
             if server.service == SERVICE:
                 self.fleet.store.state.remove("servers", server.name)
-        self.numbers = count(1)
         self.fleet.wait_until(
             lambda: all(self.send(node) == 503 for node in NODES), 5.0
         )
@@ -49,25 +38,6 @@
         value = server_object(SERVICE, server.zone, server.address, born=born)
         self.fleet.store.state.put("servers", name, value)
 
-    def send(self, node=NODES[0], path="/read/x"):
-        """Send a request to a node; return the status, 0 without an answer."""
-        ip = self.fleet.nodes[node].ip
-        connection = HTTPConnection(ip, CALLERS_PORT, timeout=3.0)
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": f"id-{next(self.numbers)}",
-            "Deadline-Ms": "2000",
-        }
-        try:
-            connection.request("GET", path, headers=headers)
-            answer = connection.getresponse()
-            answer.read()
-            return answer.status
-        except (OSError, HTTPException):
-            return 0
-        finally:
-            connection.close()
-
     def send_for(self, seconds, nodes=NODES[:1], path="/read/x", pause_s=0.05):
         until = monotonic() + seconds
         while monotonic() < until:
@@ -86,7 +56,7 @@
         server = self.add_server()
         self.wait_until_serving(NODES[:1])
         server.endpoint.answer_headers = {"Server-Leaving": "1"}
-        self.assertEqual(200, self.send())
+        self.assertEqual(200, self.send(NODES[0]))
         passed_on_at = monotonic()
         self.send_for(DRAIN_LIMIT_S + 0.5)
         # A new watch, and an entry that expires and returns, change nothing.
@@ -107,7 +77,7 @@
         server = self.add_server()
         self.wait_until_serving()
         server.endpoint.answer_headers = {"Server-Leaving": "1"}
-        self.assertEqual(200, self.send())
+        self.assertEqual(200, self.send(NODES[0]))
         sleep(DRAIN_LIMIT_S)
         arrived = len(server.endpoint.arrived)
         self.assertEqual([503] * 3, [self.send(node) for node in NODES])
@@ -126,7 +96,7 @@
         server = self.add_server()
         self.wait_until_serving(NODES[:1])
         server.endpoint.retry_after = str(self.RETRY_AFTER_S)
-        self.send()
+        self.send(NODES[0])
         refused_at = server.endpoint.turned_away[0]
         Timer(self.RETRY_AFTER_S / 2, self.list_without_and_with, [server]).start()
         self.send_for(self.RETRY_AFTER_S)
@@ -172,7 +142,7 @@
         for server in servers:
             server.endpoint.crash_marker = "crash"
         for _ in range(3):
-            self.send(path="/read/crash")
+            self.send(NODES[0], "/read/crash")
             sleep(1.0)
         crashes = sum(len(server.endpoint.crashed) for server in servers)
         for node in NODES:
--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -11,8 +11,9 @@
 from ebonybend.node.backend_connection import BackendAnswer
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import RequestLog
-from ebonybend.node.forwarder import NOT_FORWARDED_HEADERS, Forwarder
+from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.metrics import NodeMetrics
+from ebonybend.node.request_encoding import NOT_FORWARDED_HEADERS
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.wire import ClientHeaders, WireFormat
 
--- /dev/null
+++ b/ebonybend/node/crash_watch.py
@@ -0,0 +1,131 @@
+"""Record requests that servers don't answer, and find out which servers ended."""
+
+from collections.abc import Callable, Mapping
+from math import inf
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+
+from ebonybend.logs import get_logger
+from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
+from ebonybend.node.caller_requests import ClientRequest
+from ebonybend.node.decisions import LineBudget
+from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.server_state import TrackedServer
+from ebonybend.steering.suspects import fingerprint
+from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.backend_server import ServerProcess
+
+# A server that ends closes its connections and its port at nearly the same time.
+CHECK_DELAY_S = 0.05
+# Shortest time between two checks of a server, which may be short of connections.
+CHECK_PERIOD_S = 1.0
+# Lines per second about lost requests.
+MAX_LOSS_LINES_PER_S = 50
+
+# Called with a server, the crashes by request, and what showed its end.
+OnCrashes = Callable[[str, Mapping[str, int], str], None]
+
+
+def log_crashes(server: str, crashes: Mapping[str, int], evidence: str) -> None:
+    """Log the crashes that are known for the requests that a server ran."""
+    if crashes:
+        get_logger().warning(
+            "crash_counted", server=server, crashes=dict(crashes), evidence=evidence
+        )
+
+
+class CrashWatch:
+    """Tell the crash detector what the requests of this node show."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        pool: BackendPool,
+        detector: CrashDetector,
+        on_crashes: OnCrashes = log_crashes,
+    ):
+        self.reactor = reactor
+        self.pool = pool
+        self.detector = detector
+        # Called with a server that ended, and the crashes counted for its requests.
+        self.on_crashes = on_crashes
+        # Times of the last or next check of each process.
+        self.checks: dict[ServerProcess, float] = {}
+        self.lines = LineBudget(MAX_LOSS_LINES_PER_S)
+
+    def is_refused(self, request: ClientRequest) -> bool:
+        """Return whether a request has crashed too many servers."""
+        detector = self.detector
+        return detector.has_suspects() and detector.is_refused(fingerprint_of(request))
+
+    def record_success(self, request: ClientRequest) -> None:
+        """Record that a request ran without a crash."""
+        if self.detector.has_suspects():
+            self.detector.record_success(fingerprint_of(request))
+
+    def record_alive(self, server: BackendServer, since: float) -> None:
+        """Record that a server's process answered what was sent at a time."""
+        self.detector.record_alive(server.process, since)
+
+    def record_lost(
+        self, request: ClientRequest, tracked: TrackedServer, loss: str
+    ) -> None:
+        """Record a request without an answer, unless its server's end is planned."""
+        server = tracked.server
+        if server.state is not LifeState.LIVE or tracked.states_leaving:
+            return
+        name = fingerprint_of(request)
+        self.detector.record_lost_request(server.process, name)
+        if self.lines.allow(self.reactor.seconds()):
+            get_logger().info(
+                "request_lost",
+                server=server.name,
+                request_id=request.request_id.decode("latin-1"),
+                suspect=name,
+                loss=loss,
+            )
+
+    def record_end(self, server: BackendServer, evidence: str) -> None:
+        """Record that a server's process has ended."""
+        crashes = self.detector.record_end(server.process)
+        self.on_crashes(server.name, crashes, evidence)
+
+    def start_check(self, server: BackendServer) -> None:
+        """Find out whether a server that closed a connection has ended.
+
+        Other requests for it may not follow soon enough to show that.
+        """
+        now = self.reactor.seconds()
+        checks = {p: at for p, at in self.checks.items() if at > now - CHECK_PERIOD_S}
+        last_at = checks.get(server.process, -inf)
+        if last_at <= now:
+            at = max(now + CHECK_DELAY_S, last_at + CHECK_PERIOD_S)
+            checks[server.process] = at
+            checking = Deferred.fromCoroutine(self._check(server, at - now))
+            checking.addErrback(_log_check_failure)
+        self.checks = checks
+
+    async def _check(self, server: BackendServer, delay_s: float) -> None:
+        await deferLater(self.reactor, delay_s)
+        started = self.reactor.seconds()
+        try:
+            connection = await self.pool.connect(server)
+        except BackendUnreachable as failure:
+            if failure.refused:
+                self.record_end(server, "refused connection")
+            return
+        self.record_alive(server, started)
+        self.pool.add_idle(server, connection)
+
+
+def _log_check_failure(failure: Failure) -> None:
+    get_logger().error("check_failed", error=failure.getErrorMessage())
+
+
+def fingerprint_of(request: ClientRequest) -> str:
+    """Return the fingerprint of a request's content."""
+    method, uri = request.method.decode("latin-1"), request.uri.decode("latin-1")
+    return fingerprint(request.service, method, uri, request.body)
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,14 +1,12 @@
 """Forward a request to a backend server; retry on another where that is safe."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from math import ceil, inf
 from random import Random
 from typing import Any
 
 from attrs import define, field
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.task import deferLater
-from twisted.python.failure import Failure
 
 from ebonybend.errors import ErrorKind, SteeringError
 from ebonybend.logs import get_logger
@@ -20,42 +18,23 @@
 )
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
+from ebonybend.node.crash_watch import CrashWatch, fingerprint_of
 from ebonybend.node.decisions import LineBudget
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.pause_gate import PauseGate
+from ebonybend.node.request_encoding import encode_request
 from ebonybend.node.wire import WireFormat
-from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.placement import Placement, PlacementQuery, limits_of
 from ebonybend.steering.server_state import TrackedServer
 from ebonybend.steering.shared_rates import RetryWindow
-from ebonybend.steering.suspects import fingerprint
 from ebonybend.timeouts import Timeout
-from ebonybend.world import BackendServer, LifeState
-from ebonybend.world.backend_server import ServerProcess
+from ebonybend.world import BackendServer
 from ebonybend.world.route import ServiceLimits
 
-# Hop-by-hop headers, and headers that the node sets itself.
-NOT_FORWARDED_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
-# Lines per second about pauses that servers ask for, and about lost requests.
-MAX_EVENT_LINES_PER_S = 50
+# Lines per second about pauses that servers ask for.
+MAX_PAUSE_LINES_PER_S = 50
 # Failed connection attempts after which a request is refused.
 MAX_CONNECT_FAILURES = 3
-# A server that ends closes its connections and its port at nearly the same time.
-CHECK_DELAY_S = 0.05
-# Shortest time between two checks of a server, which may be short of connections.
-CHECK_PERIOD_S = 1.0
 # With less time than this until the deadline, an answer can no longer arrive.
 MIN_REMAINING_S = 0.02
 # From this status on, an answer counts as a failure of the server.
@@ -65,23 +44,6 @@
 MS_PER_S = 1000
 
 
-# Called with a server, the crashes by request, and what showed its end.
-OnCrashes = Callable[[str, Mapping[str, int], str], None]
-
-
-def log_crashes(server: str, crashes: Mapping[str, int], evidence: str) -> None:
-    """Log the crashes that are known for the requests that a server ran."""
-    if crashes:
-        get_logger().warning(
-            "crash_counted", server=server, crashes=dict(crashes), evidence=evidence
-        )
-
-
-def log_check_failure(failure: Failure) -> None:
-    """Log an error that a check of a server did not expect."""
-    get_logger().error("check_failed", error=failure.getErrorMessage())
-
-
 @define
 class _Progress:
     """The attempts made so far for one request."""
@@ -108,9 +70,8 @@
         new_retry_window: Callable[[], RetryWindow],
         node_count: Callable[[], int],
         random: Random,
-        crash_detector: CrashDetector,
+        crash_watch: CrashWatch,
         pause_gate: PauseGate,
-        on_crashes: OnCrashes = log_crashes,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -121,14 +82,9 @@
         self.new_retry_window = new_retry_window
         self.node_count = node_count
         self.random = random
-        self.crash_detector = crash_detector
+        self.crash_watch = crash_watch
         self.pause_gate = pause_gate
-        # Called with a server that ended, and the crashes counted for its requests.
-        self.on_crashes = on_crashes
-        # Times of the last or next check of each process.
-        self.checks: dict[ServerProcess, float] = {}
-        # Bounds the lines about servers that are full or lose requests.
-        self.event_lines = LineBudget(MAX_EVENT_LINES_PER_S)
+        self.pause_lines = LineBudget(MAX_PAUSE_LINES_PER_S)
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
 
@@ -161,7 +117,7 @@
                 if failure.counts_as_failure:
                     self._record_unreachable(tracked, failure.refused, str(failure))
                 if failure.refused:
-                    self._record_end(tracked.server, "refused connection")
+                    self.crash_watch.record_end(tracked.server, "refused connection")
                 progress.error = SteeringError(
                     ErrorKind.BACKEND_UNREACHABLE, str(failure)
                 )
@@ -172,8 +128,8 @@
                 else:
                     self._record_failure(tracked, str(failure))
                 if failure.loss in (LossReason.CLOSED, LossReason.UNACKNOWLEDGED):
-                    self._record_lost_request(request, tracked, failure.loss.value)
-                    self._start_liveness_check(tracked.server)
+                    self.crash_watch.record_lost(request, tracked, failure.loss.value)
+                    self.crash_watch.start_check(tracked.server)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -187,58 +143,6 @@
             if answer.status < MIN_FAILURE_STATUS or not request.route.idempotent:
                 return answer
 
-    def _record_lost_request(
-        self, request: ClientRequest, tracked: TrackedServer, loss: str
-    ) -> None:
-        """Record a request without an answer, unless its server's end is planned."""
-        server = tracked.server
-        if server.state is not LifeState.LIVE or (
-            server.process in self.placement.table.leaving
-        ):
-            return
-        name = _fingerprint(request)
-        self.crash_detector.record_lost_request(server.process, name)
-        if not self.event_lines.allow(self._now()):
-            return
-        get_logger().info(
-            "request_lost",
-            server=server.name,
-            request_id=request.request_id.decode("latin-1"),
-            suspect=name,
-            loss=loss,
-        )
-
-    def _start_liveness_check(self, server: BackendServer) -> None:
-        """Find out whether a server that closed a connection has ended.
-
-        Other requests for it may not follow soon enough to show that.
-        """
-        now = self._now()
-        checks = {p: at for p, at in self.checks.items() if at > now - CHECK_PERIOD_S}
-        last_at = checks.get(server.process, -inf)
-        if last_at <= now:
-            at = max(now + CHECK_DELAY_S, last_at + CHECK_PERIOD_S)
-            checks[server.process] = at
-            checking = Deferred.fromCoroutine(self._check_liveness(server, at - now))
-            checking.addErrback(log_check_failure)
-        self.checks = checks
-
-    async def _check_liveness(self, server: BackendServer, delay_s: float) -> None:
-        await deferLater(self.reactor, delay_s)
-        started = self._now()
-        try:
-            connection = await self.pool.connect(server)
-        except BackendUnreachable as failure:
-            if failure.refused:
-                self._record_end(server, "refused connection")
-            return
-        self.crash_detector.record_alive(server.process, started)
-        self.pool.add_idle(server, connection)
-
-    def _record_end(self, server: BackendServer, evidence: str) -> None:
-        crashes = self.crash_detector.record_end(server.process)
-        self.on_crashes(server.name, crashes, evidence)
-
     def _record_failure(self, tracked: TrackedServer, reason: str) -> None:
         previous_ejected_until = tracked.ejected_until
         tracked.record_failure(self._now())
@@ -279,16 +183,12 @@
 
         Raises ANSWER_LOST if it may have run.
         """
-        if not self._is_refused(request):
+        if not self.crash_watch.is_refused(request):
             return
         kind = ErrorKind.SUSPECT_REFUSED
         if request.may_have_run:
             kind = ErrorKind.ANSWER_LOST
-        raise SteeringError(kind, f"suspect {_fingerprint(request)}")
-
-    def _is_refused(self, request: ClientRequest) -> bool:
-        detector = self.crash_detector
-        return detector.has_suspects() and detector.is_refused(_fingerprint(request))
+        raise SteeringError(kind, f"suspect {fingerprint_of(request)}")
 
     def _select_server(
         self, request: ClientRequest, progress: "_Progress"
@@ -351,6 +251,26 @@
             excluded=excluded,
         )
 
+    def _obstacle(
+        self, request: ClientRequest, tracked: TrackedServer, selected_at: float
+    ) -> str | None:
+        """Return why a request may no longer be sent to a server that was selected.
+
+        A connection may have taken some time to open meanwhile.
+        """
+        now = self._now()
+        if request.deadline - now < MIN_REMAINING_S:
+            return "connected too late to be answered"
+        if self.pause_gate.has_paused_since(selected_at):
+            return "paused while connecting"
+        if tracked.states_leaving:
+            return "the server began to leave while connecting"
+        if tracked.is_paused(now):
+            return "the server asked for a pause while connecting"
+        if self.crash_watch.is_refused(request):
+            return "the request crashed servers meanwhile"
+        return None
+
     async def _send(
         self, request: ClientRequest, tracked: TrackedServer
     ) -> BackendAnswer:
@@ -368,29 +288,10 @@
                 connection = await self.pool.connect(server)
                 tracked.record_connect_time(self.reactor.seconds() - connect_started)
             started = self.reactor.seconds()
-            if server.process in self.placement.table.leaving:
-                connection.close()
-                raise BackendUnreachable(
-                    "it began to leave while connecting", False, False
-                )
-            if self._is_refused(request):
+            obstacle = self._obstacle(request, tracked, selected_at)
+            if obstacle is not None:
                 connection.close()
-                raise BackendUnreachable(
-                    "the request crashed servers meanwhile", False, False
-                )
-            if tracked.is_paused(started):
-                connection.close()
-                raise BackendUnreachable(
-                    "it asked for a pause while connecting", False, False
-                )
-            if request.deadline - started < MIN_REMAINING_S:
-                connection.close()
-                raise BackendUnreachable(
-                    "connected too late to be answered", False, False
-                )
-            if self.pause_gate.has_paused_since(selected_at):
-                connection.close()
-                raise BackendUnreachable("paused while connecting", False, False)
+                raise BackendUnreachable(obstacle, False, False)
             if request.sends == 0:
                 self._retry_window(request.service).record_first_send(started)
             request.sends += 1
@@ -398,7 +299,8 @@
             request.load = round(tracked.load(started) - 1, 1)
             may_have_run_before = request.may_have_run
             request.may_have_run = True
-            data = self._encode_request(request, server.name, started)
+            added = self.wire.server_headers(server.name, request.deadline - started)
+            data = encode_request(request, added)
             waiting = connection.send(
                 request.method,
                 request.request_id,
@@ -408,16 +310,16 @@
             answer = await self._await_answer(waiting, request)
         except SteeringError:
             self._record_silence(request, tracked, started)
-            self._record_lost_request(request, tracked, "no answer in time")
+            self.crash_watch.record_lost(request, tracked, "no answer in time")
             raise
         finally:
             tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = may_have_run_before
         if answer.status == MISDIRECTED_STATUS:
-            self._record_end(server, "another server at its address")
+            self.crash_watch.record_end(server, "another server at its address")
         else:
-            self.crash_detector.record_alive(server.process, started)
+            self.crash_watch.record_alive(server, started)
             self._record_leaving(server, answer)
             self._record_answer(request, tracked, answer, started)
         return answer
@@ -449,8 +351,7 @@
         else:
             seconds = max(now - started - (tracked.round_trip_s or 0.0), 0.001)
             tracked.record_success(seconds, now)
-            if self.crash_detector.has_suspects():
-                self.crash_detector.record_success(_fingerprint(request))
+            self.crash_watch.record_success(request)
             waited = request.load >= tracked.server.slots
             self.times.record_answer_time(
                 request.route.name, tracked, request.object_key, seconds, waited
@@ -471,7 +372,7 @@
         self, tracked: TrackedServer, answer: BackendAnswer, now: float
     ) -> None:
         seconds = self.wire.read_pause(answer.status, answer.headers)
-        if tracked.record_pause(seconds, now) and self.event_lines.allow(now):
+        if tracked.record_pause(seconds, now) and self.pause_lines.allow(now):
             get_logger().info(
                 "server_paused", server=tracked.server.name, seconds=seconds
             )
@@ -501,20 +402,6 @@
         finally:
             timeout.stop()
 
-    def _encode_request(self, request: ClientRequest, server: str, now: float) -> bytes:
-        added_headers = self.wire.server_headers(server, request.deadline - now)
-        replaced = {name.lower() for name, _ in added_headers}
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.uri)]
-        for name, values in request.headers.getAllRawHeaders():
-            lowered = name.lower()
-            if lowered in NOT_FORWARDED_HEADERS or lowered in replaced:
-                continue
-            lines += [b"%s: %s" % (name, value) for value in values]
-        lines += [b"%s: %s" % pair for pair in added_headers]
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            lines.append(b"Content-Length: %d" % len(request.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
-
 
 def _ack_timeout_ms(request: ClientRequest, now: float) -> int:
     """Return for how long a server may acknowledge nothing.
@@ -525,8 +412,3 @@
     if request.route.idempotent:
         return ACK_TIMEOUT_MS
     return max(ACK_TIMEOUT_MS, ceil((request.deadline - now) * MS_PER_S))
-
-
-def _fingerprint(request: ClientRequest) -> str:
-    method, uri = request.method.decode("latin-1"), request.uri.decode("latin-1")
-    return fingerprint(request.service, method, uri, request.body)
--- a/ebonybend/node/ports.py
+++ b/ebonybend/node/ports.py
@@ -5,10 +5,12 @@
 
 from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
 from ebonybend.http_router import Router
+from ebonybend.http_server import HttpLimits
 from ebonybend.node.members import Members, members_in_region
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.wire import WireFormat
 from ebonybend.steering.listing import nodes_to_list
+from ebonybend.world.route import ClientLimits
 
 # Time for which clients cache a directory answer. Some cache it three times as long,
 # and all must drop a stopping node within its grace time.
@@ -16,6 +18,22 @@
 # Clients read at most 64 addresses of an answer.
 MAX_ADDRESSES = 64
 JSON = {"Content-Type": "application/json"}
+# Descriptors reserved for the store, other nodes, files and backend servers.
+RESERVED_DESCRIPTORS = 600
+# Client connections that a node accepts however few descriptors it has.
+MIN_CONNECTIONS = 100
+
+
+def client_port_limits(limits: ClientLimits, max_descriptors: int) -> HttpLimits:
+    """Return the limits of the port for clients."""
+    return HttpLimits(
+        max_body_bytes=limits.max_body_bytes,
+        max_header_bytes=limits.max_header_bytes,
+        max_connections=max(max_descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS),
+        receive_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+        timeout_covers_headers_only=True,
+    )
 
 
 class Directory:
--- /dev/null
+++ b/ebonybend/node/server_reports.py
@@ -0,0 +1,77 @@
+"""Exchange with other nodes what this node's requests showed of servers."""
+
+from collections.abc import Callable, Mapping
+
+from ebonybend.logs import get_logger
+from ebonybend.node.crash_watch import log_crashes
+from ebonybend.node.members import ServerReports
+from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
+from ebonybend.steering.server_state import ServerTable
+from ebonybend.world import BackendServer, LifeState
+
+EMPTY = ServerReports()
+
+
+def _do_nothing() -> None:
+    """Tell nobody."""
+
+
+class ServerReportExchange:
+    """Build the reports for heartbeats, and apply those of other nodes."""
+
+    def __init__(
+        self,
+        servers: ServerTable,
+        detector: CrashDetector,
+        clock: Callable[[], float],
+        on_crash: Callable[[], None] = _do_nothing,
+        on_refusal: Callable[[], None] = _do_nothing,
+    ):
+        self.servers = servers
+        self.detector = detector
+        self.clock = clock
+        # Called when a crash was counted, and when a request is refused from now on.
+        self.on_crash = on_crash
+        self.on_refusal = on_refusal
+
+    def build(self) -> ServerReports | None:
+        """Return the reports for the next heartbeat; None if there is none."""
+        reports = ServerReports(
+            suspects=self.detector.reports(),
+            ended=self.detector.end_reports(),
+            leaving=self.servers.leaving_reports(self.clock(), MAX_REPORTED_LEAVING),
+        )
+        return None if reports == EMPTY else reports
+
+    def apply(self, node: str, reports: ServerReports) -> None:
+        """Apply the reports of another node."""
+        for name in self.detector.merge(node, reports.suspects):
+            get_logger().warning("suspect_refused", suspect=name, told_by=node)
+        for report in reports.ended:
+            crashes = self.detector.merge_end(report)
+            self.on_crashes(report.name, crashes, f"told by {node}")
+        for name in self.servers.merge_leaving(reports.leaving, self.clock()):
+            get_logger().info("server_leaving", server=name, told_by=node)
+
+    def on_crashes(
+        self, server: str, crashes: Mapping[str, int], evidence: str
+    ) -> None:
+        """Log the crashes counted for a server's requests, and tell other nodes."""
+        log_crashes(server, crashes, evidence)
+        if any(self.detector.is_refused(name) for name in crashes):
+            self.on_refusal()
+        elif crashes:
+            self.on_crash()
+
+    def apply_list(self, servers: Mapping[str, BackendServer]) -> None:
+        """Count a crash for what was lost on servers that the list no longer names."""
+        for process in list(self.detector.lost):
+            server = servers.get(process.name)
+            is_listed = server is not None and server.process == process
+            is_leaving = is_listed and server.state is not LifeState.LIVE
+            if is_leaving or process in self.servers.leaving:
+                self.detector.forget_losses(process)
+            elif not is_listed:
+                crashes = self.detector.record_end(process)
+                self.on_crashes(process.name, crashes, "no longer listed")
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -17,32 +17,37 @@
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import HeartbeatProtocol
 from ebonybend.node.callers import ClientPort
+from ebonybend.node.crash_watch import CrashWatch
 from ebonybend.node.decisions import RequestLog
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.followed import WatchedState
-from ebonybend.node.forwarder import Forwarder, log_crashes
+from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.kept_state import WRITE_PERIOD_S, CheckpointManager
 from ebonybend.node.members import (
     HEARTBEAT_PERIOD_S,
     Member,
     Members,
     NodeHeartbeat,
-    ServerReports,
 )
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.pause_gate import TICK_PERIOD_S, PauseGate
-from ebonybend.node.ports import Directory, metrics_router, readiness_router
+from ebonybend.node.ports import (
+    Directory,
+    client_port_limits,
+    metrics_router,
+    readiness_router,
+)
 from ebonybend.node.pulses import PING_TIMEOUT_S, PulseProtocol, relay_address
 from ebonybend.node.refused_requests import RefusedRequestStore
 from ebonybend.node.relay_changes import RelayClient, relay_router
 from ebonybend.node.relayed_store import NodeStore, RelayedStore
 from ebonybend.node.routing_state import RoutingState
+from ebonybend.node.server_reports import ServerReportExchange
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
-from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_limits import LimitDivision
@@ -51,7 +56,7 @@
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks
-from ebonybend.world import BackendServer, LifeState
+from ebonybend.world import BackendServer
 
 MS_PER_S = 1000
 CLEANUP_PERIOD_S = 1.0
@@ -61,10 +66,6 @@
 MAX_REPORTED_SERVERS = 16
 # The settings file may change without a signal.
 RELOAD_PERIOD_S = 2.0
-# Descriptors reserved for the store, other nodes, files and backend servers.
-RESERVED_DESCRIPTORS = 600
-# Client connections that a node accepts however few descriptors it has.
-MIN_CONNECTIONS = 100
 
 
 class NodeService:
@@ -110,6 +111,13 @@
         self.members = Members(self.own)
         self.heartbeat_count = 0
         self.crash_detector = CrashDetector(ReactorClock(reactor))
+        self.server_reports = ServerReportExchange(
+            self.servers,
+            self.crash_detector,
+            reactor.seconds,
+            lambda: self.heartbeats.send(),
+            self.on_refusal,
+        )
         self.pause_gate = PauseGate(
             reactor,
             lambda: self.watched_state.resync(),
@@ -209,9 +217,13 @@
             self.new_retry_window,
             self.members.node_count,
             self.random,
-            self.crash_detector,
+            CrashWatch(
+                self.reactor,
+                self.pool,
+                self.crash_detector,
+                self.server_reports.on_crashes,
+            ),
             self.pause_gate,
-            self.on_crashes,
         )
 
     def new_retry_window(self) -> RetryWindow:
@@ -282,17 +294,7 @@
         return HttpSite(self.reactor, handler, HttpLimits(max_connections=500))
 
     def _http_limits(self) -> HttpLimits:
-        limits = self.routing.limits
-        return HttpLimits(
-            max_body_bytes=limits.max_body_bytes,
-            max_header_bytes=limits.max_header_bytes,
-            max_connections=max(
-                self.settings.max_descriptors - RESERVED_DESCRIPTORS, MIN_CONNECTIONS
-            ),
-            receive_timeout_s=limits.header_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
-            timeout_covers_headers_only=True,
-        )
+        return client_port_limits(self.routing.limits, self.settings.max_descriptors)
 
     def is_ready(self) -> bool:
         """Return whether clients may use this node."""
@@ -315,53 +317,22 @@
             ejected=self.servers.ejected_servers(
                 self.reactor.seconds(), MAX_REPORTED_SERVERS
             ),
-            reports=self._server_reports(),
-        )
-
-    def _server_reports(self) -> ServerReports | None:
-        reports = ServerReports(
-            suspects=self.crash_detector.reports(),
-            ended=self.crash_detector.end_reports(),
-            leaving=self.servers.leaving_reports(
-                self.reactor.seconds(), MAX_REPORTED_LEAVING
-            ),
+            reports=self.server_reports.build(),
         )
-        is_empty = reports == ServerReports()
-        return None if is_empty else reports
 
     def on_heartbeat(self, heartbeat: NodeHeartbeat) -> None:
         """Apply the suspects, servers and versions that another node reports."""
         if heartbeat.reports is not None:
-            self._apply_reports(heartbeat.name, heartbeat.reports)
+            self.server_reports.apply(heartbeat.name, heartbeat.reports)
         self.servers.record_reports(
             heartbeat.name, heartbeat.ejected, self.reactor.seconds()
         )
         self.watched_state.apply_heartbeat(heartbeat)
 
-    def _apply_reports(self, node: str, reports: ServerReports) -> None:
-        for name in self.crash_detector.merge(node, reports.suspects):
-            get_logger().warning("suspect_refused", suspect=name, told_by=node)
-        for report in reports.ended:
-            crashes = self.crash_detector.merge_end(report)
-            self.on_crashes(report.name, crashes, f"told by {node}")
-        now = self.reactor.seconds()
-        for name in self.servers.merge_leaving(reports.leaving, now):
-            get_logger().info("server_leaving", server=name, told_by=node)
-
-    def on_crashes(
-        self, server: str, crashes: Mapping[str, int], evidence: str
-    ) -> None:
-        """Tell other nodes at once of requests that crash servers.
-
-        Those that are refused from now on have to be known everywhere, the others are
-        reported to the next recipients.
-        """
-        log_crashes(server, crashes, evidence)
-        if any(self.crash_detector.is_refused(name) for name in crashes):
-            self.heartbeats.send_to_all()
-            self.tasks.start(self.refused_requests.write())
-        elif crashes:
-            self.heartbeats.send()
+    def on_refusal(self) -> None:
+        """Tell all nodes, also those to come, which requests are refused."""
+        self.heartbeats.send_to_all()
+        self.tasks.start(self.refused_requests.write())
 
     def on_new_era(self) -> None:
         """Write again what the store may have lost of this node's objects."""
@@ -376,25 +347,13 @@
 
     def on_servers(self, servers: Mapping[str, BackendServer]) -> None:
         """Drop connections and statistics of removed servers and routes."""
-        self._count_unlisted(servers)
+        self.server_reports.apply_list(servers)
         self.pool.retain(servers.values())
         if self.routing.version is None:
             return
         routes = {route.name for route in self.routing.routes}
         self.times.retain(set(servers), routes)
 
-    def _count_unlisted(self, servers: Mapping[str, BackendServer]) -> None:
-        """Count a crash for what was lost on servers that the list no longer names."""
-        for process in list(self.crash_detector.lost):
-            server = servers.get(process.name)
-            is_listed = server is not None and server.process == process
-            is_leaving = is_listed and server.state is not LifeState.LIVE
-            if is_leaving or process in self.servers.leaving:
-                self.crash_detector.forget_losses(process)
-            elif not is_listed:
-                crashes = self.crash_detector.record_end(process)
-                self.on_crashes(process.name, crashes, "no longer listed")
-
     def refresh_metrics(self) -> None:
         """Update the gauges before the metrics are served."""
         self.metrics.store_calls.set(getattr(self.store, "platform_calls", 0))
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -19,6 +19,7 @@
 )
 from ebonybend.node.backend_pool import BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
+from ebonybend.node.crash_watch import CrashWatch
 from ebonybend.node.forwarder import Forwarder
 from ebonybend.node.pause_gate import PauseGate
 from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector, CrashReport
@@ -156,7 +157,7 @@
             lambda: RetryWindow(0.0, slack, 10.0),
             lambda: 1,
             Random(1),
-            self.crash_detector,
+            CrashWatch(self.clock, self.pool, self.crash_detector),
             PauseGate(self.clock, lambda: None, lambda time: True),
         )
         self.route = evolve(ROUTE, **route)
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable, Mapping
 from time import monotonic
+from typing import Any
 from urllib.parse import quote
 
 from attrs import evolve, field, frozen
@@ -226,17 +227,33 @@
 
 
 def _decode_page(body: bytes) -> Result[_Page, StoreFailure]:
-    """Return a page; malformed objects in it don't invalidate the others."""
-    page = decode_answer(body, _Page)
-    if isinstance(page, Success):
-        return page
+    return decode_answer(body, _Page).lash(lambda _: _split_page(body))
+
+
+def _split_page(body: bytes) -> Result[_Page, StoreFailure]:
+    """Return a page with malformed objects, which don't invalidate the others."""
+    page, items = _decode_parts(body, _Page, "items")
+    return page.map(lambda found: evolve(found, items=[Raw(x) for x in items]))
+
+
+def _split_changes(body: bytes) -> Result[_Changes, StoreFailure]:
+    """Return changes with malformed objects, which don't invalidate the others."""
+    changes, parts = _decode_parts(body, _Changes, "events")
+    events = [event for part in parts if (event := _decode_event(part)) is not None]
+    return changes.map(lambda found: evolve(found, events=events))
+
+
+def _decode_parts(
+    body: bytes, kind: type, name: str
+) -> tuple[Result[Any, StoreFailure], list[bytes]]:
+    """Return an answer without one of its arrays, and the elements of the array."""
     try:
         members = split_object(body)
-        items = [Raw(item) for item in split_array(members.pop("items"))]
-    except (ValueError, KeyError):
-        return page
-    rest = decode_answer(_join_object(members), _Page)
-    return rest.map(lambda found: evolve(found, items=items))
+        parts = split_array(members.pop(name, b"[]"))
+    except ValueError as error:
+        failure = StoreFailure(StoreFailureKind.ANSWER_LOST, str(error))
+        return Failure(failure), []
+    return decode_answer(_join_object(members), kind), parts
 
 
 def _decode_event(data: bytes) -> _Event | None:
@@ -253,21 +270,6 @@
         return None
 
 
-def _decode_events(body: bytes) -> Result[_Changes, StoreFailure]:
-    """Return changes; malformed objects in them don't invalidate the others."""
-    changes = decode_answer(body, _Changes)
-    if isinstance(changes, Success):
-        return changes
-    try:
-        members = split_object(body)
-        parts = split_array(members.pop("events"))
-    except (ValueError, KeyError):
-        return changes
-    events = [event for part in parts if (event := _decode_event(part)) is not None]
-    rest = decode_answer(_join_object(members), _Changes)
-    return rest.map(lambda found: evolve(found, events=events))
-
-
 def _join_object(members: Mapping[str, bytes]) -> bytes:
     pairs = (to_json(name) + b":" + value for name, value in members.items())
     return b"{" + b",".join(pairs) + b"}"
@@ -282,7 +284,7 @@
 
 
 def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
-    decoded = _decode_events(body)
+    decoded = decode_answer(body, _Changes).lash(lambda _: _split_changes(body))
     if not isinstance(decoded, Success):
         return decoded
     changes = decoded.unwrap()
