Let a suspicion of the controls end although its views go round

A view states the age of the last crash, without the time that it travels. Merging by the later time, instances that exchange views renewed it for one another by one delay per exchange, so a suspicion lasted longer than its 60 s, with many instances for as long as they ran. A view renews only what it tells anew.

--- a/ebonybend/steering/suspects.py
+++ b/ebonybend/steering/suspects.py
@@ -180,11 +180,14 @@
         if local is None:
             self.suspects[fingerprint] = remote
             return
+        # A view that says nothing new doesn't renew the suspicion, since its age lacks
+        # the time that it travelled.
+        if remote.crashes > local.crashes or not remote.servers <= local.servers:
+            local.crashed_at = max(local.crashed_at, remote.crashed_at)
         # Crashes on two servers that two instances saw are two crashes.
         local.servers |= remote.servers
         local.crashes = max(local.crashes, remote.crashes, len(local.servers))
         local.refused |= remote.refused or local.crashes >= self.crashes_to_refuse
-        local.crashed_at = max(local.crashed_at, remote.crashed_at)
 
     def _expire(self, now: float) -> None:
         for fingerprint in list(self.suspects):
--- a/ebonybend/steering/tests/test_suspects.py
+++ b/ebonybend/steering/tests/test_suspects.py
@@ -7,6 +7,7 @@
 
 from ebonybend.clock import ManualClock
 from ebonybend.steering import SuspectRegistry, Verdict, fingerprint
+from ebonybend.steering.suspects import SUSPECT_LIFETIME_S
 from ebonybend.tests.profile import MACHINE
 
 POISON = fingerprint("rides", "GET", "/poison", b"")
@@ -65,6 +66,21 @@
         self.registry.merge(*self.other.views())
         self.assertIs(Verdict.REFUSE, self.registry.verdict(POISON))
 
+    def test_views_that_go_round_do_not_renew_a_suspicion(self):
+        """Guards against instances that keep a suspicion alive for one another."""
+        self.registry.record_crash([READ], isolated=False, server="s1")
+        until = self.clock.monotonic() + SUSPECT_LIFETIME_S + 1.0
+        while self.clock.monotonic() < until:
+            for sender, receiver in (
+                (self.registry, self.other),
+                (self.other, self.registry),
+            ):
+                views = sender.views()
+                self.clock.advance(0.055)
+                receiver.merge(*views)
+        for registry in (self.registry, self.other):
+            self.assertIs(Verdict.ALLOW, registry.verdict(READ))
+
     def test_late_notice_is_ignored_after_a_success(self):
         """Guards against a cleared request that a late message makes suspect again."""
         self.registry.record_crash([READ], isolated=False)
