Let suspicions and leaving servers end although their reports go round

Reports state ages without the time that they travel, and were merged by the later time, so nodes renewed them for one another by one delay per heartbeat: with delays of 55 ms a suspicion of 60 s did not end in 61 s, and with many nodes it may never have. Only what is new in a report counts now. The three tests with a delay between nodes failed before and pass. A server that leaves is no longer checked after a loss.

--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from ebonybend.logs import get_logger
+from ebonybend.node.backend_connection import LossReason
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import LineBudget
@@ -71,12 +72,20 @@
         self.detector.record_alive(server.process, since)
 
     def record_lost(
-        self, request: ClientRequest, tracked: TrackedServer, loss: str
+        self,
+        request: ClientRequest,
+        tracked: TrackedServer,
+        loss: LossReason | None = None,
     ) -> None:
-        """Record a request without an answer, unless its server's end is planned."""
+        """Record a request without an answer, unless its server's end is planned.
+
+        If its connection was closed, find out whether the server has ended.
+        """
         server = tracked.server
         if server.state is not LifeState.LIVE or tracked.states_leaving:
             return
+        if loss is not None:
+            self._start_check(server)
         name = fingerprint_of(request)
         self.detector.record_lost_request(server.process, name)
         if self.lines.allow(self.reactor.seconds()):
@@ -85,7 +94,7 @@
                 server=server.name,
                 request_id=request.request_id.decode("latin-1"),
                 suspect=name,
-                loss=loss,
+                loss=loss.value if loss else "no answer in time",
             )
 
     def record_end(self, server: BackendServer, evidence: str) -> None:
@@ -93,11 +102,8 @@
         crashes = self.detector.record_end(server.process)
         self.on_crashes(server.name, crashes, evidence)
 
-    def start_check(self, server: BackendServer) -> None:
-        """Find out whether a server that closed a connection has ended.
-
-        Other requests for it may not follow soon enough to show that.
-        """
+    def _start_check(self, server: BackendServer) -> None:
+        """Check a server soon, since no other request for it may follow."""
         now = self.reactor.seconds()
         checks = {p: at for p, at in self.checks.items() if at > now - CHECK_PERIOD_S}
         last_at = checks.get(server.process, -inf)
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -128,8 +128,7 @@
                 else:
                     self._record_failure(tracked, str(failure))
                 if failure.loss in (LossReason.CLOSED, LossReason.UNACKNOWLEDGED):
-                    self.crash_watch.record_lost(request, tracked, failure.loss.value)
-                    self.crash_watch.start_check(tracked.server)
+                    self.crash_watch.record_lost(request, tracked, failure.loss)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -310,7 +309,7 @@
             answer = await self._await_answer(waiting, request)
         except SteeringError:
             self._record_silence(request, tracked, started)
-            self.crash_watch.record_lost(request, tracked, "no answer in time")
+            self.crash_watch.record_lost(request, tracked)
             raise
         finally:
             tracked.end_request(is_trial)
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -209,8 +209,11 @@
             known = self.suspects.get(report.fingerprint)
             suspect = known or Suspect(crashed_at)
             was_refused = suspect.refused
-            suspect.crashed_at = max(suspect.crashed_at, crashed_at)
-            suspect.crashes |= set(report.crashes)
+            # A report that says nothing new doesn't renew the suspicion, since its age
+            # lacks the time that it travelled.
+            if not suspect.crashes.issuperset(report.crashes):
+                suspect.crashed_at = max(suspect.crashed_at, crashed_at)
+                suspect.crashes.update(report.crashes)
             if report.successes:
                 suspect.reported_successes[node] = report.successes
             suspect.refused |= report.refused
--- a/ebonybend/steering/leaving.py
+++ b/ebonybend/steering/leaving.py
@@ -47,7 +47,7 @@
     def record(self, process: ServerProcess, now: float) -> bool:
         """Record that a process leaves; return whether that is new."""
         known = self.stated_at.pop(process, None)
-        self.stated_at[process] = now if known is None else max(known, now)
+        self.stated_at[process] = now
         for oldest in list(self.stated_at):
             is_excess = len(self.stated_at) > MAX_PROCESSES
             if not is_excess and now - self.stated_at[oldest] <= LIFETIME_S:
@@ -79,6 +79,9 @@
         for report in reports:
             age_s = max(report.age_ms, 0.0) / MS_PER_S
             process = ServerProcess(report.name, report.started_ms)
-            if age_s <= LIFETIME_S and self.record(process, now - age_s):
+            # A report doesn't renew what is known, since its age lacks the time that it
+            # travelled.
+            if age_s <= LIFETIME_S and process not in self.stated_at:
+                self.record(process, now - age_s)
                 found.append(report.name)
         return found
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -21,6 +21,8 @@
 from ebonybend.world.backend_server import ServerProcess
 
 BEAT_S = 0.7
+# Time between two nodes.
+TRAVEL_S = 0.055
 
 
 @frozen(eq=False)
@@ -268,6 +270,31 @@
         self.assertEqual([self.refused] * 2, fleet.refused())
 
 
+class ForgottenTest(TestWithScenarios, TestCase):
+    """Guards against suspicions that nodes renew for one another for ever."""
+
+    scenarios = [
+        ("a suspect", {"crashes": 1, "lifetime_s": SUSPECT_LIFETIME_S}),
+        ("a refused one", {"crashes": 3, "lifetime_s": REFUSED_LIFETIME_S}),
+    ]
+
+    def test_ends_although_reports_go_round(self):
+        fleet = nodes()
+        for server in range(self.crashes):
+            fleet.detectors[0].record_lost_request(process(server), "bad")
+            fleet.detectors[0].record_end(process(server))
+        until = fleet.clock.monotonic() + self.lifetime_s + 1.0
+        while fleet.clock.monotonic() < until:
+            fleet.clock.advance(BEAT_S)
+            for sender, receiver in (fleet.detectors, fleet.detectors[::-1]):
+                reports = sender.reports()
+                fleet.clock.advance(TRAVEL_S)
+                receiver.merge("n", reports)
+        for detector in fleet.detectors:
+            detector.reports()
+            self.assertFalse(detector.has_suspects())
+
+
 class RestartedNodeTest(TestCase):
     """Guards against a restarted node that sends what others know to crash servers."""
 
--- a/ebonybend/steering/tests/test_leaving.py
+++ b/ebonybend/steering/tests/test_leaving.py
@@ -13,6 +13,8 @@
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.backend_server import ServerProcess
 
+# Time between two nodes.
+TRAVEL_S = 0.055
 LISTED = BackendServer("s1", "s", "a-1", "1:1", 4, region="a", started_ms=7)
 PROCESS = LISTED.process
 
@@ -73,7 +75,8 @@
         nodes[0].record(PROCESS, 0.0)
         for second in range(int(LIFETIME_S) + 10):
             for sender, receiver in (nodes, nodes[::-1]):
-                receiver.merge(sender.reports([PROCESS], second, 6), second)
+                reports = sender.reports([PROCESS], second, 6)
+                receiver.merge(reports, second + TRAVEL_S)
         for node in nodes:
             node.record(ServerProcess("other"), LIFETIME_S + 20.0)
             self.assertNotIn(PROCESS, node)
