--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -28,6 +28,8 @@
 SUCCESSES_PER_CRASH = 0.5
 SUSPECT_LIFETIME_S = 60.0
 REFUSED_LIFETIME_S = 3600.0
+# Longest time between the ends of one suspicion on two nodes.
+FORGETTING_S = 5.0
 # Ends of a process without a start time that are closer to one another count once.
 SAME_END_S = 1.0
 # Bounds the memory when many different requests are in flight on crashing servers.
@@ -218,7 +220,10 @@
                 suspect.reported_successes[node] = report.successes
             suspect.refused |= report.refused
             suspect.judge()
-            if now - suspect.crashed_at > suspect.lifetime_s():
+            # Near its end, a node that has just forgotten the suspicion would take it
+            # over again from one that forgets it a little later.
+            forgetting_s = 0.0 if known else FORGETTING_S
+            if now - suspect.crashed_at > suspect.lifetime_s() - forgetting_s:
                 continue
             self.suspects[report.fingerprint] = suspect
             if suspect.refused and not was_refused:
--- a/ebonybend/steering/leaving.py
+++ b/ebonybend/steering/leaving.py
@@ -15,6 +15,8 @@
 
 # A process that leaves has ended by then.
 LIFETIME_S = 3600.0
+# Longest time between the ends of one statement on two nodes.
+FORGETTING_S = 5.0
 # Bounds the memory; the oldest statements are dropped.
 MAX_PROCESSES = 10_000
 # Leaving servers in a heartbeat.
@@ -81,7 +83,7 @@
             process = ServerProcess(report.name, report.started_ms)
             # A report doesn't renew what is known, since its age lacks the time that it
             # travelled.
-            if age_s <= LIFETIME_S and process not in self.stated_at:
+            if age_s <= LIFETIME_S - FORGETTING_S and process not in self.stated_at:
                 self.record(process, now - age_s)
                 found.append(report.name)
         return found
--- a/ebonybend/steering/suspects.py
+++ b/ebonybend/steering/suspects.py
@@ -12,6 +12,8 @@
 SUSPECT_LIFETIME_S = 60.0
 REFUSED_LIFETIME_S = 3600.0
 CRASHES_TO_REFUSE = 2
+# Longest time between the ends of one suspicion on two instances.
+FORGETTING_S = 5.0
 # Bounds the memory when many different requests are in flight on crashing servers.
 MAX_SUSPECTS = 10_000
 # Several entries use one server, so the notice of a crash may arrive before this
@@ -132,7 +134,9 @@
             remote = Suspect(
                 view.crashes, view.refused, crashed_at, frozenset(view.servers)
             )
-            if now - crashed_at <= remote.lifetime_s():
+            # Near its end, an instance that has just forgotten the suspicion would take
+            # it over again from one that forgets it a little later.
+            if now - crashed_at <= remote.lifetime_s() - FORGETTING_S:
                 self._merge_one(view.fingerprint, remote, now)
 
     def views(self) -> tuple[SuspectView, ...]:
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -285,7 +285,6 @@
             fleet.detectors[0].record_end(process(server))
         until = fleet.clock.monotonic() + self.lifetime_s + 1.0
         while fleet.clock.monotonic() < until:
-            fleet.clock.advance(BEAT_S)
             for sender, receiver in (fleet.detectors, fleet.detectors[::-1]):
                 reports = sender.reports()
                 fleet.clock.advance(TRAVEL_S)
