Let nodes of this build and of the one before hear each other

While a build is replaced, nodes of two builds run side by side. A heartbeat of this one lacked two fields that the earlier one requires and had one that it lacks, so each took the other for dead; a relay without eras was followed but never read.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -232,10 +232,10 @@
         demand = regions.own_demand() if is_local else regions.region_demand()
         self.heartbeat_count += 1
         return NodeHeartbeat(
+            name=self.name,
             incarnation=1,
             count=self.heartbeat_count,
             ready=True,
-            era=0,
             newest={},
             followed_s=0.0,
             demand={name: round(slots * 100) for name, slots in demand.items()},
--- a/ebonybend/node/beats.py
+++ b/ebonybend/node/beats.py
@@ -11,6 +11,22 @@
 from ebonybend.logs import get_logger
 from ebonybend.node.members import Member, Members, NodeHeartbeat
 
+OPTIONAL_FIELDS = frozenset({"ejected", "era", "reports"})
+
+
+def encode_heartbeat(heartbeat: NodeHeartbeat) -> bytes:
+    """Return a heartbeat without the optional fields that have their defaults.
+
+    Builds from before these fields read it, too; they require those up to suspects.
+    """
+    fields = {
+        attribute.name: getattr(heartbeat, attribute.name)
+        for attribute in NodeHeartbeat.__attrs_attrs__
+        if attribute.name not in OPTIONAL_FIELDS
+        or getattr(heartbeat, attribute.name) != attribute.default
+    }
+    return pack(fields)
+
 
 class HeartbeatProtocol(DatagramProtocol):
     """Send heartbeats to other nodes and record theirs."""
@@ -40,7 +56,7 @@
         if self.transport is None:
             return
         for is_local, members in ((True, local), (False, remote)):
-            self._send_each(pack(self.build_heartbeat(is_local)), members)
+            self._send_each(encode_heartbeat(self.build_heartbeat(is_local)), members)
 
     def _send_each(self, data: bytes, members: Iterable[Member]) -> None:
         for member in members:
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -201,7 +201,7 @@
             )
             if not self.expired_servers.remaining_s(now):
                 self.reapply_servers()
-        if heartbeat.era != self.era:
+        if UNKNOWN_ERA not in (heartbeat.era, self.era) and heartbeat.era != self.era:
             self._compare_era(heartbeat, now)
             return
         for watcher in self.watchers:
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from math import ceil, inf
+from typing import Any
 
 from attrs import frozen
 from xxhash import xxh3_64_intdigest
@@ -74,14 +75,13 @@
 class NodeHeartbeat:
     """The state that a node sends to other nodes once per period."""
 
+    name: str
     incarnation: int
     # Sequence number within an incarnation; an older datagram is ignored.
     count: int
     # Whether clients may use the node.
     ready: bool
-    # Era of the store that the node knows, and the newest version in it of an object of
-    # each kind that the node watches.
-    era: int
+    # Newest version of an object of each kind that the node watches in the store.
     newest: dict[str, int]
     # Time for which the store has answered the node without a failure; 0 while the
     # store is unreachable.
@@ -92,14 +92,13 @@
     member: Member
     # Servers that the node ejected after its own requests failed.
     ejected: tuple[str, ...] = ()
+    # Required by builds that know no reports; not used here.
+    suspects: tuple[Any, ...] = ()
+    # Era of the store in which the versions count; 0 if the node knows none.
+    era: int = 0
     # None if there is nothing to report.
     reports: ServerReports | None = None
 
-    @property
-    def name(self) -> str:
-        """Return the name of the node."""
-        return self.member.name
-
     def is_valid(self) -> bool:
         """Return whether the addresses and numbers can be used."""
         return (
--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
+from attrs import evolve
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
@@ -223,12 +224,13 @@
         """Return the changes of a kind that a relay has, and record its era."""
         asked_at = self.timers.seconds()
         answer = await self.fetch(relay.address, kind, since, self.eras.current)
-        if isinstance(answer, Success) and not self.eras.record(
-            answer.unwrap().era, asked_at
-        ):
+        if not isinstance(answer, Success):
+            return answer
+        if not self.eras.record(answer.unwrap().era, asked_at):
             message = "the relay's changes are older than the store's last return"
             return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
-        return answer
+        # A relay that knows no eras follows the store as well.
+        return answer.map(lambda found: evolve(found, era=self.eras.current))
 
     async def _watch_relays(
         self, kind: str, since: int
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -306,6 +306,7 @@
         demand = regions.own_demand() if is_local else regions.region_demand()
         self.heartbeat_count += 1
         return NodeHeartbeat(
+            name=self.own.name,
             incarnation=self.own.incarnation,
             count=self.heartbeat_count,
             ready=self.is_ready(),
--- a/ebonybend/node/tests/beat_double.py
+++ b/ebonybend/node/tests/beat_double.py
@@ -8,10 +8,10 @@
 def heartbeat(sender: Member, **changes) -> NodeHeartbeat:
     """Return a heartbeat of a ready node with nothing to report."""
     plain = NodeHeartbeat(
+        name=sender.name,
         incarnation=1,
         count=1,
         ready=True,
-        era=0,
         newest={},
         followed_s=1.0,
         demand={},
--- a/ebonybend/node/tests/test_members.py
+++ b/ebonybend/node/tests/test_members.py
@@ -1,7 +1,7 @@
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
-from ebonybend.codec import pack
+from ebonybend.node.beats import encode_heartbeat
 from ebonybend.node.members import (
     DATAGRAM_LIFETIME_S,
     HEARTBEAT_PERIOD_S,
@@ -63,9 +63,10 @@
             membership.own,
             demand={f"service-{i}": 12_345 for i in range(4)},
             newest=dict.fromkeys(kinds, 123_456),
+            era=3,
         )
         local, remote = membership.recipients()
-        per_s = len(pack(sent)) * len(local + remote) / HEARTBEAT_PERIOD_S
+        per_s = len(encode_heartbeat(sent)) * len(local + remote) / HEARTBEAT_PERIOD_S
         self.assertLess(per_s, CONTROL_BYTES_PER_S)
 
     def test_full_heartbeat_fits_into_a_datagram(self):
@@ -84,7 +85,7 @@
             newest=dict.fromkeys(("config", "servers", "evacuations"), 123_456),
             reports=reports,
         )
-        self.assertLess(len(pack(sent)), 1400)
+        self.assertLess(len(encode_heartbeat(sent)), 1400)
 
     def test_every_node_is_reached_within_the_liveness_timeout(self):
         membership = members(self.count, self.regions)
--- a/ebonybend/steering/relays.py
+++ b/ebonybend/steering/relays.py
@@ -38,7 +38,7 @@
     address: str
     # Version up to which the relay has read each kind of object.
     versions: dict[str, int]
-    # Era of the store in which these versions were given out.
+    # Era of the store in which these versions were given out; 0 if it isn't known.
     era: int = 0
 
 
@@ -110,8 +110,7 @@
             for relay in self.known.values()
             if now < relay.expires_at
             and relay.failed_until <= now
-            and (relay.pulse.era, relay.pulse.versions.get(kind, 0)) > (era, since)
-            and kind in relay.pulse.versions
+            and _is_ahead(relay.pulse, kind, since, era)
         ]
         return max(ahead, key=lambda pulse: self._preference(pulse, kind), default=None)
 
@@ -119,3 +118,10 @@
         # Equally new relays share the nodes that read from them.
         spread = xxh3_64_intdigest(f"{pulse.name} {self.own_name}".encode())
         return pulse.era, pulse.versions[kind], spread
+
+
+def _is_ahead(pulse: Pulse, kind: str, since: int, era: int) -> bool:
+    """Return whether a relay has changes of a kind since a version of an era."""
+    if 0 in (pulse.era, era) or pulse.era == era:
+        return pulse.versions.get(kind, 0) > since
+    return pulse.era > era and kind in pulse.versions
--- a/ebonybend/steering/tests/test_relays.py
+++ b/ebonybend/steering/tests/test_relays.py
@@ -129,6 +129,12 @@
         self.assertIsNone(relays.source("servers", 3, 0.1, 2))
         self.assertIsNone(relays.source("config", 0, 0.1, 1))
 
+    def test_relay_of_an_earlier_build_is_read_by_its_versions(self):
+        relays = Relays(NAMES[4])
+        relays.record_pulse(pulse(NAMES[0], 9), 0.0)
+        self.assertEqual(NAMES[0], relays.source("servers", 8, 0.1, 3).name)
+        self.assertIsNone(relays.source("servers", 9, 0.1, 3))
+
     def test_readers_are_spread_over_equally_new_relays(self):
         sources = set()
         for number in range(20):
--- a/ebonybend/store/tests/test_watcher.py
+++ b/ebonybend/store/tests/test_watcher.py
@@ -102,7 +102,8 @@
         for since, era in ((9, 1), (1, 1), (0, 3)):
             found = self.watcher.changes_since(since, era)
             self.assertEqual((True, 2, 1), (found.complete, found.era, found.version))
-        self.assertEqual((), self.watcher.changes_since(1, 2).items)
+        for era in (2, 0):
+            self.assertEqual((), self.watcher.changes_since(1, era).items)
 
     def test_continues_after_a_change_that_cannot_be_applied(self):
         self.memory.write("rules", "a", b"1")
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -139,7 +139,7 @@
         """
         if self.version is None:
             return None
-        is_same_era = era == self.era
+        is_same_era = era in (UNKNOWN_ERA, self.era)
         changes = None
         if is_same_era:
             changes = self.change_log.changes_since(since, self.version, self.objects)
