--- a/bench/tests/fleet_case.py
+++ b/bench/tests/fleet_case.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from time import monotonic
 
 from testtools import TestCase
 
@@ -25,6 +26,8 @@
         self.addCleanup(self.fleet.__exit__)
         self.state = self.fleet.store.state
         self.count = 0
+        # What ended the requests without an answer, with the time of each.
+        self.errors = []
 
     def send(self, node, path="/read/x"):
         """Send a request to a node; return the status, 0 without an answer."""
@@ -35,4 +38,8 @@
             "Deadline-Ms": DEADLINE_MS,
         }
         address = f"{self.fleet.nodes[node].ip}:{CALLERS_PORT}"
-        return call("GET", address, path, headers=headers, timeout=3.0).status
+        started = monotonic()
+        answer = call("GET", address, path, headers=headers, timeout=3.0)
+        if not answer.status:
+            self.errors.append((node, answer.body, monotonic() - started))
+        return answer.status
--- a/bench/tests/test_odd_entries.py
+++ b/bench/tests/test_odd_entries.py
@@ -69,7 +69,7 @@
         self.fleet.wait_until(self.fleet.all_ready, 10.0)
         sleep(max(left_at + DRAIN_LIMIT_S - monotonic(), 0.0))
         statuses = {self.send(node) for node in NODES for _ in range(20)}
-        self.assertEqual({200}, statuses)
+        self.assertEqual({200}, statuses, self.errors)
         late = [
             at - left_at
             for server in leaving
