Split the faults of the node soak and the forwarder's test fixture

The injected faults are a module of their own, and the tests of what the forwarder does with answers that speak of their server are apart from those of sending.

--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -6,39 +6,31 @@
 
 import sys
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
-from threading import Event, Thread
+from threading import Event
 from time import monotonic, sleep
 
 from absl import flags
-from attrs import define, field, frozen
+from attrs import define
 
 from bench.node_callers import Caller, SentRequest, start_callers
-from bench.node_fleet import SERVICES, FleetServer, NodeFleet
+from bench.node_faults import (
+    CONTACT_S,
+    DRAIN_LIMIT_S,
+    Fault,
+    FaultInjector,
+    Leaving,
+    Pause,
+)
+from bench.node_fleet import NodeFleet
 from standins.command import parse_flags
-from standins.platform_store import StoreCopy
-from standins.proxy_rules import ProxyRule
 
 CALLERS = 9
-# Mean time between the starts of two faults; several may last at the same time.
-FAULT_GAP_S = 1.2
-MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
 # Time without new faults at the end, in which everything has to work again.
 SETTLE_S = 6.0
-# Documented time until a leaving server gets no more requests, and until a node is up
-# to date after an impairment.
-DRAIN_LIMIT_S = 2.5
-CONTACT_S = 4.0
-# Planned changes; a server that asks for a pause is no impairment either.
-PLANNED_KINDS = ("stop", "config", "leave", "says_leaving", "asks_for_pause")
-# Faults of servers whose names don't say so.
-SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause")
-# Time for which the store is away before it comes back from an older copy, and until
-# its other writers have written again.
-RESTORE_S, REWRITE_S = 0.5, 1.0
 # Requests that a server may get from a node in a pause, and from when on.
 MAX_LATE_REQUESTS = 2
 REFUSAL_LIMIT_S = 0.5
@@ -50,243 +42,6 @@
 MAX_SHOWN = 5
 
 
-@frozen
-class Fault:
-    """One fault, or one planned change."""
-
-    kind: str
-    target: str
-    started_at: float
-    ended_at: float
-
-    @property
-    def is_planned(self) -> bool:
-        """Return whether operators or the platform made the change on purpose."""
-        return self.kind in PLANNED_KINDS
-
-
-@frozen
-class Leaving:
-    """A server that left, and when the store accepted that."""
-
-    server: FleetServer
-    at: float
-
-
-@frozen
-class Pause:
-    """A server that asked each node to send nothing for some seconds."""
-
-    server: FleetServer
-    at: float
-    seconds: float
-
-
-@define
-class FaultInjector:
-    """Inject faults at random times, each in a thread of its own."""
-
-    fleet: NodeFleet
-    random: Random
-    faults: list[Fault] = field(factory=list)
-    leavings: list[Leaving] = field(factory=list)
-    pauses: list[Pause] = field(factory=list)
-    # Servers whose entries were removed.
-    removed: set[str] = field(factory=set)
-    busy: set[str] = field(factory=set)
-    threads: list[Thread] = field(factory=list)
-    problems: list[str] = field(factory=list)
-
-    def run(self, seconds: float) -> None:
-        """Inject faults for some seconds, and wait until all have ended."""
-        until = monotonic() + seconds
-        kinds = sorted(self._kinds())
-        next_at = monotonic() + self._gap_s()
-        while next_at < until:
-            sleep(max(next_at - monotonic(), 0.0))
-            self._start(self.random.choice(kinds))
-            next_at += self._gap_s()
-        for thread in self.threads:
-            thread.join()
-
-    def _gap_s(self) -> float:
-        return self.random.expovariate(1 / FAULT_GAP_S)
-
-    def _kinds(self) -> dict[str, Callable[[str, float, str], None]]:
-        return {
-            "pause": self._pause,
-            "kill": self._kill,
-            "stop": self._stop,
-            "store_down": self._store_down,
-            "store_cut": self._store_cut,
-            "store_frozen": self._store_cut,
-            "history_lost": self._history_lost,
-            "config": self._config,
-            "leave": self._leave,
-            "server_cut": self._server_rule,
-            "server_frozen": self._server_rule,
-            "server_slow": self._server_rule,
-            "store_restored": self._store_restored,
-            "says_leaving": self._say_leaving,
-            "asks_for_pause": self._ask_for_pause,
-            "answers_lost": self._answers,
-            "answers_repeated": self._answers,
-        }
-
-    def _start(self, kind: str) -> None:
-        is_node = kind in ("pause", "kill", "stop", "store_cut", "store_frozen")
-        is_server = kind.startswith(("server", "answers")) or kind in SERVER_KINDS
-        names = sorted(self.fleet.nodes) if is_node else ["store"]
-        if is_server:
-            gone = {leaving.server.name for leaving in self.leavings}
-            names = sorted(set(self.fleet.servers) - gone)
-        target = self.random.choice(names)
-        if target in self.busy:
-            return
-        self.busy.add(target)
-        seconds = self.random.uniform(MIN_FAULT_S, MAX_FAULT_S)
-        thread = Thread(target=self._inject, args=(kind, target, seconds))
-        self.threads.append(thread)
-        thread.start()
-
-    def _inject(self, kind: str, target: str, seconds: float) -> None:
-        started_at = monotonic()
-        try:
-            self._kinds()[kind](target, seconds, kind)
-        except Exception as error:
-            self.problems.append(f"{kind} of {target}: {error!r}")
-        self.faults.append(Fault(kind, target, started_at, monotonic()))
-        self.busy.discard(target)
-
-    def _pause(self, node: str, seconds: float, _kind: str) -> None:
-        self.fleet.pause(node)
-        sleep(seconds)
-        self.fleet.resume(node)
-
-    def _kill(self, node: str, seconds: float, _kind: str) -> None:
-        self.fleet.processes.kill(node)
-        sleep(seconds)
-        self._restart(node)
-
-    def _stop(self, node: str, _seconds: float, _kind: str) -> None:
-        self.fleet.processes.terminate(node)
-        status = self.fleet.processes.wait(node, self.fleet.grace_s + 2.0)
-        if status != 0:
-            self.problems.append(f"{node} stopped with {status}")
-        self._restart(node)
-
-    def _restart(self, node: str) -> None:
-        self.fleet.processes.restart(node)
-        self.fleet.wait_until(lambda: self.fleet.is_ready(node), 15.0)
-
-    def _store_down(self, _target: str, seconds: float, _kind: str) -> None:
-        self.fleet.store.state.error_status = 503
-        sleep(seconds)
-        self.fleet.store.state.error_status = None
-
-    def _store_cut(self, node: str, seconds: float, kind: str) -> None:
-        action = "cut" if kind == "store_cut" else "freeze"
-        store = self.fleet.nodes[node].store
-        self._apply_rule(ProxyRule(name=node, target=store, action=action), seconds)
-
-    def _history_lost(self, _target: str, _seconds: float, _kind: str) -> None:
-        self.fleet.store.state.drop_history()
-
-    def _config(self, _target: str, _seconds: float, _kind: str) -> None:
-        self.fleet.set_config(self.random.choice(SERVICES))
-
-    def _leave(self, name: str, _seconds: float, _kind: str) -> None:
-        server = self.fleet.servers[name]
-        self.fleet.add_server(server.service, server.zone)
-        self.fleet.set_state(server, "draining")
-        self.leavings.append(Leaving(server, monotonic()))
-        sleep(DRAIN_LIMIT_S)
-        self._remove(name)
-
-    def _store_restored(self, _target: str, seconds: float, _kind: str) -> None:
-        """Come back from an older copy; its other writers write again afterwards."""
-        state = self.fleet.store.state
-        copy = state.copy()
-        sleep(seconds)
-        state.error_status = 503
-        sleep(RESTORE_S)
-        with state.changed:
-            newest = state.copy()
-            state.restore(copy)
-        for number in range(self.random.choice((0, 40))):
-            state.put("other", f"o{number}", {})
-        state.error_status = None
-        sleep(REWRITE_S)
-        with state.changed:
-            for kind in ("config", "servers"):
-                self._write_again(kind, copy, newest)
-
-    def _write_again(self, kind: str, copy: StoreCopy, newest: StoreCopy) -> None:
-        """Write the objects again that nobody has written since the store's return."""
-        state = self.fleet.store.state
-        objects = state.kinds[kind]
-        for name, written in newest.kinds[kind].items():
-            current = objects.get(name, {}).get("Metadata", {}).get("Rev")
-            known = copy.kinds[kind].get(name, {}).get("Metadata", {}).get("Rev")
-            is_lost = written["Metadata"]["Rev"] != known
-            if is_lost and current == known and name not in self.removed:
-                state.put(kind, name, written["Spec"])
-        for name in objects.keys() - newest.kinds[kind].keys():
-            if name in copy.kinds[kind]:
-                state.remove(kind, name)
-
-    def _remove(self, name: str) -> None:
-        """Remove a server's entry, which a restored store may not have."""
-        state = self.fleet.store.state
-        with state.changed:
-            self.removed.add(name)
-            if name in state.kinds["servers"]:
-                state.remove("servers", name)
-
-    def _say_leaving(self, name: str, _seconds: float, _kind: str) -> None:
-        """Say in answers only that a server leaves, and remove it much later."""
-        server = self.fleet.servers[name]
-        self.fleet.add_server(server.service, server.zone)
-        # Each node is bound from its own answers on, so the limit counts from the
-        # time at which all nodes know it.
-        server.endpoint.answer_headers = {"Server-Leaving": "1"}
-        sleep(CONTACT_S)
-        self.leavings.append(Leaving(server, monotonic()))
-        sleep(DRAIN_LIMIT_S)
-        self._remove(name)
-
-    def _ask_for_pause(self, name: str, seconds: float, _kind: str) -> None:
-        """Turn requests away for some seconds, with a Retry-After."""
-        server = self.fleet.servers[name]
-        server.endpoint.retry_after = f"{seconds:.2f}"
-        self.pauses.append(Pause(server, monotonic(), seconds))
-        sleep(seconds / 2)
-        server.endpoint.retry_after = None
-        sleep(seconds / 2)
-
-    def _server_rule(self, name: str, seconds: float, kind: str) -> None:
-        action = {"server_cut": "cut", "server_frozen": "freeze"}.get(kind, "none")
-        rule = ProxyRule(
-            name=name,
-            target=self.fleet.servers[name].address,
-            action=action,
-            delay_ms=150.0 if kind == "server_slow" else 0.0,
-        )
-        self._apply_rule(rule, seconds)
-
-    def _apply_rule(self, rule: ProxyRule, seconds: float) -> None:
-        self.fleet.add_rule(rule)
-        sleep(seconds)
-        self.fleet.remove_rule(rule.name)
-
-    def _answers(self, name: str, _seconds: float, kind: str) -> None:
-        endpoint = self.fleet.servers[name].endpoint
-        if kind == "answers_lost":
-            endpoint.answers_to_lose = 3
-        else:
-            endpoint.answers_to_repeat = 3
-
-
 @define
 class SoakResult:
     """What a run sent, received and broke."""
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -1,192 +1,26 @@
 from collections import Counter
-from math import inf
-from random import Random
-from typing import ClassVar
 
 from attrs import evolve
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.task import Clock
-from twisted.web.http_headers import Headers
 
-from ebonybend.errors import ErrorKind, SteeringError
+from ebonybend.errors import ErrorKind
 from ebonybend.node.backend_connection import (
     ACK_TIMEOUT_MS,
-    AnswerNotReceived,
-    BackendAnswer,
-    LossReason,
 )
-from ebonybend.node.backend_pool import BackendUnreachable
-from ebonybend.node.caller_requests import ClientRequest
-from ebonybend.node.crash_watch import CrashWatch
-from ebonybend.node.forwarder import Forwarder
-from ebonybend.node.pause_gate import PauseGate
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector, CrashReport
-from ebonybend.steering.placement import Placement
-from ebonybend.steering.server_state import ServerTable
-from ebonybend.steering.service_times import ServiceTimes
-from ebonybend.steering.shared_rates import RetryWindow
-from ebonybend.steering.suspects import fingerprint
-from ebonybend.tasks import ReactorClock
-from ebonybend.world import BackendServer
-from ebonybend.world.route import Route, RoutePart
-
-ROUTE = Route(
-    name="r",
-    host="h",
-    prefix="/",
-    idempotent=True,
-    parts=(RoutePart("s", 1.0),),
-    max_sends=2,
-    timeout_s=1.0,
-    objective_s=0.3,
-    priority=1,
+from ebonybend.node.tests.forwarder_fixture import (
+    CLOSED,
+    FAILED,
+    FULL,
+    MALFORMED,
+    OK,
+    REFUSED,
+    WRONG_SERVER,
+    ForwarderFixture,
 )
-OK = BackendAnswer(200, Headers(), b"whole")
-FAILED = BackendAnswer(500, Headers(), b"failed")
-MALFORMED = AnswerNotReceived(LossReason.MALFORMED)
-FULL = BackendAnswer(503, Headers({"Not-Run": ["1"]}), b"")
-WRONG_SERVER = BackendAnswer(421, Headers(), b"")
-CLOSED = AnswerNotReceived(LossReason.CLOSED)
-REFUSED = BackendUnreachable("refused", True)
-
-
-class FixedRegion:
-    """Assign every object to one region."""
-
-    def record_request(self, route, service):
-        """Do nothing."""
-
-    def region_of(self, service, object_key):
-        """Return the only region."""
-        return "a"
-
-
-class PlainWireFormat:
-    """The formats that these tests use."""
-
-    def server_headers(self, server, remaining_s):
-        """Return a header with the remaining time."""
-        return ((b"Left", str(round(remaining_s, 3)).encode()),)
-
-    def states_not_run(self, status, headers):
-        """Return whether an answer states that the request was not run."""
-        return status == 421 or headers.hasHeader("Not-Run")
-
-    def read_limit(self, headers):
-        """Return the limit that an answer names."""
-        return float((headers.getRawHeaders("Limit") or [inf])[0])
-
-    def states_leaving(self, headers):
-        """Return whether an answer states that its server leaves."""
-        return headers.hasHeader("Leaving")
-
-    def read_pause(self, status, headers):
-        """Return the pause that an answer asks for."""
-        return float((headers.getRawHeaders("Pause") or [0.0])[0])
-
-    def read_load(self, headers):
-        """Return no load."""
-
-
-class ScriptedPool:
-    """A pool whose connections answer by a script."""
-
-    def __init__(self, script):
-        self.script = list(script)
-        self.sent = []
-        self.ack_timeouts_ms = []
-        self.waiting = None
-        self.checked = []
-        # If set, the next connection is delayed until it fires.
-        self.connecting = None
-
-    def acquire(self, server, non_idempotent):
-        """Return no idle connection."""
-
-    async def connect(self, server):
-        """Return a connection, or raise the error that is next in the script."""
-        if self.connecting is not None:
-            await self.connecting
-        if self.script and isinstance(self.script[0], BackendUnreachable):
-            raise self.script.pop(0)
-        return self
-
-    def add_idle(self, server, connection):
-        """Count a connection that a check opened."""
-        self.checked.append(server.name)
-
-    def close(self):
-        """Do nothing."""
-
-    def send(self, method, request_id, data, ack_timeout_ms):
-        """Answer with the next entry of the script; wait if there is none."""
-        self.sent.append(data)
-        self.ack_timeouts_ms.append(ack_timeout_ms)
-        self.waiting = Deferred(
-            lambda d: d.errback(AnswerNotReceived(LossReason.ABORTED))
-        )
-        if self.script:
-            result = self.script.pop(0)
-            if isinstance(result, Exception):
-                self.waiting.errback(result)
-            else:
-                self.waiting.callback(result)
-        return self.waiting
-
-
-class ForwarderFixture:
-    """A forwarder with three servers behind a scripted pool."""
-
-    def __init__(self, script, slack=100.0, **route):
-        self.clock = Clock()
-        self.pool = ScriptedPool(script)
-        table = ServerTable()
-        names = ("s1", "s2", "s3")
-        table.update(
-            {n: BackendServer(n, "s", "a-1", "1:1", 4, region="a") for n in names}, 0.0
-        )
-        self.crash_detector = CrashDetector(ReactorClock(self.clock))
-        self.forwarder = Forwarder(
-            self.clock,
-            self.pool,
-            Placement(table, ServiceTimes()),
-            FixedRegion(),
-            PlainWireFormat(),
-            lambda: RetryWindow(0.0, slack, 10.0),
-            lambda: 1,
-            Random(1),
-            CrashWatch(self.clock, self.pool, self.crash_detector),
-            PauseGate(self.clock, lambda: None, lambda time: True),
-        )
-        self.route = evolve(ROUTE, **route)
-        self.results = []
-
-    def forward(self, deadline=1.0):
-        request = ClientRequest(
-            request_id=b"a1",
-            method=b"POST",
-            uri=b"/x?y=1",
-            headers=Headers({"Request-Id": ["a1"], "Connection": ["close"]}),
-            body=b"body",
-            route=self.route,
-            service="s",
-            object_key=b"17",
-            arrived_at=0.0,
-            deadline=deadline,
-            urgent_route=None,
-        )
-        running = Deferred.fromCoroutine(self.forwarder.forward(request))
-        running.addBoth(self.results.append)
-        return running
-
-    def outcome(self):
-        result = self.results[0]
-        if isinstance(result, BackendAnswer):
-            return result.status
-        error = result.value
-        return error.kind if isinstance(error, SteeringError) else type(error)
+from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashReport
+from ebonybend.steering.suspects import fingerprint
 
 
 class SilentServerTest(TestWithScenarios, TestCase):
@@ -404,104 +238,3 @@
         fixture.pool.waiting.errback(CLOSED)
         self.assertEqual(ErrorKind.ANSWER_LOST, fixture.outcome())
         self.assertEqual(1, len(fixture.pool.sent))
-
-
-class LeavingAnswerTest(TestWithScenarios, TestCase):
-    """Guards against requests to a server that stated that it leaves."""
-
-    LEAVING: ClassVar = {"Leaving": ["1"]}
-    scenarios = [
-        ("answered", {"answer": BackendAnswer(200, Headers(LEAVING), b"")}),
-        ("failed", {"answer": BackendAnswer(500, Headers(LEAVING), b"")}),
-        (
-            "not run",
-            {"answer": BackendAnswer(503, Headers({**LEAVING, "Not-Run": ["1"]}), b"")},
-        ),
-        (
-            "by another server at its address",
-            {"answer": BackendAnswer(421, Headers(LEAVING), b""), "usable": 3},
-        ),
-    ]
-    usable = 2
-
-    def test_other_servers_are_used(self):
-        fixture = ForwarderFixture([self.answer], max_sends=1)
-        fixture.forward()
-        table = fixture.forwarder.placement.table
-        self.assertEqual(self.usable, len(table.usable("s")))
-
-    def test_not_sent_if_the_server_begins_to_leave_meanwhile(self):
-        fixture = ForwarderFixture([OK])
-        connecting = fixture.pool.connecting = Deferred()
-        fixture.forward()
-        table = fixture.forwarder.placement.table
-        (chosen,) = [s for s in table.states.values() if s.in_flight]
-        table.record_leaving(chosen.server.process, 0.0)
-        fixture.pool.connecting = None
-        connecting.callback(None)
-        self.assertEqual(200, fixture.outcome())
-        self.assertEqual(1, len(fixture.pool.sent))
-        self.assertEqual(float("-inf"), chosen.answered_at)
-
-
-class RefusingServerTest(TestWithScenarios, TestCase):
-    """Guards against requests to servers that asked for a pause."""
-
-    scenarios = [
-        ("not run", {"headers": {"Pause": ["2"], "Not-Run": ["1"]}}),
-        ("failed", {"headers": {"Pause": ["2"]}}),
-    ]
-
-    def test_no_request_until_its_end(self):
-        answer = BackendAnswer(503, Headers(self.headers), b"")
-        fixture = ForwarderFixture([answer] * 3, max_sends=3)
-        fixture.forward()
-        self.assertEqual(3, len(fixture.pool.sent))
-        fixture.clock.advance(1.9)
-        fixture.results.clear()
-        fixture.forward(deadline=3.0)
-        self.assertEqual(ErrorKind.OVERLOADED, fixture.outcome())
-        self.assertEqual(3, len(fixture.pool.sent))
-        # The client is told to come back when the pause ends.
-        self.assertTrue(100 <= fixture.results[0].value.retry_after_ms <= 150)
-        fixture.clock.advance(0.2)
-        fixture.pool.script = [OK]
-        fixture.results.clear()
-        fixture.forward(deadline=3.0)
-        self.assertEqual(200, fixture.outcome())
-
-    def test_not_by_another_server_at_its_address(self):
-        answer = BackendAnswer(421, Headers(self.headers), b"")
-        fixture = ForwarderFixture([answer, OK])
-        fixture.forward()
-        self.assertEqual(200, fixture.outcome())
-        states = fixture.forwarder.placement.table.states.values()
-        self.assertFalse(any(state.is_paused(0.0) for state in states))
-
-
-class NamedLimitTest(TestWithScenarios, TestCase):
-    """Guards against requests to a server that exceed the limit that it names."""
-
-    scenarios = [
-        ("answered", {"status": 200, "headers": {"Limit": ["2"]}}),
-        ("failed", {"status": 500, "headers": {"Limit": ["2"]}}),
-        ("not run", {"status": 503, "headers": {"Limit": ["2"], "Not-Run": ["1"]}}),
-    ]
-
-    def test_not_by_another_server_at_its_address(self):
-        answer = BackendAnswer(421, Headers({"Limit": ["2"]}), b"")
-        fixture = ForwarderFixture([answer], max_sends=1)
-        fixture.forward()
-        states = fixture.forwarder.placement.table.states.values()
-        self.assertEqual({inf}, {state.limit.limit for state in states})
-
-    def test_each_server_gets_its_limit(self):
-        answer = BackendAnswer(self.status, Headers(self.headers), b"")
-        fixture = ForwarderFixture([answer] * 400, max_sends=3)
-        for _ in range(200):
-            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
-            fixture.clock.advance(0.05)
-        # A burst, 10 s at the rate, and the first request, which learned the limit.
-        most = 3 * (2.0 + 10.0 * 2.0 + 1.0)
-        self.assertLessEqual(len(fixture.pool.sent), most)
-        self.assertGreaterEqual(len(fixture.pool.sent), 0.8 * most)
