Don't hold a fetch that a node cancels itself against the relay

Callers: a node that reaches no store was still without the configuration 4 s after the store had come back from an older copy.

Cause: a node that learns of a later era cancels its fetches from relays. The relay client told a cancelled fetch as one that the relay failed to answer, so the node left the relay out for 3 s, and the cancelled step went on in the earlier history.

Change: the relay client classifies failures as the store's clients do, and a cancelled fetch ends its step. In the simulated region a cancelled fetch fails instead of raising, as in a node, and fetches of several kinds take turns; without that it didn't show the fault.

--- a/ebonybend/node/relay_changes.py
+++ b/ebonybend/node/relay_changes.py
@@ -10,7 +10,7 @@
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import SteeringError
 from ebonybend.http_answers import IncomingRequest, OutgoingAnswer
-from ebonybend.http_client import HttpClient, RequestFailed
+from ebonybend.http_client import HttpAnswer, HttpClient
 from ebonybend.http_router import Router
 from ebonybend.store.client import (
     MAX_ANSWER_BYTES,
@@ -18,6 +18,7 @@
     StoredObject,
     StoreFailure,
     StoreFailureKind,
+    store_result,
 )
 from ebonybend.store.watcher import Watcher
 
@@ -93,26 +94,27 @@
     ) -> Result[ObjectList, StoreFailure]:
         """Return the changes of a kind since a version of an era."""
         path = f"{CHANGES_PATH}?kind={quote(kind, safe='')}&since={since}&era={era}"
-        try:
-            answer = await self.http.request(
-                "GET",
-                address,
-                path,
-                timeout=FETCH_TIMEOUT_S,
-                max_body=MAX_ANSWER_BYTES,
-            )
-            if answer.status != 200:
-                message = f"the relay answered {answer.status}"
-                return Failure(StoreFailure(StoreFailureKind.REJECTED, message))
-            changes = unpack(answer.body, RelayedChanges)
-        except RequestFailed as error:
-            return Failure(StoreFailure(StoreFailureKind.UNAVAILABLE, str(error)))
-        except SteeringError as error:
-            return Failure(StoreFailure(StoreFailureKind.REJECTED, error.message))
-        items = (
-            StoredObject(item.name, item.version, Raw(item.value), item.deleted)
-            for item in changes.items
-        )
-        return Success(
-            ObjectList(changes.version, tuple(items), changes.complete, changes.era)
+        request = self.http.request(
+            "GET", address, path, timeout=FETCH_TIMEOUT_S, max_body=MAX_ANSWER_BYTES
         )
+        answer = await store_result(request, _failure)
+        return answer.bind(_decode_changes)
+
+
+def _failure(answer: HttpAnswer) -> StoreFailure:
+    message = f"the relay answered {answer.status}"
+    return StoreFailure(StoreFailureKind.REJECTED, message)
+
+
+def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
+    try:
+        changes = unpack(body, RelayedChanges)
+    except SteeringError as error:
+        return Failure(StoreFailure(StoreFailureKind.REJECTED, error.message))
+    items = (
+        StoredObject(item.name, item.version, Raw(item.value), item.deleted)
+        for item in changes.items
+    )
+    return Success(
+        ObjectList(changes.version, tuple(items), changes.complete, changes.era)
+    )
--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -215,8 +215,8 @@
         if source is None:
             return None
         answer = await self._fetch(source, kind, 0)
-        is_usable = isinstance(answer, Success) and answer.unwrap().complete
-        return answer if is_usable else None
+        is_list = isinstance(answer, Success) and answer.unwrap().complete
+        return answer if is_list or _is_cancelled(answer) else None
 
     async def _fetch(
         self, relay: Pulse, kind: str, since: int
@@ -250,9 +250,7 @@
                 await self._wait_for_pulse(until - now)
                 continue
             answer = await self._fetch(source, kind, since)
-            if isinstance(answer, Success) and (
-                answer.unwrap().complete or answer.unwrap().version > since
-            ):
+            if _is_cancelled(answer) or _has_changes(answer, since):
                 return answer
             message = (
                 "no changes"
@@ -293,6 +291,13 @@
     return not isinstance(answer, Success) and answer.failure().cancelled
 
 
+def _has_changes(answer: Result[ObjectList, StoreFailure], since: int) -> bool:
+    """Return whether a relay delivered changes since a version, or all objects."""
+    if not isinstance(answer, Success):
+        return False
+    return answer.unwrap().complete or answer.unwrap().version > since
+
+
 def _is_cut_off(answer: Result[Any, StoreFailure]) -> bool:
     """Return whether a call did not reach the store, or its answer was lost."""
     return not isinstance(answer, Success) and answer.failure().kind in (
--- a/ebonybend/node/tests/simulated_region.py
+++ b/ebonybend/node/tests/simulated_region.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from returns.result import Failure, Success
+from twisted.internet.defer import CancelledError
 from twisted.internet.task import Clock, deferLater
 
 from ebonybend.node.followed import MAX_BACKOFF_S
@@ -20,6 +21,7 @@
     CALL_S,
     MemoryStore,
     StoreClient,
+    cancelled,
 )
 from ebonybend.store.watcher import Watcher
 from ebonybend.tasks import Tasks
@@ -28,7 +30,8 @@
 KINDS = (KIND, "config", "evacuations", "nodes")
 NODES = 12
 BATCH_DELAY_S = 0.4
-FETCH_S = 0.003
+# Time in which a busy relay serves one request; those for several kinds take turns.
+FETCH_S = 0.012
 DATAGRAM_S = 0.001
 # The bound on a change to be in force, with room for the calls themselves.
 IN_FORCE_S = 2.5
@@ -155,7 +158,10 @@
         return Member(name, "a-1", "a", f"{name}:80", f"{name}:81", 1)
 
     async def fetch(self, address, kind, since, era):
-        await deferLater(self.clock, FETCH_S)
+        try:
+            await deferLater(self.clock, FETCH_S * (1 + KINDS.index(kind)))
+        except CancelledError:
+            return Failure(cancelled())
         node = self.nodes[address.partition(":")[0]]
         watcher = node.watchers[kind]
         changes = None if node.silent else watcher.changes_since(since, era)
--- a/ebonybend/store/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -151,7 +151,7 @@
                 await next_change
             except CancelledError:
                 if timer.active():
-                    return Failure(_cancelled())
+                    return Failure(cancelled())
                 break
             finally:
                 if timer.active():
@@ -182,7 +182,7 @@
             try:
                 await deferLater(clock, timeout_s)
             except CancelledError:
-                return _cancelled()
+                return cancelled()
             return _lost()
         if self.down:
             await deferLater(clock, self.down_s)
@@ -206,7 +206,8 @@
     return StoreFailure(StoreFailureKind.ANSWER_LOST, "lost")
 
 
-def _cancelled():
+def cancelled():
+    """Return the failure of a call that its caller cancelled."""
     return evolve(_lost(), cancelled=True)
 
 
