List from relays while a call for another kind waits for the store

Cause: while the store doesn't answer, calls for one kind show when it returns, and the lists of the others waited up to 4 s for it. They asked a relay once, before the wait, and only after a watch had failed; a node that starts while it reaches no store never asked one.

Change: a list asks the relays again at each pulse while it waits, and a failed list counts as being cut off, as a failed watch does.

Result: CutOffTest.test_started_node_lists_from_relays failed before and passes.

--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -111,16 +111,21 @@
 
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind, from a relay if the store is out of reach."""
-        if self.timers.seconds() < self.cut_off_until:
+        until = self.timers.seconds() + PROBE_TIMEOUT_S
+        while self._is_out_of_reach():
             relayed = await self._list_from_relay(kind)
             if relayed is not None:
                 return relayed
-        until = self.timers.seconds() + PROBE_TIMEOUT_S
-        while self._is_probing_other(kind) and self.timers.seconds() < until:
-            await self._wait_for_pulse(until - self.timers.seconds())
+            wait_s = until - self.timers.seconds()
+            if not self._is_probing_other(kind) or wait_s <= 0:
+                break
+            await self._wait_for_pulse(wait_s)
         answer = await self.store.list(kind)
         if not _is_cancelled(answer):
             self._record_contact(kind, answer)
+            is_cut_off = _is_cut_off(answer)
+            retry_s = STORE_RETRY_S if is_cut_off else 0.0
+            self.cut_off_until = self.timers.seconds() + retry_s
         return answer
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
@@ -178,6 +183,11 @@
         if was_probing is not None:
             self.wake()
 
+    def _is_out_of_reach(self) -> bool:
+        """Return whether the last calls, or those of another kind, got no answer."""
+        is_cut_off = self.timers.seconds() < self.cut_off_until
+        return is_cut_off or self.probing_kind is not None
+
     def _is_probing_other(self, kind: str) -> bool:
         """Return whether calls for another kind show when the store answers again."""
         return self.probing_kind not in (None, kind)
--- a/ebonybend/node/tests/simulated_region.py
+++ b/ebonybend/node/tests/simulated_region.py
@@ -138,7 +138,8 @@
     def __init__(self, kinds=(KIND,), down=False, nodes=NODES):
         self.clock = Clock()
         self.memory = MemoryStore(self.clock, era=1)
-        self.memory.write(KIND, "first", b"1")
+        for kind in kinds:
+            self.memory.write(kind, "first", b"1")
         names = [f"10.0.0.{number}" for number in range(nodes)]
         self.nodes = {name: Node(self, name, kinds) for name in names}
         for node in self.nodes.values():
@@ -146,6 +147,17 @@
             node.start()
         self.run(5.0)
 
+    def restart(self, name, down=False):
+        """Replace a node by one that has read nothing yet."""
+        previous = self.nodes[name]
+        for watcher in previous.watchers.values():
+            watcher.stop()
+        previous.tasks.stop()
+        node = self.nodes[name] = Node(self, name, tuple(previous.watchers))
+        node.client.down = down
+        node.start()
+        return node
+
     def live_names(self):
         return [name for name, node in self.nodes.items() if not node.silent]
 
--- a/ebonybend/node/tests/test_relayed_store.py
+++ b/ebonybend/node/tests/test_relayed_store.py
@@ -90,6 +90,15 @@
             self.assertGreaterEqual(node.watcher.version, version)
         self.assertTrue(all(node.store.is_following() for node in cut_off))
 
+    def test_started_node_lists_from_relays(self):
+        """The list of one kind fails, and the others wait for its next call."""
+        region = Region(KINDS)
+        name = next(n for n, x in region.nodes.items() if x.store.is_following())
+        node = region.restart(name, down=True)
+        region.run(CONTACT_S)
+        for watcher in node.watchers.values():
+            self.assertEqual({"first"}, set(watcher.objects))
+
     def test_nodes_that_only_repeat_others_are_no_relays(self):
         region = Region()
         cut_relays_from_store(region)
