Check the numbers of a routing configuration before it is used

Cause: the numbers of a configuration were used unchecked; the store accepts only valid configurations, but a time of 1e300 ms or a version of 400 digits would have been applied. Class of fault: input of others whose type is checked and whose value isn't.

The test on processes has four more odd objects: an evacuation, a configuration of another name, a checkpoint and the refused requests, each nested 5,000 deep.

--- a/bench/tests/test_odd_entries.py
+++ b/bench/tests/test_odd_entries.py
@@ -11,6 +11,9 @@
 DEPTH = 5000
 
 
+NESTED = "[" * DEPTH + "]" * DEPTH
+
+
 def entry(**changes):
     """Return the JSON text of a server's entry with some fields replaced."""
     value = server_object("history", "kingston-a", "127.0.0.1:9")
@@ -39,7 +42,7 @@
     """Guards against nodes that end, or stop following a list with an odd entry."""
 
     scenarios = [
-        ("nested", {"text": with_extra("[" * DEPTH + "]" * DEPTH)}),
+        ("nested", {"text": with_extra(NESTED)}),
         ("surrogate", {"text": with_extra('"\\ud800"')}),
         ("port out of range", {"text": entry(Addr="127.0.0.1:99999")}),
         ("port of many digits", {"text": entry(Addr="127.0.0.1:" + "1" * 5000)}),
@@ -51,13 +54,24 @@
         ),
         (
             "nested entry of a node",
-            {"text": "[" * DEPTH + "]" * DEPTH, "kind": "ebonybend-nodes"},
+            {"text": NESTED, "kind": "ebonybend-nodes"},
+        ),
+        ("nested evacuation", {"text": NESTED, "kind": "evacuations"}),
+        ("nested configuration", {"text": NESTED, "kind": "config"}),
+        (
+            "nested checkpoint",
+            {"text": NESTED, "kind": "ebonybend-kept", "name": "kingston"},
+        ),
+        (
+            "nested refused requests",
+            {"text": NESTED, "kind": "ebonybend-refused", "name": "all"},
         ),
     ]
     kind = "servers"
+    name = "odd"
 
     def test_nodes_go_on(self):
-        self.state.put_raw(self.kind, "odd", self.text)
+        self.state.put_raw(self.kind, self.name, self.text)
         sleep(1.0)
         leaving = [s for s in self.fleet.servers.values() if s.zone == "kingston-a"]
         for server in leaving:
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -36,6 +36,12 @@
 MAX_SLOTS = 100_000
 MAX_COLD_MS = 86_400_000.0
 MS_PER_S = 1000.0
+# Limits on the numbers of a configuration.
+MAX_VERSION = 2**63 - 1
+MAX_CONFIG_TIME_MS = 86_400_000.0
+MAX_CONFIG_COUNT = 1_000_000
+MAX_CONFIG_BYTES = 1 << 40
+MAX_WEIGHT = 1e9
 # Downloads have large answers; repeating one is as harmless as for other reads.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 LIFE_STATES = {"ready": LifeState.LIVE, "draining": LifeState.LEAVING}
@@ -46,6 +52,10 @@
     Service: str
     Weight: float
 
+    def is_valid(self) -> bool:
+        """Return whether the weight can be used."""
+        return 0.0 <= self.Weight <= MAX_WEIGHT
+
 
 @frozen
 class _Path:
@@ -62,6 +72,16 @@
     Backends: list[_Backend] = field(factory=list)
     HomeRegions: list[str] = field(factory=list)
 
+    def is_valid(self) -> bool:
+        """Return whether the numbers can be used."""
+        return (
+            0.0 <= self.TimeoutMs <= MAX_CONFIG_TIME_MS
+            and 0.0 <= self.GoalMs <= MAX_CONFIG_TIME_MS
+            and 0 <= self.MaxAttempts <= MAX_CONFIG_COUNT
+            and abs(self.Priority) <= MAX_CONFIG_COUNT
+            and all(backend.is_valid() for backend in self.Backends)
+        )
+
 
 @frozen
 class _VirtualHost:
@@ -76,6 +96,14 @@
     WarmupS: float = 0.0
     WarmupPerS: float = 0.0
 
+    def is_valid(self) -> bool:
+        """Return whether the numbers can be used."""
+        return (
+            0 <= self.MaxConns <= MAX_CONFIG_COUNT
+            and 0.0 <= self.WarmupS * MS_PER_S <= MAX_CONFIG_TIME_MS
+            and 0.0 <= self.WarmupPerS <= MAX_CONFIG_COUNT
+        )
+
 
 @frozen
 class _Limits:
@@ -84,6 +112,15 @@
     HeaderTimeoutMs: float = 3000.0
     IdleTimeoutMs: float = 15000.0
 
+    def is_valid(self) -> bool:
+        """Return whether the numbers can be used."""
+        return (
+            0 <= self.MaxHeaderBytes <= MAX_CONFIG_BYTES
+            and 0 <= self.MaxBodyBytes <= MAX_CONFIG_BYTES
+            and 0.0 <= self.HeaderTimeoutMs <= MAX_CONFIG_TIME_MS
+            and 0.0 <= self.IdleTimeoutMs <= MAX_CONFIG_TIME_MS
+        )
+
 
 @frozen
 class _Config:
@@ -92,6 +129,13 @@
     Limits: _Limits = _Limits()
     VirtualHosts: list[_VirtualHost] = field(factory=list)
 
+    def is_valid(self) -> bool:
+        """Return whether the numbers can be used."""
+        paths = (path for host in self.VirtualHosts for path in host.Paths)
+        parts = (self.Limits, *self.Services, *paths)
+        is_version = 0 <= self.Version <= MAX_VERSION
+        return is_version and all(part.is_valid() for part in parts)
+
 
 @frozen
 class _ConfigObject:
@@ -172,11 +216,13 @@
     refused_kind = REFUSED_KIND
 
     def decode_config(self, stored: StoredObject) -> RoutingConfig | None:
-        """Return the routing configuration, or None if it can't be decoded."""
+        """Return the routing configuration, or None if it can't be used."""
         try:
             config = from_json(bytes(stored.value), _ConfigObject).Spec
         except SteeringError:
             return None
+        if not config.is_valid():
+            return None
         return RoutingConfig(
             config.Version,
             tuple(
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -159,6 +159,47 @@
         self.assertEqual(member, documents.decode_member(stored(spec)))
 
 
+class OddConfigTest(TestWithScenarios, TestCase):
+    """Guards against numbers in a configuration that stop or distort the routing."""
+
+    scenarios = [
+        ("whole", {"valid": True}),
+        ("version of many digits", {"config": {"Version": 10**400}}),
+        ("time without end", {"path": {"TimeoutMs": 1e300}}),
+        ("negative objective", {"path": {"GoalMs": -1.0}}),
+        ("attempts of many digits", {"path": {"MaxAttempts": 10**400}}),
+        ("priority of many digits", {"path": {"Priority": -(10**400)}}),
+        ("negative weight", {"backend": {"Weight": -1.0}}),
+        ("weight without end", {"backend": {"Weight": 1e300}}),
+        ("negative rate of cold servers", {"service": {"WarmupPerS": -1.0}}),
+        ("warm-up without end", {"service": {"WarmupS": 1e300}}),
+        ("connections of many digits", {"service": {"MaxConns": 10**400}}),
+        ("body of many digits", {"limits": {"MaxBodyBytes": 10**400}}),
+        ("negative time for headers", {"limits": {"HeaderTimeoutMs": -1.0}}),
+    ]
+    valid = False
+    config: ClassVar = {}
+    path: ClassVar = {}
+    backend: ClassVar = {}
+    service: ClassVar = {}
+    limits: ClassVar = {}
+
+    def test_is_used(self):
+        backend = {"Service": "x", "Weight": 90, **self.backend}
+        route = {"Name": "r", "PathPrefix": "/a/", "Kind": "safe", **self.path}
+        spec = {
+            "Version": 3,
+            "Services": [{"Name": "x", "WarmupS": 1, **self.service}],
+            "Limits": {"MaxHeaderBytes": 16384, **self.limits},
+            "VirtualHosts": [
+                {"Host": "h", "Paths": [{**route, "Backends": [backend]}]}
+            ],
+            **self.config,
+        }
+        found = PlatformDocuments().decode_config(stored(spec))
+        self.assertEqual(self.valid, found is not None)
+
+
 class OddMemberTest(TestWithScenarios, TestCase):
     """Guards against an entry or a heartbeat of a node that stops the heartbeats."""
 
