Read lists of the own object API in spite of an odd entry

Cause: the same class as in a node. An entry nested 5,000 deep or with an invalid escape made the whole list or change unreadable; slots or a start of 400 digits ended each application of the list, so that it wasn't followed any more; ports out of range and names with line breaks were used.

Change: decode_parts moves from platform/ to store/client.py, and both clients use it. Servers and instances know whether their numbers and addresses can be used; the node's adapter uses the same check. The simulated cluster gives its servers addresses in place of names.

--- a/ebonybend/addresses.py
+++ b/ebonybend/addresses.py
@@ -17,6 +17,15 @@
     return host, number
 
 
+def is_address(address: str) -> bool:
+    """Return whether a text is an IP address with a port."""
+    try:
+        split_address(address)
+    except ValueError:
+        return False
+    return True
+
+
 def is_ipv4_address(address: str) -> bool:
     """Return whether a text is an IPv4 address with a port."""
     try:
--- a/ebonybend/control/platform_feed.py
+++ b/ebonybend/control/platform_feed.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from random import Random
+from typing import TypeVar
 
 from msgspec import Raw
 
@@ -25,6 +26,8 @@
 from ebonybend.tasks import Timers
 from ebonybend.world import BackendServer, Deployment, Instance
 
+T = TypeVar("T")
+
 OBJECT_KINDS = ("deployment", "rules", "instance", "server", "clientmap")
 
 
@@ -156,17 +159,27 @@
     )
 
 
-def _decode(value: Raw, kind: type) -> object:
+def _decode(value: Raw, kind: type[T]) -> T:
     return from_json(bytes(value), kind)
 
 
-def _decode_all(objects: Mapping[str, StoredObject], kind: type) -> list:
+def _decode_all(
+    objects: Mapping[str, StoredObject], kind: type[Instance] | type[BackendServer]
+) -> list[Instance | BackendServer]:
+    """Return the usable objects; an odd one doesn't invalidate the others."""
     found = []
     for stored in objects.values():
         try:
-            found.append(_decode(stored.value, kind))
+            decoded = _decode(stored.value, kind)
         except SteeringError as error:
-            get_logger().error(
-                "platform_object_bad", name=stored.name, error=error.message
-            )
+            _log_odd(stored.name, error.message)
+            continue
+        if decoded.is_valid():
+            found.append(decoded)
+        else:
+            _log_odd(stored.name, "a name, an address or a number is out of range")
     return found
+
+
+def _log_odd(name: str, error: str) -> None:
+    get_logger().error("platform_object_bad", name=name, error=error)
--- a/ebonybend/control/tests/cluster.py
+++ b/ebonybend/control/tests/cluster.py
@@ -160,6 +160,7 @@
         self.nodes: dict[str, Node] = {}
         self.partitions: set[frozenset] = set()
         self.servers: dict[str, HealthDouble] = {}
+        self.server_addresses: dict[str, str] = {}
         self.memory = MemoryStore(self.clock)
         self.tasks = Tasks(self.clock)
         self.write_platform()
@@ -183,7 +184,10 @@
 
     def list_server(self, name, domain, state=LifeState.LIVE):
         self.servers.setdefault(name, HealthDouble())
-        server = BackendServer(name, "rides", domain, name, 4, state=state)
+        port = 3000 + list(self.servers).index(name)
+        address = f"127.0.0.1:{port}"
+        self.server_addresses[address] = name
+        server = BackendServer(name, "rides", domain, address, 4, state=state)
         self.write("server", name, server)
 
     def list_instance(self, node, state=LifeState.LIVE):
@@ -225,7 +229,7 @@
             Random(self.random.random()),
             node.store,
             Transport(self, node),
-            lambda address: self.servers[address],
+            lambda address: self.servers[self.server_addresses[address]],
         )
         node.ready_at = None
         if node.entry is None:
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -10,10 +10,9 @@
 from ebonybend.steering.service_times import RouteTimes
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer
+from ebonybend.world.backend_server import MAX_TIME_MS
 from ebonybend.world.route import RoutingConfig
 
-# Unix time in milliseconds, far in the future.
-MAX_TIME_MS = 10**15
 # A longer mean service time isn't a measured one.
 MAX_SERVICE_S = 3600.0
 
--- a/ebonybend/platform/documents.py
+++ b/ebonybend/platform/documents.py
@@ -1,14 +1,12 @@
 """Decode and encode the objects in the platform's store."""
 
-import re
-
 from attrs import field, frozen
 
 from ebonybend.addresses import is_ipv4_address
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.node.members import Member
-from ebonybend.node.wire import MAX_TIME_MS, RefusedRequests, RegionCheckpoint
+from ebonybend.node.wire import RefusedRequests, RegionCheckpoint
 from ebonybend.store.client import StoredObject
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.route import (
@@ -30,11 +28,6 @@
 # A kind that this project defines: one object with the refused requests.
 REFUSED_KIND = "ebonybend-refused"
 
-# A server's name is sent in a header of each request to it.
-SERVER_NAME = re.compile(r"[!-~]{1,200}")
-# Limits on the numbers in a server's entry; one above them isn't an endpoint's.
-MAX_SLOTS = 100_000
-MAX_COLD_MS = 86_400_000.0
 MS_PER_S = 1000.0
 # Limits on the numbers of a configuration.
 MAX_VERSION = 2**63 - 1
@@ -252,16 +245,9 @@
             return None
         info, status = spec.Info, spec.Status
         state = LIFE_STATES.get(status.State)
-        is_valid = (
-            SERVER_NAME.fullmatch(stored.name)
-            and is_ipv4_address(spec.Addr)
-            and 1 <= info.MaxConcurrency <= MAX_SLOTS
-            and 0 <= spec.born <= MAX_TIME_MS
-            and status.WarmupLeftMs <= MAX_COLD_MS
-        )
-        if state is None or not is_valid:
+        if state is None or not is_ipv4_address(spec.Addr):
             return None
-        return BackendServer(
+        server = BackendServer(
             name=stored.name,
             service=info.Service,
             failure_domain=info.Zone,
@@ -272,6 +258,7 @@
             started_ms=spec.born,
             cold_for_s=max(status.WarmupLeftMs, 0.0) / MS_PER_S,
         )
+        return server if server.is_valid() else None
 
     def decode_member(self, stored: StoredObject) -> Member | None:
         """Return a node's own entry, or None if it can't be decoded."""
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -1,9 +1,8 @@
 """A client of the platform's object store."""
 
 import re
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from time import monotonic
-from typing import Any
 from urllib.parse import quote
 
 from attrs import evolve, field, frozen
@@ -13,7 +12,7 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import AnswerLost, HttpAnswer, HttpClient
-from ebonybend.json_scan import split_array, split_object
+from ebonybend.json_scan import split_object
 from ebonybend.store.client import (
     CALL_TIMEOUT_S,
     MAX_ANSWER_BYTES,
@@ -23,6 +22,7 @@
     StoreFailure,
     StoreFailureKind,
     decode_answer,
+    decode_parts,
     store_result,
 )
 from ebonybend.store.era import UNKNOWN_ERA, EraTracker
@@ -232,30 +232,17 @@
 
 def _split_page(body: bytes) -> Result[_Page, StoreFailure]:
     """Return a page with malformed objects, which don't invalidate the others."""
-    page, items = _decode_parts(body, _Page, "items")
+    page, items = decode_parts(body, _Page, "items")
     return page.map(lambda found: evolve(found, items=[Raw(x) for x in items]))
 
 
 def _split_changes(body: bytes) -> Result[_Changes, StoreFailure]:
     """Return changes with malformed objects, which don't invalidate the others."""
-    changes, parts = _decode_parts(body, _Changes, "events")
+    changes, parts = decode_parts(body, _Changes, "events")
     events = [event for part in parts if (event := _decode_event(part)) is not None]
     return changes.map(lambda found: evolve(found, events=events))
 
 
-def _decode_parts(
-    body: bytes, kind: type, name: str
-) -> tuple[Result[Any, StoreFailure], list[bytes]]:
-    """Return an answer without one of its arrays, and the elements of the array."""
-    try:
-        members = split_object(body)
-        parts = split_array(members.pop(name, b"[]"))
-    except ValueError as error:
-        failure = StoreFailure(StoreFailureKind.ANSWER_LOST, str(error))
-        return Failure(failure), []
-    return decode_answer(_join_object(members), kind), parts
-
-
 def _decode_event(data: bytes) -> _Event | None:
     """Return an event, or None if it can't be decoded."""
     try:
@@ -270,11 +257,6 @@
         return None
 
 
-def _join_object(members: Mapping[str, bytes]) -> bytes:
-    pairs = (to_json(name) + b":" + value for name, value in members.items())
-    return b"{" + b",".join(pairs) + b"}"
-
-
 def _decode_body(body: bytes) -> Result[StoredObject, StoreFailure]:
     stored = _decode_object(Raw(body))
     if stored is None:
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -1,15 +1,15 @@
 """The interface of the platform's object store, and a client over HTTP."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from enum import Enum
 from typing import Any, Protocol
 from urllib.parse import quote
 
-from attrs import frozen
+from attrs import evolve, frozen
 from msgspec import Raw
 from returns.result import Failure, Result, Success
 
-from ebonybend.codec import from_json
+from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import (
     HttpAnswer,
@@ -18,6 +18,7 @@
     RequestCancelled,
     RequestFailed,
 )
+from ebonybend.json_scan import split_array, split_object
 
 CALL_TIMEOUT_S = 2.0
 # Added to the time for which the platform may hold a watch before it answers.
@@ -140,12 +141,12 @@
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind."""
         answer = await self._call("GET", f"/v1/objects/{quote(kind)}")
-        return answer.bind(lambda body: decode_answer(body, ObjectList))
+        return answer.bind(_decode_list)
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
         answer = await self._call("GET", _path(kind, name))
-        return answer.bind(lambda body: decode_answer(body, StoredObject))
+        return answer.bind(_decode_stored)
 
     async def put(
         self, kind: str, name: str, value: bytes, version: int
@@ -163,7 +164,7 @@
         path = f"/v1/watch/{quote(kind)}?since={since}&timeout_ms={timeout_ms}"
         timeout = timeout_ms / 1000 + WATCH_MARGIN_S
         answer = await self._call("GET", path, timeout=timeout)
-        return answer.bind(lambda body: decode_answer(body, ObjectList))
+        return answer.bind(_decode_list)
 
     async def _call(
         self,
@@ -208,5 +209,56 @@
         return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
 
 
+def decode_parts(
+    body: bytes, kind: type, name: str
+) -> tuple[Result[Any, StoreFailure], list[bytes]]:
+    """Return an answer without one of its arrays, and the elements of the array."""
+    try:
+        members = split_object(body)
+        parts = split_array(members.pop(name, b"[]"))
+    except ValueError as error:
+        failure = StoreFailure(StoreFailureKind.ANSWER_LOST, str(error))
+        return Failure(failure), []
+    return decode_answer(_join_object(members), kind), parts
+
+
+def _join_object(members: Mapping[str, bytes]) -> bytes:
+    pairs = (to_json(name) + b":" + value for name, value in members.items())
+    return b"{" + b",".join(pairs) + b"}"
+
+
+def _decode_list(body: bytes) -> Result[ObjectList, StoreFailure]:
+    return decode_answer(body, ObjectList).lash(lambda _: _split_list(body))
+
+
+def _split_list(body: bytes) -> Result[ObjectList, StoreFailure]:
+    """Return a list with malformed objects, which don't invalidate the others."""
+    found, parts = decode_parts(body, ObjectList, "items")
+    items = tuple(x for part in parts if (x := _decode_object(part)) is not None)
+    return found.map(lambda objects: evolve(objects, items=items))
+
+
+def _decode_stored(body: bytes) -> Result[StoredObject, StoreFailure]:
+    stored = _decode_object(body)
+    if stored is None:
+        message = "the platform's answer is no object"
+        return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
+    return Success(stored)
+
+
+def _decode_object(data: bytes) -> StoredObject | None:
+    """Return an object, whose value may be malformed; None if another part is."""
+    try:
+        return from_json(data, StoredObject)
+    except SteeringError:
+        pass
+    try:
+        members = split_object(data)
+        value = Raw(members.pop("value", bytes(NULL)))
+        return evolve(from_json(_join_object(members), StoredObject), value=value)
+    except (SteeringError, ValueError):
+        return None
+
+
 def _path(kind: str, name: str) -> str:
     return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
--- a/ebonybend/world/backend_server.py
+++ b/ebonybend/world/backend_server.py
@@ -4,7 +4,15 @@
 
 from attrs import frozen
 
-from ebonybend.world.instance import LifeState
+from ebonybend.addresses import is_address
+from ebonybend.world.instance import LifeState, is_name
+
+# Limits on the numbers in a server's entry; one above them isn't a server's.
+MAX_SLOTS = 100_000
+MAX_CONNECTIONS = 1_000_000
+# Unix time in milliseconds, far in the future.
+MAX_TIME_MS = 10**15
+MAX_COLD_S = 86_400.0
 
 
 class ServerState(Enum):
@@ -45,6 +53,17 @@
     # server accepts only a limited rate.
     cold_for_s: float = 0.0
 
+    def is_valid(self) -> bool:
+        """Return whether the name, the address and the numbers can be used."""
+        return (
+            is_name(self.name)
+            and is_address(self.address)
+            and 1 <= self.slots <= MAX_SLOTS
+            and 0 <= self.connections <= MAX_CONNECTIONS
+            and 0 <= self.started_ms <= MAX_TIME_MS
+            and 0.0 <= self.cold_for_s <= MAX_COLD_S
+        )
+
     @property
     def process(self) -> ServerProcess:
         """Return the process that the list describes."""
