--- /dev/null
+++ b/review/1/__init__.py
@@ -0,0 +1,1 @@
+"""One odd entry among the servers stops all nodes for seconds."""
--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review."""
