--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -11,7 +11,7 @@
 import time
 import tomllib
 import urllib.request
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 from standins.platform_store import PlatformStoreServer
@@ -22,7 +22,11 @@
     "kingston-a": "kingston",
     "montego-a": "montego",
     "mandeville-a": "mandeville",
+    "kingston-b": "kingston",
+    "montego-b": "montego",
+    "mandeville-b": "mandeville",
 }
+ZONES_OF_NODES = ("kingston-a", "montego-a", "mandeville-a")
 BOUNDS = {
     "SeedLagS": "3",
     "ReuseAfterS": "2",
@@ -115,7 +119,7 @@
 
     def __init__(self, deployment: "Deployment", zone: str, ip: str):
         self.deployment = deployment
-        self.name = f"front-{zone}-1"
+        self.name = f"front-{zone}-{ip.rpartition('.')[2]}"
         self.zone = zone
         self.ip = ip
         self.front = (ip, deployment.ports["front"])
@@ -183,13 +187,13 @@
 class Deployment:
     """A store and one node in each zone, on loopback addresses and free ports."""
 
-    def __init__(self, node_count: int = 3):
+    def __init__(self, zones: Sequence[str] = ZONES_OF_NODES):
         self.directory = Path(tempfile.mkdtemp(prefix="ebonybend-review-"))
         self.store = PlatformStoreServer()
-        self.network = self._free_network(node_count)
+        self.network = self._free_network(len(zones))
         self.nodes = [
             Node(self, zone, f"{self.network}.{number + 1}")
-            for number, zone in enumerate(list(ZONES)[:node_count])
+            for number, zone in enumerate(zones)
         ]
 
     def __enter__(self) -> "Deployment":
@@ -259,6 +263,8 @@
         address: str,
         slots: int = 5,
         state: str = "ready",
+        age_s: float = 60.0,
+        warmup_left_s: float = 0.0,
     ) -> None:
         """Write a server's entry, as the server does."""
         self.store.state.put(
@@ -266,14 +272,18 @@
             name,
             {
                 "Addr": address,
-                "born": int(time.time() * 1000) - 60_000,
+                "born": int((time.time() - age_s) * 1000),
                 "Info": {
                     "Service": service,
                     "Version": "1",
                     "Zone": zone,
                     "MaxConcurrency": slots,
                 },
-                "Status": {"State": state, "Sequence": 1, "WarmupLeftMs": 0},
+                "Status": {
+                    "State": state,
+                    "Sequence": 1,
+                    "WarmupLeftMs": int(warmup_left_s * 1000),
+                },
             },
         )
 
--- a/review/common/traffic.py
+++ b/review/common/traffic.py
@@ -36,6 +36,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Remember the connection."""
         self.transport = transport
+        self.endpoint.connections.add(transport)
 
     def data_received(self, data: bytes) -> None:
         """Start the next request once it is complete."""
@@ -44,6 +45,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop the request that is running."""
+        self.endpoint.connections.discard(self.transport)
         if self.task is not None:
             self.task.cancel()
         if self.run is not None and self.run.state == "running":
@@ -81,6 +83,7 @@
         else:
             run = self.run = Run(attempt, method, path, body, time.monotonic())
             endpoint.runs.append(run)
+            endpoint.on_run(run)
             await asyncio.sleep(endpoint.duration_s(path))
             answer = b"%s %s %08x\n" % (
                 attempt.encode(),
@@ -108,12 +111,15 @@
         self.duration_s = duration_s
         self.slots = slots
         self.runs: list[Run] = []
+        self.connections: set[asyncio.Transport] = set()
         self.address = ""
+        # Called with each request that reaches the endpoint.
+        self.on_run: Callable[[Run], None] = lambda run: None
 
-    async def listen(self, ip: str = "127.0.0.1") -> None:
-        """Listen on a free port."""
+    async def listen(self, ip: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on a port, or on a free one."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: Server(self), ip, 0)
+        self.server = await loop.create_server(lambda: Server(self), ip, port)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
 
 
@@ -236,3 +242,11 @@
         ip, _, port = text.rpartition(":")
         found.append((ip, int(port)))
     return found
+
+
+async def crash(endpoint: Endpoint) -> None:
+    """Close the port of an endpoint and reset its connections."""
+    endpoint.server.close()
+    for transport in list(endpoint.connections):
+        transport.abort()
+    await asyncio.sleep(0)
