--- /dev/null
+++ b/review/5/__init__.py
@@ -0,0 +1,1 @@
+"""SIGHUP ends a process that is starting."""
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 -m review.5.case
