--- a/review/3/__init__.py
+++ b/review/3/__init__.py
@@ -1,1 +1,1 @@
-"""A planned stop cuts off requests that the node accepted late."""
+"""Cut-off watches keep a server in use that has left."""
--- a/review/4/__init__.py
+++ b/review/4/__init__.py
@@ -1,1 +1,1 @@
-"""An endpoint that comes back cold while the store is down gets the full rate."""
+"""A planned stop cuts off requests that the node accepted late."""
--- a/review/5/__init__.py
+++ b/review/5/__init__.py
@@ -1,1 +1,1 @@
-"""A node ignores a grace time that changed in its settings file."""
+"""An endpoint that comes back cold while the store is down gets the full rate."""
--- a/review/common/traffic.py
+++ b/review/common/traffic.py
@@ -20,6 +20,8 @@
     path: str
     body: bytes
     arrived_at: float
+    # Who sent it, if the client says so.
+    sender: str = ""
     # "running", "answered", "dropped" (its connection closed) or "turned away".
     state: str = "running"
 
@@ -81,7 +83,8 @@
                 "Content-Length: 0\r\n\r\n".encode()
             )
         else:
-            run = self.run = Run(attempt, method, path, body, time.monotonic())
+            name = headers.get("user-agent", "")
+            run = self.run = Run(attempt, method, path, body, time.monotonic(), name)
             endpoint.runs.append(run)
             endpoint.on_run(run)
             await asyncio.sleep(endpoint.duration_s(path))
@@ -150,9 +153,13 @@
 class Client:
     """A client that keeps its connection as long as the node does."""
 
-    def __init__(self, address: tuple[str, int], host: str):
+    def __init__(
+        self, address: tuple[str, int], host: str, source_ip: str = "", name: str = ""
+    ):
         self.address = address
         self.host = host
+        self.source = (source_ip, 0) if source_ip else None
+        self.name = name
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def send(
@@ -170,7 +177,7 @@
             if self.streams is None or self.streams[0].at_eof():
                 self.close()
                 self.streams = await asyncio.wait_for(
-                    asyncio.open_connection(*self.address), 1.0
+                    asyncio.open_connection(*self.address, local_addr=self.source), 1.0
                 )
         except (OSError, TimeoutError):
             outcome.result = "not connected"
@@ -182,6 +189,8 @@
             f"Attempt-Id: {outcome.attempt}\r\nAffinity-Key: {key}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\n"
         )
+        if self.name:
+            head += f"User-Agent: {self.name}\r\n"
         if body:
             head += f"Content-Length: {len(body)}\r\n"
         writer.write(head.encode() + b"\r\n" + body)
