--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,13 +17,13 @@
 WORK_S = 0.25
 TIMEOUT_MS, GOAL_MS, DEADLINE_MS = 1000, 300, 1500
 ENDPOINTS, SLOTS, OBJECTS = 4, 3, 25
-CLIENTS, PERIOD_S = 24, 0.75
+CLIENTS, PERIOD_S = 24, 0.6
 DRAIN_S = 2.5
 CALM_S, AFTER_S = 7.0, 8.0
 # Times of the cuts before and after the removal of the entry.
 CUT_BEFORE_S, CUT_AFTER_S = 0.4, 1.6
 # The server reports no draining. It goes on serving for DrainMs and a little longer.
-EXIT_AFTER_S = 3.3
+EXIT_AFTER_S = 3.7
 
 
 async def call(address: tuple[str, int], until: float, outcomes: list[Outcome]) -> None:
