--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,80 +4,81 @@
 import random
 import sys
 import time
+from functools import partial
 from pathlib import Path
 
-from review.common.deployment import HOST, Deployment, cut_watches, route
-from review.common.record import BROKEN, HELD, NOT_RUN, Record, has_trouble
-from review.common.traffic import Client, Endpoint, Outcome, crash
+from review.callers import Caller, sleep_until
+from review.deployment import Deployment, cut_watches, route
+from review.record import BROKEN, HELD, NOT_RUN, Record, run_case
+from review.traffic import Endpoint, Outcome
 
 SERVICE = "signoff-svc"
-NODE_ZONES = ("kingston-a", "kingston-b", "montego-a")
+ZONES = ("kingston-a", "kingston-b", "montego-a")
 # signoff of bluemahoe-ops: 312 ms of work on an object that isn't warm; TimeoutMs
 # 1,000, a time budget of 1,500 ms; 3 slots.
-WORK_S = 0.25
+WORK_S = 0.312
 TIMEOUT_MS, GOAL_MS, DEADLINE_MS = 1000, 300, 1500
-ENDPOINTS, SLOTS, OBJECTS = 4, 3, 25
-CLIENTS, PERIOD_S = 24, 0.6
+ENDPOINTS, SLOTS, OBJECTS = 8, 3, 64
+# A quiet hour: each object has one sign-off in this time, all within a part of it.
+ROUND_S, ROUND_LENGTH_S, ROUNDS = 6.0, 0.8, 4
 DRAIN_S = 2.5
-CALM_S, AFTER_S = 7.0, 8.0
-# Times of the cuts before and after the removal of the entry.
+# The entry is removed this long before the third round. Times of the cuts before and
+# after that.
+REMOVED_BEFORE_S = 2.6
 CUT_BEFORE_S, CUT_AFTER_S = 0.4, 1.6
 # The server reports no draining. It goes on serving for DrainMs and a little longer.
-EXIT_AFTER_S = 3.7
+EXIT_AFTER_S = 3.0
 
 
-async def call(address: tuple[str, int], until: float, outcomes: list[Outcome]) -> None:
-    """File sign-offs at a fixed period."""
-    await asyncio.sleep(random.random() * PERIOD_S)
-    client = Client(address, HOST)
-    while time.monotonic() < until:
-        began = time.monotonic()
-        key = str(random.randrange(OBJECTS))
-        body = key.encode() * 100
-        outcomes.append(
-            await client.send("POST", f"/signoff/{key}", key, DEADLINE_MS, body)
-        )
-        await asyncio.sleep(max(began + PERIOD_S - time.monotonic(), 0.01))
+async def sign_off(caller: Caller, number: int, start: float) -> None:
+    """File one sign-off of an object in each round."""
+    for count in range(ROUNDS):
+        at = start + ROUND_S * (count + 1) + random.random() * ROUND_LENGTH_S
+        await sleep_until(at)
+        body = str(number).encode() * 100
+        path = f"/signoff/{number}"
+        await caller.send("POST", path, str(number), DEADLINE_MS, body)
 
 
 async def play(deployment: Deployment, record: Record) -> int:
     """Play the case; return its exit status."""
+    seen: set[str] = set()
     endpoints = [
-        Endpoint(f"i-{number}", lambda _: WORK_S, SLOTS) for number in range(ENDPOINTS)
+        Endpoint(f"i-{number}", lambda _: WORK_S, SLOTS, seen)
+        for number in range(ENDPOINTS)
     ]
     for number, endpoint in enumerate(endpoints):
         await endpoint.listen()
-        zone = NODE_ZONES[number % 2]
+        zone = ZONES[number % 2]
         deployment.list_server(endpoint.name, SERVICE, zone, endpoint.address, SLOTS)
     deployment.set_config(1, route("signoff", SERVICE, "unsafe", TIMEOUT_MS, GOAL_MS))
     await asyncio.to_thread(deployment.start_nodes)
     start = time.monotonic()
-    until = start + CALM_S + AFTER_S
     outcomes: list[Outcome] = []
-    tasks = [
-        asyncio.create_task(
-            call(
-                deployment.nodes[number % len(deployment.nodes)].front, until, outcomes
-            )
+    tasks = []
+    for number in range(OBJECTS):
+        caller = Caller(
+            deployment, ZONES[number % 2], outcomes, seen, keeps_long=number % 5 == 0
         )
-        for number in range(CLIENTS)
-    ]
+        tasks.append(asyncio.create_task(partial(sign_off, caller, number, start)()))
+    leaving = endpoints[0]
+    removal_at = start + 3 * ROUND_S - REMOVED_BEFORE_S
 
     async def cut_at(at: float) -> None:
-        await asyncio.sleep(at - time.monotonic())
-        if has_trouble():
+        await sleep_until(at)
+        if record.has_trouble:
             cut_watches(deployment.store)
             record.write(f"waiting watches cut off at {time.monotonic() - start:.3f}")
 
-    leaving = endpoints[0]
-    await cut_at(start + CALM_S - CUT_BEFORE_S)
-    await asyncio.sleep(start + CALM_S - time.monotonic())
+    await cut_at(removal_at - CUT_BEFORE_S)
+    await sleep_until(removal_at)
     deployment.store.state.remove("servers", leaving.name)
+    leaving.is_leaving = True
     removed_at = time.monotonic()
     record.write(f"entry of {leaving.name} removed at {removed_at - start:.3f}")
     await cut_at(removed_at + CUT_AFTER_S)
-    await asyncio.sleep(removed_at + EXIT_AFTER_S - time.monotonic())
-    await crash(leaving)
+    await sleep_until(removed_at + EXIT_AFTER_S)
+    await leaving.end()
     record.write(f"{leaving.name} exits at {time.monotonic() - start:.3f}")
     await asyncio.gather(*tasks)
     record.write_outcomes(outcomes, start)
@@ -85,19 +86,22 @@
     if sum(item.result == "200" for item in outcomes) < 100:
         record.close("not run: fewer than 100 requests were served")
         return NOT_RUN
-    sent_at = {item.attempt: item.sent_at for item in outcomes}
-    late = [r for r in leaving.runs if sent_at[r.attempt] > removed_at + DRAIN_S]
+    sent = {item.attempt: item for item in outcomes}
+    late = [
+        run
+        for run in leaving.runs
+        if run.attempt in sent and sent[run.attempt].sent_at > removed_at + DRAIN_S
+    ]
     lost = [
         run
         for run in late
-        if run.state == "dropped"
-        and any(i.attempt == run.attempt and i.result == "502" for i in outcomes)
+        if run.state == "dropped" and sent[run.attempt].result in ("502", "closed")
     ]
     for run in late:
         record.write(
-            f"LATE {run.path} {run.attempt}: sent {sent_at[run.attempt] - start:.3f},"
-            f" reached {leaving.name} {run.arrived_at - removed_at:.3f} s after the"
-            f" removal, {run.state}"
+            f"LATE {run.path} {run.attempt}: reached {leaving.name}"
+            f" {run.arrived_at - removed_at:.3f} s after the removal, {run.state},"
+            f" the client saw {sent[run.attempt].result}"
         )
     record.close(
         f"{'broken' if late else 'held'}: {len(late)} requests that were sent later"
@@ -107,16 +111,5 @@
     return BROKEN if late else HELD
 
 
-def main() -> int:
-    """Run the case."""
-    record = Record(Path(__file__).parent)
-    try:
-        with Deployment(NODE_ZONES) as deployment:
-            return asyncio.run(play(deployment, record))
-    except (OSError, RuntimeError) as error:
-        record.close(f"not run: {error!r}")
-        return NOT_RUN
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).parent, ZONES, play))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,117 +1,110 @@
-"""Stop a node with SIGTERM while clients look certificates up."""
+"""Stop a node with SIGTERM while clients look barrel histories up."""
 
 import asyncio
 import random
 import sys
 import time
-from collections.abc import Callable
+from functools import partial
+from itertools import count
 from pathlib import Path
 
-from review.common.callers import Caller, call, stop_node
-from review.common.deployment import Deployment, Node, route
-from review.common.record import BROKEN, HELD, NOT_RUN, Record, has_trouble
-from review.common.traffic import Endpoint, Outcome
-
-SERVICE = "registry-svc"
-ZONE = "kingston-a"
-# Of bluemahoe-ops-grown: cert-check works 2,120 ms on an object that isn't warm (6,360
-# ms at most) and 0.3 of that on one that is; its time budget is 10,000 ms, its
-# TimeoutMs 3,000.
-WARM_S, COLD_S = 0.35, 2.6
-TIMEOUT_MS, GOAL_MS, DEADLINE_MS = 3000, 1500, 10000
+from review.callers import Caller, call, sleep_until, stop_node
+from review.deployment import ZONES_OF_NODES, Deployment, Node, route
+from review.record import BROKEN, HELD, NOT_RUN, Record, run_case
+from review.traffic import Endpoint, Outcome
+
+SERVICE = "workshop"
+ZONE = ZONES_OF_NODES[0]
+# cask-history of kadar-ebony: 880 ms of work on an object that isn't warm (2,640 ms at
+# most) and 0.3 of that on one that is; a time budget of 4,000 ms; 4 slots. The desired
+# state sets a TimeoutMs of 4,000.
+WARM_S, COLD_S, LONG_S = 0.264, 0.88, 2.55
+TIMEOUT_MS, GOAL_MS, DEADLINE_MS = 4000, 600, 4000
 GRACE_S = 6.0
 # Requests that are sent up to this time after SIGTERM, and that are still at work in
 # the last sixth of GraceS, are not counted by the rule.
 EXCUSED_S = 3.0
-ENDPOINTS, SLOTS = 10, 6
-CLIENTS, PERIOD_S = 45, 0.54
-# Look-ups of objects that are not warm: at all times, and after SIGTERM by clients that
-# asked the directory shortly before it and keep its answer for 3 x TtlS.
-COLD_CLIENTS, COLD_PERIOD_S = 3, 3.0
-LATE_SENDS_S = (3.1, 3.2, 3.3, 3.4, 3.5)
+ENDPOINTS, SLOTS, OBJECTS = 12, 4, 40
+CLIENTS, PERIOD_S, COLD_SHARE = 40, 0.6, 0.1
+# Long look-ups: at all times, and after SIGTERM by clients that asked the directory
+# shortly before it and keep its answer for 3 x TtlS.
+LONG_CLIENTS, LONG_PERIOD_S = 2, 4.0
+LATE_SENDS_S = (3.3, 3.4, 3.5, 3.55, 3.6)
 LOOK_UP_AHEAD_S = 0.5
-TTL_S = 2.0
 WARM_UP_S = 6.0
+numbers = count()
 
 
-async def call_once(
-    caller: Caller,
-    stop_at: float,
-    offset_s: float,
-    next_path: Callable[[], str],
-    outcomes: list[tuple[tuple[str, int], Outcome]],
-) -> None:
+def duration_s(path: str) -> float:
+    """Return the time of work on an object."""
+    if "/long" in path:
+        return LONG_S
+    return COLD_S if "/cold" in path else WARM_S
+
+
+async def look_up(caller: Caller) -> None:
+    """Look up an object, which is warm in most cases."""
+    key = f"w{random.randrange(OBJECTS)}"
+    if random.random() < COLD_SHARE:
+        key = f"cold{next(numbers)}"
+    await caller.send("GET", f"/cask/{key}", key, DEADLINE_MS)
+
+
+async def look_up_long(caller: Caller) -> None:
+    """Look up an object with a long history."""
+    key = f"long{next(numbers)}"
+    await caller.send("GET", f"/cask/{key}", key, DEADLINE_MS)
+
+
+async def look_up_late(caller: Caller, stop_at: float, offset_s: float) -> None:
     """Ask the directory before the stop, and send one request some time after it."""
-    caller.is_first = False
-    await asyncio.sleep(stop_at - LOOK_UP_AHEAD_S - time.monotonic())
+    await sleep_until(stop_at - LOOK_UP_AHEAD_S)
     await caller.look_up()
-    await asyncio.sleep(stop_at + offset_s - time.monotonic())
-    path = next_path()
-    outcome = await caller.send(path, path.rsplit("/", 1)[1])
-    if outcome is not None:
-        outcomes.append((caller.client.address, outcome))
+    await sleep_until(stop_at + offset_s)
+    await look_up_long(caller)
 
 
 async def play(deployment: Deployment, record: Record) -> int:
     """Play the case; return its exit status."""
+    seen: set[str] = set()
     endpoints = [
-        Endpoint(
-            f"i-{number}", lambda path: COLD_S if "/cold" in path else WARM_S, SLOTS
-        )
-        for number in range(ENDPOINTS)
+        Endpoint(f"i-{number}", duration_s, SLOTS, seen) for number in range(ENDPOINTS)
     ]
     for endpoint in endpoints:
         await endpoint.listen()
         deployment.list_server(endpoint.name, SERVICE, ZONE, endpoint.address, SLOTS)
-    deployment.set_config(
-        1, route("cert", SERVICE, "safe", TIMEOUT_MS, GOAL_MS, priority=1)
-    )
+    deployment.set_config(1, route("cask", SERVICE, "safe", TIMEOUT_MS, GOAL_MS))
     await asyncio.to_thread(deployment.start_nodes)
     start = time.monotonic()
     until = start + WARM_UP_S + GRACE_S + 1.0
-    outcomes: list[tuple[tuple[str, int], Outcome]] = []
-    counter = iter(range(1_000_000))
-
-    def warm() -> str:
-        return f"/cert/w{random.randrange(40)}"
-
-    def cold() -> str:
-        return f"/cert/cold{next(counter)}"
-
+    outcomes: list[Outcome] = []
     tasks = []
-    for number in range(CLIENTS):
-        lifetime_s = TTL_S * (3 if number % 3 == 0 else 1)
-        caller = Caller(deployment, ZONE, lifetime_s, DEADLINE_MS)
-        tasks.append(asyncio.create_task(call(caller, PERIOD_S, warm, outcomes, until)))
-    for _ in range(COLD_CLIENTS):
-        caller = Caller(deployment, ZONE, TTL_S * 3, DEADLINE_MS)
-        tasks.append(
-            asyncio.create_task(call(caller, COLD_PERIOD_S, cold, outcomes, until))
-        )
+    for number in range(CLIENTS + LONG_CLIENTS):
+        caller = Caller(deployment, ZONE, outcomes, seen, keeps_long=number % 3 == 0)
+        is_long = number >= CLIENTS
+        send = partial(look_up_long if is_long else look_up, caller)
+        period_s = LONG_PERIOD_S if is_long else PERIOD_S
+        tasks.append(asyncio.create_task(call(period_s, until, send)))
     for offset_s in LATE_SENDS_S:
-        caller = Caller(deployment, ZONE, TTL_S * 3, DEADLINE_MS)
-        tasks.append(
-            asyncio.create_task(
-                call_once(caller, start + WARM_UP_S, offset_s, cold, outcomes)
-            )
-        )
-    await asyncio.sleep(start + WARM_UP_S - time.monotonic())
+        caller = Caller(deployment, ZONE, outcomes, seen, keeps_long=True)
+        caller.age_s = 0.0
+        sending = look_up_late(caller, start + WARM_UP_S, offset_s)
+        tasks.append(asyncio.create_task(sending))
+    await sleep_until(start + WARM_UP_S)
     node = deployment.nodes[0]
-    if has_trouble():
+    stopped_at = time.monotonic()
+    if record.has_trouble:
         stopped_at = await stop_node(node, GRACE_S)
-        ended_at = time.monotonic()
-    else:
-        stopped_at = time.monotonic()
-        ended_at = until
+        ended_s = time.monotonic() - start
+        record.write(f"SIGTERM at {stopped_at - start:.3f}, ended {ended_s:.3f}")
     await asyncio.gather(*tasks)
-    record.write(f"SIGTERM at {stopped_at - start:.3f}, ended {ended_at - start:.3f}")
-    record.write_outcomes((item for _, item in outcomes), start)
+    record.write_outcomes(outcomes, start)
     record.write_runs(endpoints, start)
     return judge(outcomes, endpoints, node, stopped_at, record)
 
 
 def judge(
-    outcomes: list[tuple[tuple[str, int], Outcome]],
+    outcomes: list[Outcome],
     endpoints: list[Endpoint],
     node: Node,
     stopped_at: float,
@@ -119,14 +112,15 @@
 ) -> int:
     """Count the requests that the stopped machine passed on and didn't answer."""
     runs = {run.attempt: run for endpoint in endpoints for run in endpoint.runs}
-    taken = [item for address, item in outcomes if address == node.front]
-    served = [item for item in taken if item.result == "200"]
-    if len(served) < 100:
-        record.close(f"not run: only {len(served)} requests were served")
+    taken = [item for item in outcomes if item.machine == node.front]
+    if sum(item.result == "200" for item in taken) < 100:
+        record.close("not run: fewer than 100 requests were served by the machine")
         return NOT_RUN
     lost, excused = [], 0
     for item in taken:
-        if item.result != "closed" or item.attempt not in runs:
+        # The endpoint was at work, and didn't break off.
+        run = runs.get(item.attempt)
+        if item.result != "closed" or run is None or run.state != "dropped":
             continue
         if item.ended_at - item.sent_at >= TIMEOUT_MS / 1000:
             continue
@@ -147,16 +141,5 @@
     return BROKEN if lost else HELD
 
 
-def main() -> int:
-    """Run the case."""
-    record = Record(Path(__file__).parent)
-    try:
-        with Deployment() as deployment:
-            return asyncio.run(play(deployment, record))
-    except (OSError, RuntimeError) as error:
-        record.close(f"not run: {error!r}")
-        return NOT_RUN
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).parent, ZONES_OF_NODES, play))
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,5 @@
 # The stand-ins are Python and need no build; check that they can be imported with what
 # the build of the deploy file has put into target/deps.
 cd "$(dirname "$0")/.." || exit 2
-PYTHONPATH=target/deps exec python3 -c \
-  "import review.common.deployment, review.common.record, review.common.traffic"
+PYTHONPATH=target/deps exec python3 -B -c \
+  "import review.callers, review.deployment, review.record, review.traffic"
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and helpers that the scripts of the review share."""
--- a/review/common/deployment.py
+++ b/review/deployment.py
@@ -17,8 +17,10 @@
 
 from standins.platform_store import PlatformStoreServer, PlatformStoreState
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = "h1.example"
+# Of the deploy file.
+METRICS_PORT = 9464
 ZONES = {
     "kingston-a": "kingston",
     "montego-a": "montego",
@@ -182,7 +184,6 @@
             if name in os.environ
         }
         environment["EBONYBEND_NODE_FILE"] = str(self.path)
-        environment["EBONYBEND_METRICS_PORT"] = str(self.deployment.ports["metrics"])
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -242,13 +243,12 @@
                 "front": first,
                 "ready": first + 1,
                 "directory": first + 2,
-                "metrics": first + 3,
                 "internal": first + 10,
             }
             if all(
                 is_free(f"{network}.{number}", port)
                 for number in range(1, node_count + 1)
-                for port in range(first, first + 26)
+                for port in (METRICS_PORT, *range(first, first + 26))
             ):
                 return network
         raise RuntimeError("no free ports")
