--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,6 @@
 import sys
 import time
 from functools import partial
-from itertools import pairwise
 from pathlib import Path
 
 from review.callers import Caller, call, sleep_until
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -39,7 +39,7 @@
 
 async def sign_off(caller: Caller) -> None:
     """File a sign-off."""
-    key = f"s{random.randrange(25)}"
+    key = f"s{random.randrange(OBJECTS)}"
     body = key.encode() * 100
     await caller.send("POST", f"/signoff/{key}", key, SIGNOFF_DEADLINE_MS, body)
 
