Read odd entries of the store in steps of bounded cost

Cause: the decoder refuses the whole answer, and the scanner that splits it ran one turn of a Python loop for each bracket on the event loop, several times: 4.7 s for each change, on all nodes at once. Text with an invalid escape cost as much without any nesting.

Change: the scanner works on chunks with built-in functions, in steps between which the loop does other work. Entries are decoded once for each version, and an object of more refused requests than nodes write is not applied.

The soak writes odd entries now, and checks that requests are answered soon after their deadline.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -9,6 +9,7 @@
 from bench.figures.choice import choice
 from bench.figures.configuration import configuration
 from bench.figures.control_cost import control_cost
+from bench.figures.decoding import decoding
 from bench.figures.figure import Figure
 from bench.figures.forward import forward
 from bench.figures.lookup import lookup
@@ -25,6 +26,7 @@
     "choice": choice,
     "config": configuration,
     "control_cost": control_cost,
+    "decoding": decoding,
     "forward": forward,
     "lookup": lookup,
     "overload": overload,
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -18,13 +18,37 @@
 # to date after an impairment.
 DRAIN_LIMIT_S = 2.5
 CONTACT_S = 4.0
-# Planned changes; a server that asks for a pause is no impairment either.
-PLANNED_KINDS = ("stop", "config", "leave", "says_leaving", "asks_for_pause")
+# Planned changes; neither a server that asks for a pause nor an odd entry of another
+# writer is an impairment.
+PLANNED_KINDS = (
+    "stop",
+    "config",
+    "leave",
+    "says_leaving",
+    "asks_for_pause",
+    "odd_entry",
+)
 # Faults of servers whose names don't say so.
 SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause")
 # Time for which the store is away before it comes back from an older copy, and until
 # its other writers have written again.
 RESTORE_S, REWRITE_S = 0.5, 1.0
+# Sizes of odd entries, and the time between two writes of one.
+ODD_ENTRY_BYTES = (100, 10_000, 100_000, 1_000_000)
+ODD_ENTRY_PERIOD_S = 1.5
+ODD_ENTRY_KINDS = ("servers", "evacuations", "ebonybend-nodes", "ebonybend-kept")
+
+
+def odd_texts(size: int) -> tuple[str, ...]:
+    """Return JSON texts of about a number of bytes that no reader expects."""
+    return (
+        "[" * (size // 2) + "]" * (size // 2),
+        '{"a":' * (size // 6) + "1" + "}" * (size // 6),
+        '["\\ud800"' + ',""' * (size // 3) + "]",
+        '["\\ud800"' + ",[]" * (size // 3) + "]",
+        '"' + "\\n" * (size // 2) + '"',
+        "1" * size,
+    )
 
 
 @frozen
@@ -108,6 +132,7 @@
             "asks_for_pause": self._ask_for_pause,
             "answers_lost": self._answers,
             "answers_repeated": self._answers,
+            "odd_entry": self._odd_entry,
         }
 
     def _start(self, kind: str) -> None:
@@ -241,6 +266,21 @@
         server.endpoint.retry_after = None
         sleep(seconds / 2)
 
+    def _odd_entry(self, _target: str, seconds: float, _kind: str) -> None:
+        """Write an odd entry again and again, as another writer may, and remove it."""
+        size = self.random.choice(ODD_ENTRY_BYTES)
+        text = self.random.choice(odd_texts(size))
+        kind = self.random.choice(ODD_ENTRY_KINDS)
+        state, until = self.fleet.store.state, monotonic() + seconds
+        while True:
+            state.put_raw(kind, "odd", text)
+            sleep(ODD_ENTRY_PERIOD_S)
+            if monotonic() > until:
+                break
+        with state.changed:
+            if "odd" in state.kinds[kind]:
+                state.remove(kind, "odd")
+
     def _server_rule(self, name: str, seconds: float, kind: str) -> None:
         action = {"server_cut": "cut", "server_frozen": "freeze"}.get(kind, "none")
         rule = ProxyRule(
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -16,7 +16,7 @@
 from absl import flags
 from attrs import define
 
-from bench.node_callers import Caller, SentRequest, start_callers
+from bench.node_callers import DEADLINE_MS, Caller, SentRequest, start_callers
 from bench.node_faults import (
     CONTACT_S,
     DRAIN_LIMIT_S,
@@ -34,8 +34,15 @@
 # Requests that a server may get from a node in a pause, and from when on.
 MAX_LATE_REQUESTS = 2
 REFUSAL_LIMIT_S = 0.5
+# Time after a request's deadline until which it has to be answered. Of the requests
+# without an answer at the deadline, fewer than this number, or up to this fraction,
+# may be later.
+LATE_ANSWER_S = 0.5
+MIN_LATE_ANSWERS = 8
+MAX_LATE_FRACTION = 0.25
 # Time for a request between a node's decision and the server's record of it.
 TRANSIT_S = 0.3
+DEADLINE_S = DEADLINE_MS / 1000
 STATUSES_NOT_RUN = (408, 421, 429, 503)
 # Below this fraction of whole answers in the last seconds, service has not recovered.
 MIN_RECOVERED_FRACTION = 0.95
@@ -84,6 +91,28 @@
     return violations
 
 
+def late_answers(sent: Iterable[SentRequest], faults: Iterable[Fault]) -> list[str]:
+    """Return a line if many requests had no answer some time after their deadline.
+
+    Not counted: those near a fault of a node, of the store or of a server, and those
+    whose node did not accept them.
+    """
+    unplanned = [x for x in faults if not x.is_planned or x.kind == "stop"]
+    waited_s = [
+        request.ended_at - request.sent_at
+        for request in sent
+        if request.ended_at - request.sent_at >= DEADLINE_S
+        and not _overlaps(unplanned, request.sent_at - CONTACT_S, request.ended_at)
+    ]
+    late = [x for x in waited_s if x >= DEADLINE_S + LATE_ANSWER_S]
+    if len(late) < MIN_LATE_ANSWERS or len(late) <= MAX_LATE_FRACTION * len(waited_s):
+        return []
+    return [
+        f"{len(late)} of {len(waited_s)} requests without an answer at their deadline"
+        f" had none {LATE_ANSWER_S} s later"
+    ]
+
+
 def late_work(leavings: Iterable[Leaving], faults: Iterable[Fault]) -> list[str]:
     """Return the requests that reached servers too long after they left.
 
@@ -198,6 +227,7 @@
     violations += late_work(injector.leavings, injector.faults)
     violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
     violations += cut_off_requests(sent, injector.faults, runs)
+    violations += late_answers(sent, injector.faults)
     violations += injector.problems
     violations += [f"{name} ended" for _, name in fleet.processes.crashes]
     violations += fleet.log_lines(fleet.nodes, "Traceback")
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -11,6 +11,7 @@
 from bench.node_callers import SentRequest
 from bench.node_soak import (
     CONTACT_S,
+    DEADLINE_S,
     DRAIN_LIMIT_S,
     TRANSIT_S,
     Fault,
@@ -18,6 +19,7 @@
     Pause,
     broken_answers,
     cut_off_requests,
+    late_answers,
     late_work,
     run_soak,
     work_in_pauses,
@@ -52,6 +54,34 @@
         self.assertEqual(self.broken, len(found), found)
 
 
+class LateAnswerTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see requests that wait past their deadline."""
+
+    scenarios = [
+        ("late", {"late": 1}),
+        ("few", {"count": 7}),
+        ("answered at the deadline", {"waited_s": DEADLINE_S + 0.1}),
+        ("most answered at the deadline", {"in_time": 25}),
+        ("some answered at the deadline", {"in_time": 23, "late": 1}),
+        ("beside a pause", {"fault": Fault("pause", "n1", 9.0, 9.5)}),
+        (
+            "beside an odd entry",
+            {"fault": Fault("odd_entry", "s", 9.0, 9.5), "late": 1},
+        ),
+    ]
+    count = 8
+    in_time = 0
+    waited_s = DEADLINE_S + 0.6
+    fault = Fault("odd_entry", "store", 99.0, 99.5)
+    late = 0
+
+    def test_found(self):
+        waits = [self.waited_s] * self.count + [DEADLINE_S + 0.1] * self.in_time
+        sent = [evolve(SENT, sent_at=10.0, ended_at=10.0 + x, status=0) for x in waits]
+        found = late_answers(sent, [self.fault])
+        self.assertEqual(self.late, len(found), found)
+
+
 class LateWorkTest(TestWithScenarios, TestCase):
     """Guards against a soak that doesn't see work on a server that left."""
 
--- a/bench/tests/test_odd_entries.py
+++ b/bench/tests/test_odd_entries.py
@@ -12,6 +12,10 @@
 
 
 NESTED = "[" * DEPTH + "]" * DEPTH
+# Nearly as large as the store allows.
+LARGE = 1_000_000
+LARGE_NESTED = "[" * (LARGE // 2) + "]" * (LARGE // 2)
+LARGE_UNREADABLE = '["\\ud800"' + ',""' * (LARGE // 3) + "]"
 
 
 def entry(**changes):
@@ -28,6 +32,7 @@
     return entry()[:-1] + f', "Extra": {text}' + "}"
 
 
+MEMBERS = "ebonybend-nodes"
 MEMBER = {
     "name": "odd",
     "failure_domain": "kingston-a",
@@ -48,13 +53,16 @@
         ("port of many digits", {"text": entry(Addr="127.0.0.1:" + "1" * 5000)}),
         ("slots of many digits", {"text": entry(MaxConcurrency=10**400)}),
         ("start of many digits", {"text": entry(born=10**400)}),
+        ("nested, of 1 MB", {"text": with_extra(LARGE_NESTED)}),
+        ("unreadable, of 1 MB", {"text": with_extra(LARGE_UNREADABLE)}),
+        ("nested entry of a node, of 1 MB", {"text": LARGE_NESTED, "kind": MEMBERS}),
         (
             "address of a node",
-            {"text": json.dumps(MEMBER), "kind": "ebonybend-nodes"},
+            {"text": json.dumps(MEMBER), "kind": MEMBERS},
         ),
         (
             "nested entry of a node",
-            {"text": NESTED, "kind": "ebonybend-nodes"},
+            {"text": NESTED, "kind": MEMBERS},
         ),
         ("nested evacuation", {"text": NESTED, "kind": "evacuations"}),
         ("nested configuration", {"text": NESTED, "kind": "config"}),
@@ -72,6 +80,9 @@
 
     def test_nodes_go_on(self):
         self.state.put_raw(self.kind, self.name, self.text)
+        # The first requests find nodes that read the entry.
+        statuses = {self.send(node) for node in NODES for _ in range(2)}
+        self.assertEqual({200}, statuses, self.errors)
         sleep(1.0)
         leaving = [s for s in self.fleet.servers.values() if s.zone == "kingston-a"]
         for server in leaving:
--- a/ebonybend/control/service.py
+++ b/ebonybend/control/service.py
@@ -25,6 +25,7 @@
 from ebonybend.settings import Settings
 from ebonybend.steering.table import ClientMapRequest, ClientMapShard
 from ebonybend.store.client import PlatformClient
+from ebonybend.tasks import pause_between_steps
 from ebonybend.world import LifeState
 
 EXIT_FAILED = 2
@@ -45,7 +46,9 @@
         self.exit_status = 0
         self.stopping = False
         self.http = HttpClient(reactor, settings.source_address)
-        self.platform = PlatformClient(self.http, settings.platform_address)
+        self.platform = PlatformClient(
+            self.http, settings.platform_address, pause_between_steps(reactor)
+        )
         self.transport = HttpPeerTransport(self.http)
         self.core = ControlCore(
             settings,
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ebonybend.logs import get_logger
+from ebonybend.node.decoded import DecodedObjects
 from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Members, NodeHeartbeat
 from ebonybend.node.relayed_store import NodeStore
@@ -86,10 +87,8 @@
         # Era of the last list of each kind that was applied.
         self.applied_eras: dict[str, int] = {}
         self.lag_detector = LagDetector()
-        # Era and version of each server's entry, and the decoded server.
-        self.decoded_servers: dict[
-            str, tuple[tuple[int, int], BackendServer | None]
-        ] = {}
+        self.decoded_servers = DecodedObjects(self._decode_server)
+        self.decoded_members = DecodedObjects(documents.decode_member)
         watch_s = min(MAX_WATCH_S, HISTORY_FRACTION * settings().store_history_s)
         self.watchers = [
             Watcher(
@@ -250,9 +249,8 @@
         self, kind: str, version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Apply the list of backend servers."""
-        decoded = (self._decode_server(stored) for stored in objects.values())
-        listed = {server.name: server for server in decoded if server is not None}
-        self.decoded_servers = {name: self.decoded_servers[name] for name in objects}
+        era = self.watchers_by_kind[kind].era
+        listed = self.decoded_servers.update(era, objects)
         previous = self.servers.states
         now = self.reactor.seconds()
         known = {name: state.server for name, state in previous.items()}
@@ -306,18 +304,13 @@
             )
 
     def _decode_server(self, stored: StoredObject) -> BackendServer | None:
-        """Return a server; decode its entry only if it changed."""
-        version = self.watchers[SERVERS_INDEX].era, stored.version
-        known = self.decoded_servers.get(stored.name)
-        if known is None or known[0] != version:
-            regions = self.settings().regions
-            server = self.documents.decode_server(stored, regions)
-            if server is None:
-                get_logger().warning(
-                    "server_entry_not_used", server=stored.name, revision=version[1]
-                )
-            known = self.decoded_servers[stored.name] = version, server
-        return known[1]
+        """Return a server, or None if its entry can't be used."""
+        server = self.documents.decode_server(stored, self.settings().regions)
+        if server is None:
+            get_logger().warning(
+                "server_entry_not_used", server=stored.name, revision=stored.version
+            )
+        return server
 
     def redecode_servers(self) -> None:
         """Decode all servers again, because the regions of failure domains changed."""
@@ -389,9 +382,10 @@
             self.on_evacuations(watcher.kind, watcher.version, watcher.objects)
 
     def on_members(
-        self, _kind: str, _version: int, objects: Mapping[str, StoredObject]
+        self, kind: str, _version: int, objects: Mapping[str, StoredObject]
     ) -> None:
         """Apply the list of nodes."""
-        decoded = (self.documents.decode_member(o) for o in objects.values())
-        found = {member.name: member for member in decoded if member is not None}
+        era = self.watchers_by_kind[kind].era
+        decoded = self.decoded_members.update(era, objects)
+        found = {member.name: member for member in decoded.values()}
         self.members.update_list(found, self.reactor.seconds())
--- a/ebonybend/node/refused_requests.py
+++ b/ebonybend/node/refused_requests.py
@@ -12,7 +12,11 @@
 
 from ebonybend.logs import get_logger
 from ebonybend.node.members import Members
-from ebonybend.node.wire import Documents, RefusedRequests
+from ebonybend.node.wire import (
+    MAX_REFUSED_REQUESTS,
+    Documents,
+    RefusedRequests,
+)
 from ebonybend.steering.crashes import REFUSED_LIFETIME_S, CrashDetector
 from ebonybend.store.client import (
     ObjectStore,
@@ -27,8 +31,6 @@
 OBJECT_NAME = "all"
 # Conflicts with other nodes after which a write waits for the next period.
 MAX_CONFLICTS = 3
-# Bounds the size of the object; the latest crashes are kept.
-MAX_REQUESTS = 1000
 MS_PER_S = 1000
 
 
@@ -139,7 +141,9 @@
 
     def _latest(self, crashed_ms: Mapping[str, int]) -> dict[str, int]:
         oldest_ms = (self.wall_clock() - REFUSED_LIFETIME_S) * MS_PER_S
-        latest = sorted(crashed_ms, key=lambda name: -crashed_ms[name])[:MAX_REQUESTS]
+        latest = sorted(crashed_ms, key=lambda name: -crashed_ms[name])[
+            :MAX_REFUSED_REQUESTS
+        ]
         return {
             name: crashed_ms[name] for name in latest if crashed_ms[name] >= oldest_ms
         }
--- a/ebonybend/node/tests/test_foreign_bytes.py
+++ b/ebonybend/node/tests/test_foreign_bytes.py
@@ -15,8 +15,9 @@
 from ebonybend.node.pulses import PulseProtocol
 from ebonybend.platform.documents import PlatformDocuments
 from ebonybend.platform.settings import decode_settings
-from ebonybend.platform.store import _decode_changes, _decode_object
+from ebonybend.platform.store import _decode_body, _decode_changes
 from ebonybend.steering.relays import Relays
+from ebonybend.steps import complete
 from ebonybend.store.client import StoredObject
 from ebonybend.tests.profile import REPEATABLE
 
@@ -130,8 +131,8 @@
             documents.decode_checkpoint,
         ):
             decode(stored)
-        _decode_object(stored.value)
-        _decode_changes(to_json(value))
+        complete(_decode_body(to_json(value)))
+        complete(_decode_changes(to_json(value)))
 
     @REPEATABLE
     @given(st.binary(max_size=100))
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -15,6 +15,8 @@
 
 # A longer mean service time isn't a measured one.
 MAX_SERVICE_S = 3600.0
+# Bounds the size of the object with the refused requests; the latest crashes are kept.
+MAX_REFUSED_REQUESTS = 1000
 
 
 @frozen
@@ -44,8 +46,10 @@
     crashed_ms: dict[str, int]
 
     def is_valid(self) -> bool:
-        """Return whether all times are in their range."""
-        return all(0 <= at <= MAX_TIME_MS for at in self.crashed_ms.values())
+        """Return whether the number of requests and all times are in their ranges."""
+        return len(self.crashed_ms) <= MAX_REFUSED_REQUESTS and all(
+            0 <= at <= MAX_TIME_MS for at in self.crashed_ms.values()
+        )
 
 
 @frozen
--- a/ebonybend/platform/__main__.py
+++ b/ebonybend/platform/__main__.py
@@ -30,12 +30,18 @@
         from ebonybend.platform.calls import PlatformWireFormat
         from ebonybend.platform.documents import PlatformDocuments
         from ebonybend.platform.store import PlatformStore
+        from ebonybend.tasks import pause_between_steps
 
         http = HttpClient(reactor, detect_dead_peers=True)
         service = NodeService(
             reactor,
             settings,
-            PlatformStore(http, settings.store_address, reactor.seconds),
+            PlatformStore(
+                http,
+                settings.store_address,
+                reactor.seconds,
+                pause_between_steps(reactor),
+            ),
             PlatformWireFormat(),
             PlatformDocuments(),
             int(os.environ.get(METRICS_PORT_VARIABLE, METRICS_PORT)),
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Awaitable, Callable
-from time import monotonic
 from urllib.parse import quote
 
 from attrs import evolve, field, frozen
@@ -12,7 +11,8 @@
 from ebonybend.codec import from_json, to_json
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import AnswerLost, HttpAnswer, HttpClient
-from ebonybend.json_scan import split_object
+from ebonybend.json_scan import JsonText, scan, split_object
+from ebonybend.steps import Pause, Steps, complete
 from ebonybend.store.client import (
     CALL_TIMEOUT_S,
     MAX_ANSWER_BYTES,
@@ -23,6 +23,7 @@
     StoreFailureKind,
     decode_answer,
     decode_parts,
+    decode_with_pauses,
     store_result,
 )
 from ebonybend.store.era import UNKNOWN_ERA, EraTracker
@@ -70,6 +71,15 @@
     events: list[_Event] = field(factory=list)
 
 
+@frozen
+class _ObjectPage:
+    """One decoded page of a list."""
+
+    version: int
+    items: tuple[StoredObject, ...]
+    has_more: bool
+
+
 @frozen
 class _Head:
     """The part of an object that this client reads."""
@@ -81,11 +91,13 @@
     """The object store behind the platform's HTTP API; values are whole objects."""
 
     def __init__(
-        self, http: HttpClient, address: str, clock: Callable[[], float] = monotonic
+        self, http: HttpClient, address: str, clock: Callable[[], float], pause: Pause
     ):
         self.http = http
         self.address = address
         self.eras = EraTracker(clock)
+        # Lets the event loop do other work while a long answer is decoded.
+        self.pause = pause
         # Calls since the start, for metrics.
         self.platform_calls = 0
 
@@ -98,18 +110,19 @@
         cursor, last_name = "", None
         for _ in range(MAX_PAGES):
             answer = await self._call("GET", path + cursor)
-            page = answer.bind(_decode_page)
+            answered_era = self.eras.current
+            page = await decode_with_pauses(answer, _decode_page, self.pause)
             if not isinstance(page, Success):
                 return Failure(page.failure())
             found = page.unwrap()
             # The first revision; the next watch reads changes made between two pages.
             if revision is None:
-                revision, era = found.StoreRevision, self.eras.current
-            if era != self.eras.current:
+                revision, era = found.version, answered_era
+            if era != answered_era:
                 message = "the store came back from a copy between two pages"
                 return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
-            items += [stored for raw in found.items if (stored := _decode_object(raw))]
-            if not found.HasMore or not items:
+            items += found.items
+            if not found.has_more or not items:
                 return Success(ObjectList(revision, tuple(items), era=era))
             if items[-1].name == last_name:
                 message = "a page of the list has no readable object"
@@ -122,7 +135,7 @@
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
         answer = await self._call("GET", _path(kind, name))
-        return answer.bind(_decode_body)
+        return await decode_with_pauses(answer, _decode_body, self.pause)
 
     async def put(
         self, kind: str, name: str, value: bytes, version: int
@@ -141,7 +154,8 @@
                 version,
             )
         answer = await self._call(method, path, prefix + value + b"}")
-        return answer.bind(_decode_body).map(lambda stored: stored.version)
+        written = await decode_with_pauses(answer, _decode_body, self.pause)
+        return written.map(lambda stored: stored.version)
 
     async def delete(
         self, kind: str, name: str, version: int
@@ -156,8 +170,9 @@
         path = f"/objects/{quote(kind, safe='')}?Watch={since}&WaitMs={timeout_ms}"
         timeout = timeout_ms / 1000 + WATCH_MARGIN_S
         answer = await self._call("GET", path, timeout=timeout)
-        changes = answer.bind(_decode_changes)
-        return changes.map(lambda found: evolve(found, era=self.eras.current))
+        era = self.eras.current
+        changes = await decode_with_pauses(answer, _decode_changes, self.pause)
+        return changes.map(lambda found: evolve(found, era=era))
 
     async def ping(self, kind: str, name: str, timeout_s: float) -> bool:
         """Return whether the store answers a cheap call for an object in time."""
@@ -196,7 +211,7 @@
     if answer.status == 404:
         return StoreFailure(StoreFailureKind.NOT_FOUND, message)
     if answer.status == 409:
-        current = _decode_body(answer.body).value_or(None)
+        current = complete(_decode_body(answer.body)).value_or(None)
         return StoreFailure(StoreFailureKind.CONFLICT, message, current)
     if answer.status in REFUSALS:
         return StoreFailure(StoreFailureKind.UNAVAILABLE, message)
@@ -210,66 +225,81 @@
     return f"/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
 
-def _decode_object(raw: Raw, deleted: bool = False) -> StoredObject | None:
-    """Return an object, or None if its name or revision can't be decoded.
-
-    Another part of it, which isn't decoded here, may be malformed.
-    """
-    data = bytes(raw)
+def _decode_object(data: bytes, deleted: bool = False) -> StoredObject | None:
+    """Return an object, or None if the text can't be decoded."""
     try:
         metadata = from_json(data, _Head).Metadata
     except SteeringError:
-        try:
-            metadata = from_json(split_object(data)["Metadata"], _Metadata)
-        except (SteeringError, ValueError, KeyError):
-            return None
-    return StoredObject(metadata.Name, metadata.Rev, raw, deleted)
-
-
-def _decode_page(body: bytes) -> Result[_Page, StoreFailure]:
-    return decode_answer(body, _Page).lash(lambda _: _split_page(body))
-
+        return None
+    return StoredObject(metadata.Name, metadata.Rev, Raw(data), deleted)
 
-def _split_page(body: bytes) -> Result[_Page, StoreFailure]:
-    """Return a page with malformed objects, which don't invalidate the others."""
-    page, items = decode_parts(body, _Page, "items")
-    return page.map(lambda found: evolve(found, items=[Raw(x) for x in items]))
 
+def _decode_object_part(
+    text: JsonText, deleted: bool = False
+) -> Steps[StoredObject | None]:
+    """Return an object, or None if its name or revision can't be decoded.
 
-def _split_changes(body: bytes) -> Result[_Changes, StoreFailure]:
-    """Return changes with malformed objects, which don't invalidate the others."""
-    changes, parts = decode_parts(body, _Changes, "events")
-    events = [event for part in parts if (event := _decode_event(part)) is not None]
-    return changes.map(lambda found: evolve(found, events=events))
+    Another part of it, which isn't decoded here, may be malformed.
+    """
+    stored = _decode_object(text.data, deleted)
+    if stored is not None:
+        return stored
+    try:
+        members = yield from split_object(text)
+        metadata = from_json(members["Metadata"].data, _Metadata)
+    except (SteeringError, ValueError, KeyError):
+        return None
+    return StoredObject(metadata.Name, metadata.Rev, Raw(text.data), deleted)
 
 
-def _decode_event(data: bytes) -> _Event | None:
-    """Return an event, or None if it can't be decoded."""
+def _decode_event_part(text: JsonText) -> Steps[StoredObject | None]:
+    """Return the object of an event, or None if it can't be decoded."""
     try:
-        return from_json(data, _Event)
-    except SteeringError:
-        pass
-    try:
-        members = split_object(data)
-        deleted = from_json(members.get("Deleted", b"false"), bool)
-        return _Event(Raw(members["Object"]), deleted)
+        members = yield from split_object(text)
+        deleted = members.get("Deleted")
+        is_deleted = deleted is not None and from_json(deleted.data, bool)
+        return (yield from _decode_object_part(members["Object"], is_deleted))
     except (SteeringError, ValueError, KeyError):
         return None
 
 
-def _decode_body(body: bytes) -> Result[StoredObject, StoreFailure]:
-    stored = _decode_object(Raw(body))
+def _decode_page(body: bytes) -> Steps[Result[_ObjectPage, StoreFailure]]:
+    """Return a page; malformed objects on it don't invalidate the others."""
+    decoded = decode_answer(body, _Page)
+    if isinstance(decoded, Success):
+        found = [_decode_object(bytes(raw)) for raw in decoded.unwrap().items]
+    if not isinstance(decoded, Success) or None in found:
+        decoded, parts = yield from decode_parts(body, _Page, "items")
+        found = []
+        for part in parts:
+            found.append((yield from _decode_object_part(part)))
+    objects = tuple(stored for stored in found if stored is not None)
+    return decoded.map(
+        lambda page: _ObjectPage(page.StoreRevision, objects, page.HasMore)
+    )
+
+
+def _decode_changes(body: bytes) -> Steps[Result[ObjectList, StoreFailure]]:
+    """Return changes; malformed objects in them don't invalidate the others."""
+    decoded = decode_answer(body, _Changes)
+    if isinstance(decoded, Success):
+        events = decoded.unwrap().events
+        found = [_decode_object(bytes(x.Object), x.Deleted) for x in events]
+    if not isinstance(decoded, Success) or None in found:
+        decoded, parts = yield from decode_parts(body, _Changes, "events")
+        found = []
+        for part in parts:
+            found.append((yield from _decode_event_part(part)))
+    objects = tuple(stored for stored in found if stored is not None)
+    return decoded.map(lambda changes: ObjectList(changes.StoreRevision, objects))
+
+
+def _decode_body(body: bytes) -> Steps[Result[StoredObject, StoreFailure]]:
+    stored = _decode_object(body)
+    if stored is None:
+        text = yield from scan(body)
+        stored = yield from _decode_object_part(text)
     if stored is None:
         message = "the store's answer is no object"
         return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
     return Success(stored)
-
-
-def _decode_changes(body: bytes) -> Result[ObjectList, StoreFailure]:
-    decoded = decode_answer(body, _Changes).lash(lambda _: _split_changes(body))
-    if not isinstance(decoded, Success):
-        return decoded
-    changes = decoded.unwrap()
-    found = (_decode_object(event.Object, event.Deleted) for event in changes.events)
-    items = tuple(stored for stored in found if stored is not None)
-    return Success(ObjectList(changes.StoreRevision, items))
--- a/ebonybend/platform/tests/test_store.py
+++ b/ebonybend/platform/tests/test_store.py
@@ -9,7 +9,9 @@
 
 from ebonybend.codec import to_json
 from ebonybend.http_client import HttpAnswer
+from ebonybend.json_scan import CHUNK_BYTES
 from ebonybend.platform.store import PlatformStore
+from ebonybend.steps import no_pause
 
 NONE = object()
 
@@ -63,7 +65,7 @@
 
     def test_known_era(self):
         store = PlatformStore(
-            ScriptedHttp([(self.era, self.status, page("a"))]), "a:1", float
+            ScriptedHttp([(self.era, self.status, page("a"))]), "a:1", float, no_pause
         )
         result(store.list("servers"))
         self.assertEqual(self.known, store.eras.current)
@@ -82,7 +84,7 @@
         http = ScriptedHttp(
             [(first, 200, page("a", more=True)), (second, 200, page("b"))]
         )
-        found = result(PlatformStore(http, "a:1", float).list("servers"))
+        found = result(PlatformStore(http, "a:1", float, no_pause).list("servers"))
         names = None
         if isinstance(found, Success):
             names = [stored.name for stored in found.unwrap().items]
@@ -106,7 +108,7 @@
     def found(self, method, value):
         value["StoreRevision"] = 9
         http = ScriptedHttp([("3", 200, Raw(self.body(json.dumps(value))))])
-        store = PlatformStore(http, "a:1", float)
+        store = PlatformStore(http, "a:1", float, no_pause)
         return result(method(store)).unwrap()
 
     def test_page(self):
@@ -137,9 +139,57 @@
 
     def test_is_no_answer(self):
         http = ScriptedHttp([("3", 200, page("a")), ("4", 200, page("b"))])
-        store = PlatformStore(http, "a:1", lambda: 1.0)
+        store = PlatformStore(http, "a:1", lambda: 1.0, no_pause)
         for _ in range(2):
             self.assertIsInstance(result(store.list("servers")), Success)
         http.script = [("3", 200, page("a")), ("4", 200, page("b"))]
         self.assertNotIsInstance(result(store.list("servers")), Success)
         self.assertEqual(4, result(store.watch("servers", 5, 0)).unwrap().era)
+
+
+class LongAnswerTest(TestWithScenarios, TestCase):
+    """Guards against one odd entry that stops the event loop while it is read."""
+
+    DEPTH = 100_000
+    CONTENTS = (
+        ("lists within lists", "[" * DEPTH + "]" * DEPTH),
+        ("invalid escape", '["\\ud800"' + ',""' * DEPTH + "]"),
+    )
+    scenarios = [
+        (f"{text}, {call}", {"odd": odd, "call": call})
+        for text, odd in CONTENTS
+        for call in ("list", "watch", "get")
+    ]
+
+    def test_pauses(self):
+        pauses = []
+
+        async def pause():
+            pauses.append(1)
+
+        value = {
+            "list": page("a", "odd", "c"),
+            "watch": {
+                "events": [{"Object": item(x), "Deleted": False} for x in "abc"],
+                "StoreRevision": 5,
+            },
+            "get": item("odd"),
+        }[self.call]
+        target = value
+        if self.call == "list":
+            target = value["items"][1]
+        elif self.call == "watch":
+            target = value["events"][1]["Object"]
+        target["Spec"] = "odd value"
+        text = json.dumps(value).replace('"odd value"', self.odd)
+        http = ScriptedHttp([("1", 200, Raw(text.encode()))])
+        store = PlatformStore(http, "a:1", float, pause)
+        call = {
+            "list": lambda: store.list("servers"),
+            "watch": lambda: store.watch("servers", 4, 0),
+            "get": lambda: store.get("servers", "odd"),
+        }[self.call]
+        found = result(call()).unwrap()
+        if self.call != "get":
+            self.assertEqual(3, len(found.items))
+        self.assertLessEqual(len(text) // CHUNK_BYTES, len(pauses))
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -18,7 +18,9 @@
     RequestCancelled,
     RequestFailed,
 )
-from ebonybend.json_scan import split_array, split_object
+from ebonybend.json_scan import JsonText, scan, split_array, split_object
+from ebonybend.logs import get_logger
+from ebonybend.steps import Pause, Steps, complete_with_pauses
 
 CALL_TIMEOUT_S = 2.0
 # Added to the time for which the platform may hold a watch before it answers.
@@ -132,21 +134,23 @@
 class PlatformClient:
     """A client of the platform's object store over HTTP."""
 
-    def __init__(self, http: HttpClient, address: str):
+    def __init__(self, http: HttpClient, address: str, pause: Pause):
         self.http = http
         self.address = address
+        # Lets the event loop do other work while a long answer is decoded.
+        self.pause = pause
         # Calls since the start, for the metrics.
         self.platform_calls = 0
 
     async def list(self, kind: str) -> Result[ObjectList, StoreFailure]:
         """Return all objects of a kind."""
         answer = await self._call("GET", f"/v1/objects/{quote(kind)}")
-        return answer.bind(_decode_list)
+        return await decode_with_pauses(answer, _decode_list, self.pause)
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, StoreFailure]:
         """Return one object."""
         answer = await self._call("GET", _path(kind, name))
-        return answer.bind(_decode_stored)
+        return await decode_with_pauses(answer, _decode_stored, self.pause)
 
     async def put(
         self, kind: str, name: str, value: bytes, version: int
@@ -164,7 +168,7 @@
         path = f"/v1/watch/{quote(kind)}?since={since}&timeout_ms={timeout_ms}"
         timeout = timeout_ms / 1000 + WATCH_MARGIN_S
         answer = await self._call("GET", path, timeout=timeout)
-        return answer.bind(_decode_list)
+        return await decode_with_pauses(answer, _decode_list, self.pause)
 
     async def _call(
         self,
@@ -209,55 +213,84 @@
         return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, error.message))
 
 
+async def decode_with_pauses(
+    answer: Result[bytes, StoreFailure],
+    decode: Callable[[bytes], Steps[Result[Any, StoreFailure]]],
+    pause: Pause,
+) -> Result[Any, StoreFailure]:
+    """Return a decoded answer; let the event loop do other work meanwhile."""
+    if not isinstance(answer, Success):
+        return answer
+    return await complete_with_pauses(decode(answer.unwrap()), pause)
+
+
 def decode_parts(
     body: bytes, kind: type, name: str
-) -> tuple[Result[Any, StoreFailure], list[bytes]]:
+) -> Steps[tuple[Result[Any, StoreFailure], list[JsonText]]]:
     """Return an answer without one of its arrays, and the elements of the array."""
     try:
-        members = split_object(body)
-        parts = split_array(members.pop(name, b"[]"))
+        text = yield from scan(body)
+        members = yield from split_object(text)
+        array = members.pop(name, None)
+        parts = (yield from split_array(array)) if array else []
     except ValueError as error:
         failure = StoreFailure(StoreFailureKind.ANSWER_LOST, str(error))
         return Failure(failure), []
+    get_logger().warning("store_answer_split", bytes=len(body), parts=len(parts))
     return decode_answer(_join_object(members), kind), parts
 
 
-def _join_object(members: Mapping[str, bytes]) -> bytes:
-    pairs = (to_json(name) + b":" + value for name, value in members.items())
+def _join_object(members: Mapping[str, JsonText]) -> bytes:
+    pairs = (to_json(name) + b":" + value.data for name, value in members.items())
     return b"{" + b",".join(pairs) + b"}"
 
 
-def _decode_list(body: bytes) -> Result[ObjectList, StoreFailure]:
-    return decode_answer(body, ObjectList).lash(lambda _: _split_list(body))
+def _decode_list(body: bytes) -> Steps[Result[ObjectList, StoreFailure]]:
+    whole = decode_answer(body, ObjectList)
+    return whole if isinstance(whole, Success) else (yield from _split_list(body))
 
 
-def _split_list(body: bytes) -> Result[ObjectList, StoreFailure]:
+def _split_list(body: bytes) -> Steps[Result[ObjectList, StoreFailure]]:
     """Return a list with malformed objects, which don't invalidate the others."""
-    found, parts = decode_parts(body, ObjectList, "items")
-    items = tuple(x for part in parts if (x := _decode_object(part)) is not None)
-    return found.map(lambda objects: evolve(objects, items=items))
+    found, parts = yield from decode_parts(body, ObjectList, "items")
+    items = []
+    for part in parts:
+        item = yield from _decode_part(part)
+        if item is not None:
+            items.append(item)
+    return found.map(lambda objects: evolve(objects, items=tuple(items)))
 
 
-def _decode_stored(body: bytes) -> Result[StoredObject, StoreFailure]:
-    stored = _decode_object(body)
+def _decode_stored(body: bytes) -> Steps[Result[StoredObject, StoreFailure]]:
+    stored = _decode_whole(body)
+    if stored is None:
+        text = yield from scan(body)
+        stored = yield from _decode_part(text)
     if stored is None:
         message = "the platform's answer is no object"
         return Failure(StoreFailure(StoreFailureKind.ANSWER_LOST, message))
     return Success(stored)
 
 
-def _decode_object(data: bytes) -> StoredObject | None:
-    """Return an object, whose value may be malformed; None if another part is."""
+def _decode_whole(data: bytes) -> StoredObject | None:
     try:
         return from_json(data, StoredObject)
     except SteeringError:
-        pass
+        return None
+
+
+def _decode_part(text: JsonText) -> Steps[StoredObject | None]:
+    """Return an object, whose value may be malformed; None if another part is."""
+    stored = _decode_whole(text.data)
+    if stored is not None:
+        return stored
     try:
-        members = split_object(data)
-        value = Raw(members.pop("value", bytes(NULL)))
-        return evolve(from_json(_join_object(members), StoredObject), value=value)
+        members = yield from split_object(text)
+        value = members.pop("value", None)
+        stored = from_json(_join_object(members), StoredObject)
     except (SteeringError, ValueError):
         return None
+    return evolve(stored, value=Raw(value.data)) if value else stored
 
 
 def _path(kind: str, name: str) -> str:
--- a/ebonybend/store/tests/test_client.py
+++ b/ebonybend/store/tests/test_client.py
@@ -8,6 +8,7 @@
 
 from ebonybend.codec import to_json
 from ebonybend.http_client import HttpAnswer
+from ebonybend.steps import no_pause
 from ebonybend.store.client import PlatformClient
 from ebonybend.store.tests.memory_store import result_of
 
@@ -34,7 +35,7 @@
     def client(self, value):
         """Return a client whose answers contain the odd value in an object's value."""
         text = json.dumps(value).replace('"odd value"', self.odd)
-        return PlatformClient(OneBody(to_json(Raw(text.encode()))), "a:1")
+        return PlatformClient(OneBody(to_json(Raw(text.encode()))), "a:1", no_pause)
 
     def test_list(self):
         items = [
--- a/ebonybend/tasks.py
+++ b/ebonybend/tasks.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from ebonybend.logs import get_logger
+from ebonybend.steps import Pause
 
 
 class Timers(Protocol):
@@ -22,6 +23,11 @@
         ...
 
 
+def pause_between_steps(timers: Timers) -> Pause:
+    """Return a function that lets the event loop do its other work once."""
+    return lambda: deferLater(timers, 0)
+
+
 class ReactorClock:
     """A Clock that reads the reactor's time."""
 
