Tell an outage of the store from a watch that is cut off

Cause: each end of a watch without an answer counted as an outage, and each answer after one began 2.2 s anew in which servers without an entry stay in use. So did calls that the node cancelled itself. The contact times in heartbeats, which end that time early, were set back as well.

Change: store/availability.py owns the knowledge of outages. One reaches from the last answer of any call, or pulse of a relay, to the next, and counts only if an entry can expire in it. The time in which missing servers stay in use begins once, at its end. A refusal because of the rate of calls is an answer.

SilentOutageTest plays the outage now, since its handler has gone. The soak cuts watches, and removes servers between cuts.

--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -18,8 +18,8 @@
 # to date after an impairment.
 DRAIN_LIMIT_S = 2.5
 CONTACT_S = 4.0
-# Planned changes; neither a server that asks for a pause nor an odd entry of another
-# writer is an impairment.
+# Planned changes. A server that asks for a pause, an odd entry of another writer and a
+# watch that is cut off are no impairments either.
 PLANNED_KINDS = (
     "stop",
     "config",
@@ -27,15 +27,19 @@
     "says_leaving",
     "asks_for_pause",
     "odd_entry",
+    "watches_cut",
+    "vanish",
 )
 # Faults of servers whose names don't say so.
-SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause")
+SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause", "vanish")
 # Time for which the store is away before it comes back from an older copy, and until
 # its other writers have written again.
 RESTORE_S, REWRITE_S = 0.5, 1.0
 # Sizes of odd entries, and the time between two writes of one.
 ODD_ENTRY_BYTES = (100, 10_000, 100_000, 1_000_000)
 ODD_ENTRY_PERIOD_S = 1.5
+# Times between two cuts of the waiting watches.
+MIN_CUT_GAP_S, MAX_CUT_GAP_S = 0.2, 2.2
 ODD_ENTRY_KINDS = ("servers", "evacuations", "ebonybend-nodes", "ebonybend-kept")
 
 
@@ -133,6 +137,8 @@
             "answers_lost": self._answers,
             "answers_repeated": self._answers,
             "odd_entry": self._odd_entry,
+            "watches_cut": self._watches_cut,
+            "vanish": self._vanish,
         }
 
     def _start(self, kind: str) -> None:
@@ -205,6 +211,23 @@
         sleep(DRAIN_LIMIT_S)
         self._remove(name)
 
+    def _vanish(self, name: str, _seconds: float, _kind: str) -> None:
+        """Remove a server that says nothing of its leaving, while watches are cut."""
+        server = self.fleet.servers[name]
+        self.fleet.add_server(server.service, server.zone)
+        self.fleet.store.state.cut_watches()
+        sleep(self.random.uniform(0.0, MAX_CUT_GAP_S))
+        self._remove(name)
+        self.leavings.append(Leaving(server, monotonic()))
+        self._watches_cut(name, DRAIN_LIMIT_S, "watches_cut")
+
+    def _watches_cut(self, _target: str, seconds: float, _kind: str) -> None:
+        """Cut the waiting watches off again and again."""
+        until = monotonic() + seconds
+        while monotonic() < until:
+            self.fleet.store.state.cut_watches()
+            sleep(self.random.uniform(MIN_CUT_GAP_S, MAX_CUT_GAP_S))
+
     def _store_restored(self, _target: str, seconds: float, _kind: str) -> None:
         """Come back from an older copy; its other writers write again afterwards."""
         state = self.fleet.store.state
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -8,7 +8,7 @@
 from ebonybend.node.decoded import DecodedObjects
 from ebonybend.node.lag import LagDetector
 from ebonybend.node.members import Members, NodeHeartbeat
-from ebonybend.node.relayed_store import NodeStore
+from ebonybend.node.relayed_store import RelayedStore
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings
 from ebonybend.node.wire import Documents
@@ -19,6 +19,7 @@
     RestoredServers,
 )
 from ebonybend.steering.server_state import ServerTable
+from ebonybend.store.availability import Outage
 from ebonybend.store.client import StoredObject
 from ebonybend.store.era import UNKNOWN_ERA
 from ebonybend.store.watcher import OnChange, Watcher
@@ -51,7 +52,7 @@
 
     def __init__(
         self,
-        store: NodeStore,
+        store: RelayedStore,
         documents: Documents,
         reactor: Any,
         random: Random,
@@ -81,6 +82,8 @@
         self.eras.on_change = self._schedule_new_era
         # Called when the store came back from an older copy.
         self.on_new_era = on_new_era
+        self.availability = store.availability
+        self.availability.on_return = self.on_store_return
         self.expired_servers = ExpiredServers()
         self.restored_servers = RestoredServers()
         self.held_evacuations = HeldEvacuations(reactor.seconds)
@@ -99,13 +102,12 @@
                 self._notifying(apply),
                 MAX_BACKOFF_S,
                 int(watch_s * MS_PER_S),
-                on_recovery,
             )
-            for kind, apply, on_recovery in (
-                (documents.config_kind, self.on_config, _do_nothing),
-                (documents.servers_kind, self.on_servers, self.on_recovery),
-                (documents.evacuations_kind, self.on_evacuations, _do_nothing),
-                (documents.members_kind, self.on_members, _do_nothing),
+            for kind, apply in (
+                (documents.config_kind, self.on_config),
+                (documents.servers_kind, self.on_servers),
+                (documents.evacuations_kind, self.on_evacuations),
+                (documents.members_kind, self.on_members),
             )
         ]
         self.watchers_by_kind = {watcher.kind: watcher for watcher in self.watchers}
@@ -169,14 +171,11 @@
         return {watcher.kind: watcher.newest_version for watcher in self.watchers}
 
     def store_contact_s(self) -> float:
-        """Return for how long the store has answered the watch on servers.
+        """Return for how long the store has been available to this node.
 
-        It is 0 if the watch fails or if changes are read from relays.
+        It is 0 if changes are read from relays.
         """
-        since = self.watchers[SERVERS_INDEX].available_since
-        if since is None or self.is_following():
-            return 0.0
-        return self.reactor.seconds() - since
+        return 0.0 if self.is_following() else self.availability.available_s()
 
     def versions_to_relay(self) -> dict[str, int] | None:
         """Return the versions read from the store; None if this node is no relay."""
@@ -341,12 +340,11 @@
                 watcher.begin_era()
         self.on_new_era()
 
-    def on_recovery(self) -> None:
-        """Retain servers whose entries expired while the store was unreachable."""
+    def on_store_return(self, outage: Outage) -> None:
+        """Retain servers whose entries expired in an outage of the store."""
         settle_s = self.settings().bounds.settle_s
-        unavailable_at = self.watchers[SERVERS_INDEX].unavailable_at
         self.expired_servers.record_store_recovery(
-            self.reactor.seconds(), unavailable_at, settle_s
+            outage.ended_at, outage.lost_at, settle_s
         )
 
     def reapply_servers(self) -> None:
--- a/ebonybend/node/relayed_store.py
+++ b/ebonybend/node/relayed_store.py
@@ -10,6 +10,7 @@
 
 from ebonybend.logs import get_logger
 from ebonybend.steering.relays import Pulse, Relays
+from ebonybend.store.availability import StoreAvailability
 from ebonybend.store.client import (
     ObjectList,
     ObjectStore,
@@ -29,6 +30,10 @@
 # Longest time for which a call waits for one for another kind to find that out.
 PROBE_TIMEOUT_S = 4.0
 
+# Time in which a dead connection of a waiting watch is detected: the interval of
+# keep-alive probes and the time to connect.
+DETECTION_DELAY_S = 1.0
+
 # Returns the changes of a kind since a version of an era from the relay with an
 # address.
 Fetch = Callable[[str, str, int, int], Awaitable[Result[ObjectList, StoreFailure]]]
@@ -56,6 +61,7 @@
         batch_delay_s: float,
         is_relay_candidate: Callable[[], bool] = lambda: True,
         on_return: OnReturn = ignore_return,
+        shortest_outage_s: Callable[[], float] = lambda: 0.0,
     ):
         self.store = store
         self.eras = store.eras
@@ -68,6 +74,7 @@
         # Returns whether this node would be a relay if the store answered.
         self.is_relay_candidate = is_relay_candidate
         self.contact = StoreContact(on_return)
+        self.availability = StoreAvailability(timers.seconds, shortest_outage_s)
         self.last_watch_at: dict[str, float] = {}
         # Kind whose calls show when the store answers again; None while it answers.
         self.probing_kind: str | None = None
@@ -89,11 +96,14 @@
         """
         if not self._needs_ping():
             return False
+        asked_at = self.timers.seconds()
         answered = await self.store.ping(kind, name, timeout_s)
         if answered:
+            self.availability.record_answer()
             self.contact.record_answer()
             self._end_probing()
         else:
+            self.availability.record_loss(asked_at)
             self.contact.record_loss(self.timers.seconds())
         return answered
 
@@ -103,6 +113,11 @@
             return self.is_relay_candidate()
         return self.contact.lost_at is not None or not self.is_following()
 
+    def on_pulse(self) -> None:
+        """Handle a pulse, which shows that the store answers the relay."""
+        self.availability.record_answer()
+        self.wake()
+
     def wake(self) -> None:
         """Compare the own versions with those of a pulse."""
         waiting, self.waiting = self.waiting, []
@@ -120,9 +135,10 @@
             if not self._is_probing_other(kind) or wait_s <= 0:
                 break
             await self._wait_for_pulse(wait_s)
+        asked_at = self.timers.seconds()
         answer = await self.store.list(kind)
         if not _is_cancelled(answer):
-            self._record_contact(kind, answer)
+            self._record_contact(kind, answer, asked_at)
             is_cut_off = _is_cut_off(answer)
             retry_s = STORE_RETRY_S if is_cut_off else 0.0
             self.cut_off_until = self.timers.seconds() + retry_s
@@ -155,11 +171,14 @@
             relayed = await self._wait_during_outage(kind, since)
             if relayed is not None:
                 return relayed
+        asked_at = self.timers.seconds()
         answer = await self.store.watch(kind, since, timeout_ms)
         now = self.last_watch_at[kind] = self.timers.seconds()
         if _is_cancelled(answer):
             return answer
-        self._record_contact(kind, answer)
+        # The watch may have waited for long before it was lost.
+        lost_at = max(asked_at, now - DETECTION_DELAY_S) if timeout_ms else asked_at
+        self._record_contact(kind, answer, lost_at)
         if not _is_cut_off(answer):
             self.cut_off_until = now
         elif not timeout_ms:
@@ -167,8 +186,14 @@
             self.cut_off_until = now + STORE_RETRY_S
         return answer
 
-    def _record_contact(self, kind: str, answer: Result[Any, StoreFailure]) -> None:
-        """Record whether a call reached the store."""
+    def _record_contact(
+        self, kind: str, answer: Result[Any, StoreFailure], lost_at: float
+    ) -> None:
+        """Record whether a call, which may have been lost at a time, was answered."""
+        if _shows_store(answer):
+            self.availability.record_answer()
+        else:
+            self.availability.record_loss(lost_at)
         if not _is_cut_off(answer):
             self.contact.record_answer(kind)
             self._end_probing()
@@ -308,9 +333,18 @@
     return answer.unwrap().complete or answer.unwrap().version > since
 
 
+def _shows_store(answer: Result[Any, StoreFailure]) -> bool:
+    """Return whether an answer shows that the store is available."""
+    is_throttled = not isinstance(answer, Success) and (
+        answer.failure().kind is StoreFailureKind.THROTTLED
+    )
+    return is_throttled or not _is_cut_off(answer)
+
+
 def _is_cut_off(answer: Result[Any, StoreFailure]) -> bool:
     """Return whether a call did not reach the store, or its answer was lost."""
     return not isinstance(answer, Success) and answer.failure().kind in (
         StoreFailureKind.UNAVAILABLE,
+        StoreFailureKind.THROTTLED,
         StoreFailureKind.ANSWER_LOST,
     )
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -48,6 +48,7 @@
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.lapsed import shortest_lapse_s
 from ebonybend.steering.placement import Placement
 from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_limits import LimitDivision
@@ -133,6 +134,7 @@
             BATCH_DELAY_S,
             self.is_relay_candidate,
             lambda lost_at, kind: self.watched_state.renew_watches(lost_at, kind),
+            lambda: shortest_lapse_s(self.settings.report_period_s),
         )
         self.watched_state = WatchedState(
             self.relayed_store,
@@ -157,7 +159,7 @@
             lambda: self.watched_state.era,
             self.ping_store,
             reactor.seconds,
-            self.relayed_store.wake,
+            self.relayed_store.on_pulse,
         )
         self.checkpoints = CheckpointManager(
             store,
--- a/ebonybend/node/settings.py
+++ b/ebonybend/node/settings.py
@@ -44,6 +44,8 @@
     # Calls per second that all nodes together may make.
     store_reads_per_s: float = 100.0
     store_writes_per_s: float = 10.0
+    # Time between two reports of a server, whose entry expires after three of them.
+    report_period_s: float = 1.5
     # Time for which the store retains changes.
     store_history_s: float = 20.0
     # Region of each failure domain.
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -8,15 +8,21 @@
 from ebonybend.codec import to_json
 from ebonybend.node.followed import WatchedState
 from ebonybend.node.members import Member, Members
+from ebonybend.node.pulses import PING_TIMEOUT_S
+from ebonybend.node.relayed_store import RelayedStore
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.settings import NodeSettings, SharedBounds
 from ebonybend.node.tests.beat_double import heartbeat
 from ebonybend.platform.documents import PlatformDocuments
 from ebonybend.platform.tests.server_entry import server_entry
+from ebonybend.steering.lapsed import shortest_lapse_s
+from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient
+from ebonybend.tasks import Tasks
 
 SETTLE_S = 4.0
+OUTAGE_S = 4.0
 OWN = Member("n1", "a-1", "a", "10.1.0.1:80", "10.1.0.1:81", 1)
 OTHER = evolve(OWN, name="n2", peer_address="10.1.0.2:81")
 SETTINGS = NodeSettings(
@@ -45,8 +51,17 @@
         self.put("config", "main", {"Version": 1})
         self.put("servers", "s1", server_entry("10.3.0.1:80"))
         self.put("servers", "s2", server_entry("10.3.0.2:80"))
-        self.watched_state = WatchedState(
+        self.relayed_store = RelayedStore(
             self.client,
+            Relays("n1"),
+            None,
+            self.clock,
+            0.0,
+            on_return=lambda *outage: self.watched_state.renew_watches(*outage),
+            shortest_outage_s=lambda: shortest_lapse_s(SETTINGS.report_period_s),
+        )
+        self.watched_state = WatchedState(
+            self.relayed_store,
             PlatformDocuments(),
             self.clock,
             Random(1),
@@ -58,8 +73,13 @@
             lambda servers: None,
         )
         self.watched_state.start()
+        self.tasks = Tasks(self.clock)
+        self.tasks.repeat(PULSE_PERIOD_S, self.ping)
         self.run(1.0)
 
+    async def ping(self):
+        await self.relayed_store.ping("nodes", "n1", PING_TIMEOUT_S)
+
     def put(self, kind, name, spec, deleted=False):
         value = to_json({"Metadata": {"Name": name}, "Spec": spec})
         self.store.write(kind, name, value, deleted)
@@ -148,6 +168,54 @@
         self.assertEqual(["s2"], list(node.servers.states))
 
 
+class AvailableStoreTest(TestWithScenarios, TestCase):
+    """Guards against requests to a removed server while watches end again and again.
+
+    Load pattern: a server's entry is removed at the time 0 while the store answers.
+    """
+
+    scenarios = [
+        ("watches are cut off twice", {"cuts": (-0.4, 1.6)}),
+        ("watches are cut off again and again", {"cuts": (-2.0, -0.2, 0.1, 0.8, 2.0)}),
+        ("the node asks again after a pause", {"resyncs": (-0.4, 1.6)}),
+        ("calls are refused for short times", {"refusals": (-0.4, 1.6)}),
+        ("all of these", {"cuts": (-0.6,), "resyncs": (0.5,), "refusals": (1.2, 1.9)}),
+        ("an outage before it", {"outage_ended": -2.3, "cuts": (-0.4, 1.6)}),
+    ]
+    DRAIN_S = 2.5
+    REFUSAL_S = 0.3
+    cuts = ()
+    resyncs = ()
+    refusals = ()
+    outage_ended = None
+
+    def test_removed_server_leaves_use(self):
+        node = WatchingNode()
+        removed_at = 12.0
+
+        def at(seconds, function, *arguments):
+            delay_s = removed_at + seconds - node.clock.seconds()
+            node.clock.callLater(delay_s, function, *arguments)
+
+        def set_down(down):
+            node.client.down, node.client.down_s = down, 0.01
+
+        for seconds in self.cuts:
+            at(seconds, node.store.cut_watches)
+        for seconds in self.resyncs:
+            at(seconds, node.watched_state.resync)
+        for seconds in self.refusals:
+            at(seconds, set_down, True)
+            at(seconds + self.REFUSAL_S, set_down, False)
+        if self.outage_ended is not None:
+            at(self.outage_ended - OUTAGE_S, set_down, True)
+            at(self.outage_ended, set_down, False)
+        entry = server_entry("10.3.0.1:80")
+        at(0.0, lambda: node.put("servers", "s1", entry, deleted=True))
+        node.run(removed_at + self.DRAIN_S - node.clock.seconds())
+        self.assertEqual(["s2"], list(node.servers.states))
+
+
 class SilentOutageTest(TestCase):
     """Guards against dropping servers whose entries expired in a silent outage.
 
@@ -156,8 +224,11 @@
 
     def test_expired_entries_are_retained_as_after_a_failed_watch(self):
         node = WatchingNode()
-        node.watched_state.renew_watches(node.clock.seconds(), "servers")
+        node.client.silent = True
+        node.run(OUTAGE_S)
+        node.client.silent = False
         node.put("servers", "s1", server_entry("10.3.0.1:80"), deleted=True)
+        node.wait_for_store()
         node.run(0.1)
         self.assertIn("s1", node.servers.states)
         node.run(SETTLE_S)
--- a/ebonybend/platform/settings.py
+++ b/ebonybend/platform/settings.py
@@ -53,6 +53,7 @@
         store_address=store["Addr"],
         store_reads_per_s=float(store.get("ReadsPerS", 100)),
         store_writes_per_s=float(store.get("WritesPerS", 10)),
+        report_period_s=float(fields.get("HeartbeatMs", 1500)) / MS_PER_S,
         store_history_s=float(store.get("HistoryS", 20)),
         regions=dict(fields.get("Zones", {})),
         bounds=decode_bounds(fields.get("Bounds", [])),
--- a/ebonybend/platform/store.py
+++ b/ebonybend/platform/store.py
@@ -33,8 +33,12 @@
 # Rises each time the store comes back from an older copy.
 ERA_HEADER = "Store-Era"
 ERA_PATTERN = re.compile(r"[0-9]{1,18}")
-# Statuses that state that the call was not carried out.
-REFUSALS = frozenset({429, 503})
+# Statuses that state that the call was not carried out: the rate of calls is too high,
+# or the store is unavailable.
+REFUSALS = {
+    429: StoreFailureKind.THROTTLED,
+    503: StoreFailureKind.UNAVAILABLE,
+}
 
 
 @frozen
@@ -214,7 +218,7 @@
         current = complete(_decode_body(answer.body)).value_or(None)
         return StoreFailure(StoreFailureKind.CONFLICT, message, current)
     if answer.status in REFUSALS:
-        return StoreFailure(StoreFailureKind.UNAVAILABLE, message)
+        return StoreFailure(REFUSALS[answer.status], message)
     if answer.status >= 500:
         return StoreFailure(StoreFailureKind.ANSWER_LOST, message)
     # Includes 410: the store no longer has the history since the given revision.
--- a/ebonybend/steering/lapsed.py
+++ b/ebonybend/steering/lapsed.py
@@ -4,6 +4,9 @@
 
 from ebonybend.world import BackendServer, LifeState
 
+# An entry is removed after three report periods without a report. The last report may
+# have been sent more than one period before an outage, but not two.
+LAPSE_PERIODS = 1.5
 # Running servers restore their entries within about 2 s after the store recovers.
 RECOVERY_GRACE_S = 2.2
 # A node stops using missing servers this long before it counts as settled, which covers
@@ -11,6 +14,11 @@
 SETTLE_MARGIN_S = 0.3
 
 
+def shortest_lapse_s(report_period_s: float) -> float:
+    """Return the length of the shortest outage in which an entry can expire."""
+    return LAPSE_PERIODS * report_period_s
+
+
 class ExpiredServers:
     """Determine which servers stay in use although the list no longer has them."""
 
@@ -21,10 +29,11 @@
     def record_store_recovery(
         self, now: float, unavailable_at: float, settle_s: float
     ) -> None:
-        """Retain missing servers for a time after the store recovers for this node.
+        """Retain missing servers for a time after an outage in which entries expired.
 
         unavailable_at is the last time at which the store was known to be unavailable.
-        The node has to be up to date once it has reached the store for settle_s.
+        The node has to be up to date once it has reached the store for settle_s. The
+        end of this time is fixed; only a later outage begins another one.
         """
         settled_at = unavailable_at + settle_s - SETTLE_MARGIN_S
         self.until = min(now + RECOVERY_GRACE_S, settled_at)
--- a/ebonybend/store/client.py
+++ b/ebonybend/store/client.py
@@ -41,6 +41,8 @@
     REJECTED = "rejected"
     # The call didn't reach the platform.
     UNAVAILABLE = "unavailable"
+    # The platform takes no more calls now; nothing was done.
+    THROTTLED = "throttled"
     # The call may have taken effect.
     ANSWER_LOST = "answer_lost"
 
--- a/ebonybend/store/tests/memory_store.py
+++ b/ebonybend/store/tests/memory_store.py
@@ -44,6 +44,12 @@
         for watcher in watchers:
             watcher.cancel()
 
+    def cut_watches(self):
+        """Close the connections of the watches that wait."""
+        watchers, self.watchers = self.watchers, []
+        for watcher in watchers:
+            watcher.errback(ConnectionError())
+
     def write(self, kind, name, value, deleted=False):
         """Write unconditionally; return the new version."""
         self.version += 1
@@ -149,6 +155,8 @@
             timer = clock.callLater(deadline - clock.seconds(), next_change.cancel)
             try:
                 await next_change
+            except ConnectionError:
+                return Failure(_lost())
             except CancelledError:
                 if timer.active():
                     return Failure(cancelled())
--- a/ebonybend/store/watcher.py
+++ b/ebonybend/store/watcher.py
@@ -25,9 +25,6 @@
 FIRST_BACKOFF_S = 0.2
 # The watch recovers at most this long after the platform does.
 MAX_BACKOFF_S = 5.0
-# Time to detect an outage, from the last byte that the platform should have
-# acknowledged: the interval of keep-alive probes and the time to connect.
-DETECTION_DELAY_S = 1.0
 
 OnChange = Callable[[str, int, Mapping[str, StoredObject]], None]
 
@@ -63,7 +60,6 @@
         on_change: OnChange,
         max_backoff_s: float = MAX_BACKOFF_S,
         watch_timeout_ms: int = WATCH_TIMEOUT_MS,
-        on_recovery: Callable[[], None] = lambda: None,
     ):
         self.store = store
         self.kind = kind
@@ -71,8 +67,6 @@
         self.on_change = on_change
         self.backoff = Backoff(random, max_backoff_s)
         self.watch_timeout_ms = watch_timeout_ms
-        # Called when the platform answers after a failure, before changes are reported.
-        self.on_recovery = on_recovery
         self.objects: dict[str, StoredObject] = {}
         self.change_log = ChangeLog()
         # Version of the last answer; stays known while the objects are listed again.
@@ -89,10 +83,6 @@
         self.resyncing = False
         # Whether the call in progress was cancelled, so that the next follows at once.
         self.interrupted = False
-        # Time since which all calls were answered; None while calls fail.
-        self.available_since: float | None = None
-        # Time at which the platform was last known to be unavailable.
-        self.unavailable_at = float("-inf")
         self.call_started_at = 0.0
         self.pending_step: Deferred[bool] | None = None
         self.tasks: Tasks | None = None
@@ -123,8 +113,7 @@
 
     def record_outage(self) -> None:
         """Record that the platform was unavailable while the watch waited."""
-        if not self.failing:
-            self._begin_outage()
+        self.failing = True
 
     def begin_era(self) -> None:
         """List all objects at once, because versions are given out again."""
@@ -192,12 +181,8 @@
         return self._apply(answer, complete)
 
     def _leave_history(self) -> None:
-        """List all next, because the version was given out in another history.
-
-        Entries that expired while the store was away return within a time after it.
-        """
+        """List all next, because the version was given out in another history."""
         self.version = None
-        self.available_since = None
 
     def _apply(self, answer: Result[ObjectList, StoreFailure], complete: bool) -> bool:
         if not isinstance(answer, Success):
@@ -205,12 +190,9 @@
             return False
         found = answer.unwrap()
         self.last_contact = self.timers.seconds()
-        if self.available_since is None:
-            self.available_since = self.last_contact
         if self.failing:
             self.failing = False
             get_logger().info("watch_returned", kind=self.kind, version=found.version)
-            self.on_recovery()
         self.resyncing = False
         if complete:
             self._replace_objects(found)
@@ -248,16 +230,7 @@
                 error=failure.message,
                 waited_s=round(self.timers.seconds() - self.call_started_at, 2),
             )
-            self._begin_outage()
-        else:
-            self.unavailable_at = self.call_started_at
+            self.failing = True
         if failure.kind is StoreFailureKind.REJECTED:
             # The version may be too old to resume from.
             self.version = None
-
-    def _begin_outage(self) -> None:
-        # The watch may have been open long before the outage began.
-        earliest = self.timers.seconds() - DETECTION_DELAY_S
-        self.unavailable_at = max(self.call_started_at, earliest)
-        self.failing = True
-        self.available_since = None
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -36,6 +36,8 @@
         self.revision = 1
         # Rises each time the store comes back from an older copy.
         self.era = 1
+        # Rises each time the waiting watches are cut off.
+        self.watch_cuts = 0
         self.kinds: dict[str, dict[str, Any]] = {}
         # Entries: revision, kind, object, whether the object was removed.
         self.history: list[tuple[int, str, Any, bool]] = []
@@ -90,6 +92,12 @@
             self.history = restored.history
             self.changed.notify_all()
 
+    def cut_watches(self) -> None:
+        """Close the connections of the watches that wait."""
+        with self.changed:
+            self.watch_cuts += 1
+            self.changed.notify_all()
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from earlier revisions get 410."""
         with self.changed:
@@ -146,16 +154,21 @@
     def watch(self, kind: str, since: int, wait_s: float) -> tuple[int, Any]:
         """Return the changes after a revision; wait up to wait_s for the first."""
         with self.changed:
-            era = self.era
+            era, cuts = self.era, self.watch_cuts
 
             def is_unknown() -> bool:
                 return not self.compacted_revision <= since <= self.revision
 
             self.changed.wait_for(
-                lambda: self.era != era or is_unknown() or self._events(kind, since),
+                lambda: (
+                    self.era != era
+                    or self.watch_cuts != cuts
+                    or is_unknown()
+                    or self._events(kind, since)
+                ),
                 wait_s,
             )
-            if self.era != era:
+            if self.era != era or self.watch_cuts != cuts:
                 raise ConnectionAbortedError
             if is_unknown():
                 return 410, {"Error": "the history is gone"}
