Send only what surely ends in time while a node stops

Cause: a request was admitted by its likely time, four times the mean of its route, also one that must not run twice; requests that waited when the stop began weren't asked about at all.

Change: during a stop a request is sent only if its deadline is before the end of the process, or if it is idempotent, arrived up to 3 s after SIGTERM, and is likely to end in time. The forwarder asks before each send. Others are refused at once, as not run, and can go to another node.

StoppingTest for requests that wait, connect or are repeated.

--- a/ebonybend/node/callers.py
+++ b/ebonybend/node/callers.py
@@ -21,8 +21,6 @@
 DEFAULT_DEADLINE_S = 10.0
 # Retry delay sent while the node starts; it usually has read the store by then.
 NOT_READY_RETRY_MS = 300
-# Retry delay sent while the node stops; other nodes can take the request at once.
-STOPPING_RETRY_MS = 0
 # A status that allows a retry, because a harmless request may match a suspect one.
 SUSPECT_STATUS = 503
 # Answer headers that the node's own HTTP server writes.
@@ -41,7 +39,6 @@
         metrics: NodeMetrics,
         request_log: RequestLog,
         is_synchronised: Callable[[], bool],
-        may_accept: Callable[[float, float], bool],
     ):
         self.routing = routing
         self.forwarder = forwarder
@@ -50,9 +47,6 @@
         self.metrics = metrics
         self.request_log = request_log
         self.is_synchronised = is_synchronised
-        # Returns whether a request with a deadline, likely answered within a time, can
-        # end before this node does.
-        self.may_accept = may_accept
 
     async def handle(self, incoming: IncomingRequest) -> OutgoingAnswer:
         """Answer one request."""
@@ -66,13 +60,6 @@
                     ErrorKind.BAD_REQUEST, "no request id, or the deadline is no number"
                 )
             request = self._build_request(incoming, client_headers, arrived_at)
-            likely_s = self.forwarder.times.likely_time_s(request.route)
-            if not self.may_accept(request.deadline, likely_s):
-                raise SteeringError(
-                    ErrorKind.DRAINING,
-                    "this node stops before an answer is certain",
-                    STOPPING_RETRY_MS,
-                )
             answer = await self.forwarder.forward(request)
         except SteeringError as error:
             self._record_outcome(
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -42,6 +42,19 @@
 # Another server has the address; what its answer states is not about this one.
 MISDIRECTED_STATUS = 421
 MS_PER_S = 1000
+# Retry delay sent while the node stops; other nodes can take the request at once.
+STOPPING_RETRY_MS = 0
+
+# Returns whether a request can end before this node does, by its arrival, its deadline,
+# whether it is idempotent, and the time within which it is likely answered.
+MaySend = Callable[[float, float, bool, float], bool]
+
+
+def always_send(
+    _arrived_at: float, _deadline: float, _idempotent: bool, _likely_s: float
+) -> bool:
+    """Return True, for a node that doesn't stop."""
+    return True
 
 
 @define
@@ -72,6 +85,7 @@
         random: Random,
         crash_watch: CrashWatch,
         pause_gate: PauseGate,
+        may_send: MaySend = always_send,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -84,6 +98,7 @@
         self.random = random
         self.crash_watch = crash_watch
         self.pause_gate = pause_gate
+        self.may_send = may_send
         self.pause_lines = LineBudget(MAX_PAUSE_LINES_PER_S)
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
@@ -104,6 +119,7 @@
         while True:
             if self.pause_gate.is_holding():
                 await self.pause_gate.wait()
+            self._refuse_unfinishable(request)
             # Others may have found out meanwhile that it crashes servers.
             self._refuse_suspect(request)
             tracked = self._select_server(request, progress)
@@ -177,6 +193,21 @@
                 reason=reason,
             )
 
+    def _refuse_unfinishable(self, request: ClientRequest) -> None:
+        """Raise DRAINING for a request that did not run and may outlive this node."""
+        if not request.may_have_run and not self._may_send(request):
+            message = "this node stops before an answer is certain"
+            raise SteeringError(ErrorKind.DRAINING, message, STOPPING_RETRY_MS)
+
+    def _may_send(self, request: ClientRequest) -> bool:
+        """Return whether a request that is sent now can end before this node does."""
+        return self.may_send(
+            request.arrived_at,
+            request.deadline,
+            request.route.idempotent,
+            self.times.likely_time_s(request.route),
+        )
+
     def _refuse_suspect(self, request: ClientRequest) -> None:
         """Raise SUSPECT_REFUSED for a request that crashed several servers.
 
@@ -200,6 +231,8 @@
             return None
         if request.may_have_run and not request.route.idempotent:
             return None
+        if not self._may_send(request):
+            return None
         if request.sends >= request.route.max_sends:
             return None
         tracked = self._choose_server(request, progress.excluded, now)
@@ -268,6 +301,8 @@
             return "the server asked for a pause while connecting"
         if self.crash_watch.is_refused(request):
             return "the request crashed servers meanwhile"
+        if not self._may_send(request):
+            return "this node began to stop while connecting"
         return None
 
     async def _send(
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -226,6 +226,7 @@
                 self.server_reports.on_crashes,
             ),
             self.pause_gate,
+            lambda *request: self.stop.may_send(*request),
         )
 
     def new_retry_window(self) -> RetryWindow:
@@ -248,7 +249,6 @@
             self.metrics,
             self.request_log,
             self.watched_state.is_synchronised,
-            lambda deadline, likely_s: self.stop.may_accept(deadline, likely_s),
         )
         directory = Directory(
             self.members,
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -15,6 +15,9 @@
 SERVING_FRACTION = 0.6
 # Time before the end of the grace time at which remaining requests are aborted.
 END_MARGIN_S = 0.3
+# Time from the start of a stop up to which a harmless request may be accepted although
+# it might not end before the process. Callers may repeat such a request elsewhere.
+LIKELY_END_PERIOD_S = 3.0
 
 
 class NodeStop:
@@ -61,13 +64,21 @@
         self.announce()
         Deferred.fromCoroutine(self._run()).addErrback(self._on_failure)
 
-    def may_accept(self, deadline: float, likely_s: float) -> bool:
-        """Return whether a request that is likely answered in a time may be sent on.
+    def may_send(
+        self, arrived_at: float, deadline: float, idempotent: bool, likely_s: float
+    ) -> bool:
+        """Return whether a request may be sent to a server.
 
         During a stop, it has to end before the process does, since a request that is
-        cut off may have run. A client can send a refused one to another node.
+        cut off may have run. Only its deadline bounds its end; how long others take
+        shows what is likely, which is enough for an idempotent request early in a stop.
+        A client can send a refused one to another node.
         """
-        return min(deadline, self.reactor.seconds() + likely_s) <= self.ends_at
+        if deadline <= self.ends_at:
+            return True
+        is_early = arrived_at <= self.began_at + LIKELY_END_PERIOD_S
+        likely_end = self.reactor.seconds() + likely_s
+        return idempotent and is_early and likely_end <= self.ends_at
 
     def _on_failure(self, failure: Any) -> None:
         get_logger().error("stop_failed", error=repr(failure.value))
--- a/ebonybend/node/tests/forwarder_fixture.py
+++ b/ebonybend/node/tests/forwarder_fixture.py
@@ -155,7 +155,10 @@
             Random(1),
             CrashWatch(self.clock, self.pool, self.crash_detector),
             PauseGate(self.clock, lambda: None, lambda time: True),
+            lambda *request: self.may_send,
         )
+        # Whether a request can end before the node does.
+        self.may_send = True
         self.route = evolve(ROUTE, **route)
         self.results = []
 
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -129,6 +129,49 @@
         self.assertEqual(self.sends, len(fixture.pool.sent))
 
 
+class StoppingTest(TestWithScenarios, TestCase):
+    """Guards against requests that are sent although the node ends before the answer.
+
+    Load pattern: requests that wait when the stop begins.
+    """
+
+    scenarios = [
+        ("not sent yet", {"script": [], "outcome": ErrorKind.DRAINING, "sends": 0}),
+        ("not run", {"script": [FULL], "outcome": ErrorKind.DRAINING, "sends": 1}),
+        ("may have run", {"script": [CLOSED], "outcome": ErrorKind.ANSWER_LOST}),
+        ("failed", {"script": [FAILED], "outcome": 500}),
+        ("answered", {"script": [OK], "outcome": 200}),
+    ]
+    sends = 1
+
+    def test_nothing_is_sent_that_may_outlive_the_node(self):
+        fixture = ForwarderFixture([])
+        if not self.script:
+            fixture.may_send = False
+        fixture.forward()
+        fixture.may_send = False
+        if self.script:
+            fixture.pool.script = [OK]
+            result = self.script[0]
+            is_error = isinstance(result, Exception)
+            (
+                fixture.pool.waiting.errback
+                if is_error
+                else fixture.pool.waiting.callback
+            )(result)
+        self.assertEqual(self.outcome, fixture.outcome())
+        self.assertEqual(self.sends, len(fixture.pool.sent))
+
+    def test_a_stop_while_connecting(self):
+        fixture = ForwarderFixture([OK])
+        connecting = fixture.pool.connecting = Deferred()
+        fixture.forward()
+        fixture.may_send = False
+        connecting.callback(None)
+        self.assertEqual(ErrorKind.DRAINING, fixture.outcome())
+        self.assertEqual([], fixture.pool.sent)
+
+
 class WaitingTest(TestCase):
     """Guards against work for clients that disconnected or whose deadline passed."""
 
