Stop by the grace time in force

Cause: NodeStop took the number once. Change: it reads it when the stop begins, and SIGTERM reads the settings file first, which may change without a signal.

Measured: test_stop_uses_the_grace_time_in_force, a process with a request without end, failed before and passes; ChangedGraceTest. The soak shortens the grace time before a stop, and sends SIGHUP in series and to starting nodes.

--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -1,7 +1,9 @@
 """Faults and planned changes that the soak of nodes injects from outside."""
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
+from signal import SIGHUP
 from threading import Thread
 from time import monotonic, sleep
 
@@ -29,12 +31,28 @@
     "odd_entry",
     "watches_cut",
     "vanish",
+    "grace_changed",
+    "hang_up",
+)
+# Faults of nodes.
+NODE_KINDS = (
+    "pause",
+    "kill",
+    "stop",
+    "store_cut",
+    "store_frozen",
+    "grace_changed",
+    "hang_up",
 )
 # Faults of servers whose names don't say so.
 SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause", "vanish")
 # Time for which the store is away before it comes back from an older copy, and until
 # its other writers have written again.
 RESTORE_S, REWRITE_S = 0.5, 1.0
+# Grace time in place of the longer one.
+SHORT_GRACE_S = 4.0
+# A library that a starting node loads early.
+IMPORTED_LIBRARY = "msgspec"
 # Sizes of odd entries, and the time between two writes of one.
 ODD_ENTRY_BYTES = (100, 10_000, 100_000, 1_000_000)
 ODD_ENTRY_PERIOD_S = 1.5
@@ -139,10 +157,12 @@
             "odd_entry": self._odd_entry,
             "watches_cut": self._watches_cut,
             "vanish": self._vanish,
+            "grace_changed": self._grace_changed,
+            "hang_up": self._hang_up,
         }
 
     def _start(self, kind: str) -> None:
-        is_node = kind in ("pause", "kill", "stop", "store_cut", "store_frozen")
+        is_node = kind in NODE_KINDS
         is_server = kind.startswith(("server", "answers")) or kind in SERVER_KINDS
         names = sorted(self.fleet.nodes) if is_node else ["store"]
         if is_server:
@@ -183,8 +203,33 @@
             self.problems.append(f"{node} stopped with {status}")
         self._restart(node)
 
+    def _grace_changed(self, node: str, seconds: float, _kind: str) -> None:
+        """Shorten the grace time, with a signal or without, and stop the node."""
+        self.fleet.write_settings(node, SHORT_GRACE_S)
+        if self.random.random() < 0.5:
+            self.fleet.processes.signal(node, SIGHUP)
+        sleep(seconds)
+        self.fleet.processes.terminate(node)
+        status = self.fleet.processes.wait(node, SHORT_GRACE_S)
+        if status != 0:
+            self.problems.append(f"{node} stopped with {status}")
+        self.fleet.write_settings(node, self.fleet.grace_s)
+        self._restart(node)
+
+    def _hang_up(self, node: str, seconds: float, _kind: str) -> None:
+        """Send SIGHUP again and again."""
+        until = monotonic() + seconds
+        while monotonic() < until:
+            self.fleet.processes.signal(node, SIGHUP)
+            sleep(self.random.uniform(0.0, 0.5))
+
     def _restart(self, node: str) -> None:
         self.fleet.processes.restart(node)
+        if self.random.random() < 0.5:
+            # The interpreter itself can't handle a signal before it runs the node.
+            is_importing = partial(self.fleet.processes.maps, node, IMPORTED_LIBRARY)
+            self.fleet.wait_until(is_importing, 15.0, 0.002)
+            self.fleet.processes.signal(node, SIGHUP)
         self.fleet.wait_until(lambda: self.fleet.is_ready(node), 15.0)
 
     def _store_down(self, _target: str, seconds: float, _kind: str) -> None:
--- a/bench/node_fleet.py
+++ b/bench/node_fleet.py
@@ -209,6 +209,10 @@
         for plan in self.nodes.values():
             self.processes.start(self._node_spec(plan))
 
+    def write_settings(self, node: str, grace_s: float) -> None:
+        """Write a node's settings file again, with another grace time."""
+        node_environment(self.nodes[node], PORTS, grace_s, self.directory)
+
     def _node_spec(self, plan: NodePlan) -> ProcessSpec:
         environment = node_environment(plan, PORTS, self.grace_s, self.directory)
         return ProcessSpec(
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -28,7 +28,7 @@
 from bench.node_fleet import NodeFleet
 from standins.command import parse_flags
 
-CALLERS = 9
+CALLERS = 18
 # Time without new faults at the end, in which everything has to work again.
 SETTLE_S = 6.0
 # Requests that a server may get from a node in a pause, and from when on.
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -102,6 +102,14 @@
             if running.alive:
                 os.kill(running.popen.pid, number)
 
+    def maps(self, name: str, library: str) -> bool:
+        """Return whether a process has loaded a library; True if it has ended."""
+        try:
+            maps = Path(f"/proc/{self.processes[name].popen.pid}/maps").read_text()
+        except OSError:
+            return True
+        return library in maps or not maps
+
     def kill(self, name: str) -> None:
         """Kill a process and wait until it has terminated."""
         with self.lock:
--- a/bench/tests/test_platform_node.py
+++ b/bench/tests/test_platform_node.py
@@ -103,6 +103,7 @@
         ports = NodePorts(*self.ports[1:5], internal)
         settings = node_environment(plan, ports, GRACE_S, Path(directory.name))
         environment = {**os.environ, **settings}
+        self.settings_file = Path(settings["EBONYBEND_NODE_FILE"])
         self.log = open(Path(directory.name) / "log", "w+")  # noqa: SIM115
         self.addCleanup(self.log.close)
         self.node = subprocess.Popen(
@@ -228,6 +229,22 @@
         self.assertIn(b" 200 ", answer.split(b"\r\n")[0])
         self.assertEqual({200, "refused"}, set(statuses), statuses)
 
+    def test_stop_uses_the_grace_time_in_force(self):
+        """Load pattern: a request without end, and a settings file that changed."""
+        endpoint = self.endpoints["history"]
+        endpoint.long_marker, endpoint.long_service_s = "long", 2 * GRACE_S
+        client = create_connection(("127.0.0.1", self.ports[1]), timeout=5.0)
+        self.addCleanup(client.close)
+        client.sendall(raw_request("long", self.ports[1]))
+        self.wait_until(lambda: endpoint.started)
+        settings = self.settings_file.read_text()
+        shortened = settings.replace(f"GraceS={GRACE_S}", f"GraceS={GRACE_S / 2}")
+        self.settings_file.write_text(shortened)
+        self.node.send_signal(signal.SIGTERM)
+        started = monotonic()
+        self.assertEqual(0, self.node.wait(GRACE_S + 1.0))
+        self.assertLess(monotonic() - started, GRACE_S * 0.75)
+
     def test_9_sends_nothing_by_what_changed_during_a_pause(self):
         """Load pattern: requests that arrive at a paused node while a server leaves."""
         staying = PlatformEndpoint("i-staying")
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -187,7 +187,7 @@
         )
         self.stop = NodeStop(
             reactor,
-            settings.bounds.grace_s,
+            lambda: self.settings.bounds.grace_s,
             self.announce_stop,
             self.close_ports,
             lambda: self.client_site.unfinished(),
@@ -375,7 +375,7 @@
             host, port = split_address(address)
             self.reactor.listenUDP(port, protocol, interface=host)
         loop = get_event_loop()
-        loop.add_signal_handler(SIGTERM, self.stop.begin)
+        loop.add_signal_handler(SIGTERM, self.on_terminate)
         loop.add_signal_handler(SIGINT, self.stop.begin_or_abort)
         loop.add_signal_handler(SIGHUP, self.on_reload)
         self.watched_state.start()
@@ -417,6 +417,11 @@
         self.watched_state.redecode_servers()
         get_logger().info("settings_reloaded")
 
+    def on_terminate(self) -> None:
+        """Stop by the settings in force, whose change needs no signal."""
+        self.on_reload()
+        self.stop.begin()
+
     def announce_stop(self) -> None:
         """Announce to clients and other nodes that this node stops."""
         self.client_site.closing = True
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -26,14 +26,17 @@
     def __init__(
         self,
         reactor: Any,
-        grace_s: float,
+        grace_s: Callable[[], float],
         announce: Callable[[], None],
         close_ports: Callable[[], Awaitable[None]],
         unfinished: Callable[[], int],
         shut_down: Callable[[], None],
     ):
         self.reactor = reactor
-        self.grace_s = grace_s
+        # Returns the time until the process is killed, from the settings in force.
+        self.read_grace_s = grace_s
+        # The time that this stop uses.
+        self.grace_s = inf
         self.announce = announce
         self.close_ports = close_ports
         self.unfinished = unfinished
@@ -57,6 +60,7 @@
             return
         self.stopping = True
         self.began_at = self.reactor.seconds()
+        self.grace_s = self.read_grace_s()
         self.ends_at = self.began_at + self.grace_s - END_MARGIN_S
         get_logger().info(
             "stop_begins", running=self.unfinished(), grace_s=self.grace_s
--- a/ebonybend/node/tests/test_stop.py
+++ b/ebonybend/node/tests/test_stop.py
@@ -13,11 +13,12 @@
 
     def __init__(self, unfinished):
         self.clock = Clock()
+        self.grace_s = GRACE_S
         self.events = []
         self.unfinished = unfinished
         self.stop = NodeStop(
             self.clock,
-            GRACE_S,
+            lambda: self.grace_s,
             lambda: self.record("announced"),
             self.close_ports,
             lambda: self.unfinished(self.clock.seconds()),
@@ -122,6 +123,25 @@
         self.assertEqual(self.accepted, accepted)
 
 
+class ChangedGraceTest(TestWithScenarios, TestCase):
+    """Guards against a stop that outlasts a grace time that was shortened."""
+
+    scenarios = [
+        ("before the stop", {"changes_s": -1.0, "ended_s": 3.8}),
+        ("during the stop", {"changes_s": 1.0, "ended_s": 5.8}),
+    ]
+
+    def test_end_of_a_request_without_end(self):
+        node = StoppingNode(lambda now: 1)
+        if self.changes_s < 0:
+            node.grace_s = 4.0
+        node.stop.begin()
+        node.run(max(self.changes_s, 0.0))
+        node.grace_s = 4.0
+        node.run(GRACE_S)
+        self.assertAlmostEqual(self.ended_s, dict(node.events)["ended"], delta=0.11)
+
+
 class AbortTest(TestCase):
     """Guards against an operator who can't end a process that hangs."""
 
