Judge requests early in a stop by the longest time of their route

Cause: requests that must not run twice were admitted by their deadline only. Change: up to 3 s after SIGTERM any request is admitted that ends in time by all that is known of its route, now with the longest time lately beside the mean.

LikelyTimeTest fails without the longest time ("a long one": 0.98 s by the mean alone, 2.5 s wanted).

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -45,14 +45,12 @@
 # Retry delay sent while the node stops; other nodes can take the request at once.
 STOPPING_RETRY_MS = 0
 
-# Returns whether a request can end before this node does, by its arrival, its deadline,
-# whether it is idempotent, and the time within which it is likely answered.
-MaySend = Callable[[float, float, bool, float], bool]
+# Returns whether a request can end before this node does, by its arrival, its deadline
+# and the time within which it is likely answered.
+MaySend = Callable[[float, float, float], bool]
 
 
-def always_send(
-    _arrived_at: float, _deadline: float, _idempotent: bool, _likely_s: float
-) -> bool:
+def always_send(_arrived_at: float, _deadline: float, _likely_s: float) -> bool:
     """Return True, for a node that doesn't stop."""
     return True
 
@@ -201,12 +199,8 @@
 
     def _may_send(self, request: ClientRequest) -> bool:
         """Return whether a request that is sent now can end before this node does."""
-        return self.may_send(
-            request.arrived_at,
-            request.deadline,
-            request.route.idempotent,
-            self.times.likely_time_s(request.route),
-        )
+        likely_s = self.times.likely_time_s(request.route)
+        return self.may_send(request.arrived_at, request.deadline, likely_s)
 
     def _refuse_suspect(self, request: ClientRequest) -> None:
         """Raise SUSPECT_REFUSED for a request that crashed several servers.
--- a/ebonybend/node/stop.py
+++ b/ebonybend/node/stop.py
@@ -15,8 +15,8 @@
 SERVING_FRACTION = 0.6
 # Time before the end of the grace time at which remaining requests are aborted.
 END_MARGIN_S = 0.3
-# Time from the start of a stop up to which a harmless request may be accepted although
-# it might not end before the process. Callers may repeat such a request elsewhere.
+# Time from the start of a stop up to which a request may be accepted that ends in time
+# by all that is known of its route, though its deadline is later.
 LIKELY_END_PERIOD_S = 3.0
 
 
@@ -68,21 +68,18 @@
         self.announce()
         Deferred.fromCoroutine(self._run()).addErrback(self._on_failure)
 
-    def may_send(
-        self, arrived_at: float, deadline: float, idempotent: bool, likely_s: float
-    ) -> bool:
+    def may_send(self, arrived_at: float, deadline: float, likely_s: float) -> bool:
         """Return whether a request may be sent to a server.
 
         During a stop, it has to end before the process does, since a request that is
-        cut off may have run. Only its deadline bounds its end; how long others take
-        shows what is likely, which is enough for an idempotent request early in a stop.
-        A client can send a refused one to another node.
+        cut off may have run. Only its deadline bounds its end; how long others took
+        shows what is likely, which is enough early in a stop. A client can send a
+        refused one to another node.
         """
         if deadline <= self.ends_at:
             return True
         is_early = arrived_at <= self.began_at + LIKELY_END_PERIOD_S
-        likely_end = self.reactor.seconds() + likely_s
-        return idempotent and is_early and likely_end <= self.ends_at
+        return is_early and self.reactor.seconds() + likely_s <= self.ends_at
 
     def _on_failure(self, failure: Any) -> None:
         get_logger().error("stop_failed", error=repr(failure.value))
--- a/ebonybend/node/wire.py
+++ b/ebonybend/node/wire.py
@@ -67,7 +67,11 @@
     def is_valid(self) -> bool:
         """Return whether all shares and times are in their ranges."""
         shares = [x for by_region in self.shares.values() for x in by_region.values()]
-        times = [x for t in self.times.values() for x in (t.warm_s, t.cold_s, t.mean_s)]
+        times = [
+            x
+            for t in self.times.values()
+            for x in (t.warm_s, t.cold_s, t.mean_s, t.longest_s)
+        ]
         return (
             0 <= self.written_ms <= MAX_TIME_MS
             and all(0.0 <= share <= 1.0 for share in shares)
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -21,8 +21,10 @@
 MAX_SLOWNESS = 20.0
 # Slowness from which a server counts as slow; servers of one service differ by less.
 SLOW_FACTOR = 2.0
-# Multiple of the mean time within which nearly all answers arrive.
+# Multiple of the mean time within which most answers arrive.
 TAIL_FACTOR = 4.0
+# Factor by which the longest time falls with each answer.
+LONGEST_DECAY = 0.999
 
 
 @define
@@ -33,6 +35,8 @@
     cold_s: float | None = None
     # Mean over warm and cold objects in the proportion of the requests.
     mean_s: float | None = None
+    # Longest lately, with the time that the request waited at the server.
+    longest_s: float | None = None
 
     def expected(self, warm: bool) -> float | None:
         """Return the expected service time; None before the first answer."""
@@ -40,6 +44,10 @@
             return self.warm_s if self.warm_s is not None else self.cold_s
         return self.cold_s if self.cold_s is not None else self.warm_s
 
+    def record_longest(self, seconds: float) -> None:
+        """Update the longest time with the time that an answer took."""
+        self.longest_s = max(seconds, (self.longest_s or 0.0) * LONGEST_DECAY)
+
     def add_sample(self, warm: bool, seconds: float) -> None:
         """Update the means with a service time that includes no queueing."""
         self.mean_s = _moving_average(self.mean_s, seconds)
@@ -103,9 +111,15 @@
         return times.mean_s if times else None
 
     def likely_time_s(self, route: Route) -> float:
-        """Return a time within which nearly all answers of a route arrive."""
-        mean_s = self.mean_time_s(route.name)
-        return route.objective_s if mean_s is None else mean_s * TAIL_FACTOR
+        """Return a time within which nearly all answers of a route arrive.
+
+        The mean alone doesn't show how long others of a route take whose requests
+        differ. Before the first answer, it is the route's objective.
+        """
+        times = self.routes.get(route.name)
+        if times is None or times.mean_s is None:
+            return route.objective_s
+        return max(times.mean_s * TAIL_FACTOR, times.longest_s or 0.0)
 
     def record_answer_time(
         self, route: str, state: TrackedServer, key: bytes, seconds: float, queued: bool
@@ -114,6 +128,7 @@
         name = state.server.name
         warm = self.is_warm(name, key)
         times = self.routes.setdefault(route, RouteTimes())
+        times.record_longest(seconds)
         expected = times.expected(warm)
         if not queued:
             if expected:
