Treat a server that restarts under its name as a new, cold process

Cause: only the list told that a server is cold. A refused connection showed the end of its process, but what was known of that process was kept for the next one, and the first answer restored the full rate.

Change: steering/process_life.py owns the end of a process and the first sign of the next, fed by refused connections, answers of another server, connections closed all at once, other nodes' reports with their age, and the list. The state of the server is replaced then, and is cold until the warm-up time has passed since the first sign.

The soak restarts servers under their names.

--- a/bench/model/nodes.py
+++ b/bench/model/nodes.py
@@ -208,7 +208,7 @@
             lambda: RetryWindow(RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S),
             self.members.node_count,
             random,
-            CrashWatch(clock, self.pool, CrashDetector(clock)),
+            CrashWatch(clock, self.pool, CrashDetector(clock), self.table),
             PauseGate(clock, lambda: None, lambda time: True),
         )
         self.forwarder.services = {
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field, frozen
 
-from bench.node_fleet import SERVICES, FleetServer, NodeFleet
+from bench.node_fleet import SERVICES, FleetServer, NodeFleet, server_object
 from standins.platform_store import StoreCopy
 from standins.proxy_rules import ProxyRule
 
@@ -49,6 +49,9 @@
 # Time for which the store is away before it comes back from an older copy, and until
 # its other writers have written again.
 RESTORE_S, REWRITE_S = 0.5, 1.0
+# Time for which a server is down that starts again.
+MIN_DOWN_S, MAX_DOWN_S = 0.1, 1.5
+MS_PER_S = 1000
 # Grace time in place of the longer one.
 SHORT_GRACE_S = 4.0
 # A library that a starting node loads early.
@@ -96,6 +99,14 @@
     at: float
 
 
+@frozen
+class Restart:
+    """A server that started again under its name, and when."""
+
+    server: FleetServer
+    at: float
+
+
 @frozen
 class Pause:
     """A server that asked each node to send nothing for some seconds."""
@@ -114,6 +125,7 @@
     faults: list[Fault] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
+    restarts: list[Restart] = field(factory=list)
     # Servers whose entries were removed.
     removed: set[str] = field(factory=set)
     busy: set[str] = field(factory=set)
@@ -159,6 +171,7 @@
             "vanish": self._vanish,
             "grace_changed": self._grace_changed,
             "hang_up": self._hang_up,
+            "server_restarts": self._server_restarts,
         }
 
     def _start(self, kind: str) -> None:
@@ -168,6 +181,9 @@
         if is_server:
             gone = {leaving.server.name for leaving in self.leavings}
             names = sorted(set(self.fleet.servers) - gone)
+        if kind == "server_restarts":
+            # The proxy would accept connections to a server that isn't there.
+            names = [x for x in names if not self.fleet.servers[x].is_proxied]
         target = self.random.choice(names)
         if target in self.busy:
             return
@@ -349,6 +365,27 @@
             if "odd" in state.kinds[kind]:
                 state.remove(kind, "odd")
 
+    def _server_restarts(self, name: str, seconds: float, _kind: str) -> None:
+        """Start a server again under its name, cold, while the store is down."""
+        server, state = self.fleet.servers[name], self.fleet.store.state
+        state.error_status = 503
+        server.endpoint.crash()
+        sleep(self.random.uniform(MIN_DOWN_S, MAX_DOWN_S))
+        restart = Restart(server, monotonic())
+        server.endpoint.restart(name)
+        self.restarts.append(restart)
+        sleep(seconds)
+        state.error_status = None
+        cold_s = max(restart.at + self.fleet.cold_s - monotonic(), 0.0)
+        entry = server_object(
+            server.service,
+            server.zone,
+            server.address,
+            born=1 + len(self.restarts),
+            cold_ms=int(cold_s * MS_PER_S),
+        )
+        state.put("servers", name, entry)
+
     def _server_rule(self, name: str, seconds: float, kind: str) -> None:
         action = {"server_cut": "cut", "server_frozen": "freeze"}.get(kind, "none")
         rule = ProxyRule(
--- a/bench/node_fleet.py
+++ b/bench/node_fleet.py
@@ -81,8 +81,9 @@
     name: str
     service: str
     zone: str
-    # Address in the store, which is that of the proxy.
+    # Address in the store, which is that of the proxy, if there is one.
     address: str
+    is_proxied: bool
     endpoint: PlatformEndpoint = field(repr=False)
 
 
@@ -108,9 +109,13 @@
     }
 
 
-def config_object(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+def config_object(
+    version: int, *routes: dict[str, Any], cold_rate: float = 50, cold_s: float = 1
+) -> dict[str, Any]:
     """Return a configuration."""
-    services = [{"Name": name, "WarmupPerS": 50, "WarmupS": 1} for name in SERVICES]
+    services = [
+        {"Name": name, "WarmupPerS": cold_rate, "WarmupS": cold_s} for name in SERVICES
+    ]
     hosts = [{"Host": HOST, "Paths": list(routes)}]
     return {"Version": version, "Services": services, "VirtualHosts": hosts}
 
@@ -131,11 +136,16 @@
 
 
 def server_object(
-    service: str, zone: str, address: str, state: str = "ready", born: int = 1
+    service: str,
+    zone: str,
+    address: str,
+    state: str = "ready",
+    born: int = 1,
+    cold_ms: int = 0,
 ) -> dict[str, Any]:
     """Return a server's entry in the store."""
     info = {"Service": service, "Zone": zone, "MaxConcurrency": SLOTS}
-    status = {"State": state, "Sequence": 1, "WarmupLeftMs": 0}
+    status = {"State": state, "Sequence": 1, "WarmupLeftMs": cold_ms}
     return {"Addr": address, "born": born, "Info": info, "Status": status}
 
 
@@ -148,11 +158,15 @@
         nodes_per_zone: int = 2,
         grace_s: float = 2.0,
         timeout_ms: int = 2000,
+        cold_rate: float = 50,
+        cold_s: float = 1,
     ):
         self.directory = directory
         self.nodes_per_zone = nodes_per_zone
         self.grace_s = grace_s
         self.timeout_ms = timeout_ms
+        self.cold_rate = cold_rate
+        self.cold_s = cold_s
         self.stack = ExitStack()
         self.nodes: dict[str, NodePlan] = {}
         self.servers: dict[str, FleetServer] = {}
@@ -237,7 +251,7 @@
             with self.lock:
                 self.listeners.append(Listener(address, endpoint.address))
             self._configure_proxy()
-        server = FleetServer(name, service, zone, address, endpoint)
+        server = FleetServer(name, service, zone, address, proxied, endpoint)
         self.servers[name] = server
         state = server_object(service, zone, address)
         self.store.state.put("servers", name, state)
@@ -255,6 +269,8 @@
             self.config_version,
             route_object(SAFE_PREFIX, "safe", "history", self.timeout_ms),
             route_object(UNSAFE_PREFIX, "unsafe", unsafe_service, self.timeout_ms),
+            cold_rate=self.cold_rate,
+            cold_s=self.cold_s,
         )
         self.store.state.put("config", "main", value)
         return self.config_version
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -24,8 +24,9 @@
     FaultInjector,
     Leaving,
     Pause,
+    Restart,
 )
-from bench.node_fleet import NodeFleet
+from bench.node_fleet import SERVICES, ZONES, NodeFleet
 from standins.command import parse_flags
 
 CALLERS = 18
@@ -44,6 +45,10 @@
 TRANSIT_S = 0.3
 DEADLINE_S = DEADLINE_MS / 1000
 GRACE_S = 6.0
+# A new process of a server is cold for this time, and takes this rate meanwhile. The
+# users allow one and a half times as much, and some more requests.
+COLD_S, COLD_RATE = 3.0, 2.0
+MAX_COLD_REQUESTS_PER_S = COLD_RATE * 1.5 + 5
 # Requests sent up to this time after SIGTERM may be cut off in the last part of the
 # grace time.
 EXCUSED_S = 3.0
@@ -96,6 +101,26 @@
     return violations
 
 
+def work_on_cold_servers(restarts: Iterable[Restart], cold_s: float) -> list[str]:
+    """Return the servers that got too many requests in a second while they were cold.
+
+    Nothing excuses this.
+    """
+    violations = []
+    for restart in restarts:
+        times = [
+            at
+            for at, _ in list(restart.server.endpoint.arrived)
+            if restart.at <= at < restart.at + cold_s
+        ]
+        most = max((sum(x <= y < x + 1.0 for y in times) for x in times), default=0)
+        if most > MAX_COLD_REQUESTS_PER_S:
+            violations.append(
+                f"{restart.server.name} got {most} requests in a second while cold"
+            )
+    return violations
+
+
 def late_answers(sent: Iterable[SentRequest], faults: Iterable[Fault]) -> list[str]:
     """Return a line if many requests had no answer some time after their deadline.
 
@@ -217,7 +242,17 @@
     """Run a fleet under load and faults, then check the promises."""
     ended = Event()
     try:
-        with NodeFleet(directory, grace_s=GRACE_S, timeout_ms=DEADLINE_MS) as fleet:
+        fleet = NodeFleet(
+            directory,
+            grace_s=GRACE_S,
+            timeout_ms=DEADLINE_MS,
+            cold_rate=COLD_RATE,
+            cold_s=COLD_S,
+        )
+        with fleet:
+            for service in SERVICES:
+                server = fleet.add_server(service, min(ZONES), proxied=False)
+                fleet.stack.callback(server.endpoint.stop)
             callers = start_callers(fleet, CALLERS, seed, ended)
             return _soak(fleet, callers, seconds, seed, ended)
     finally:
@@ -244,6 +279,7 @@
     violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
     violations += cut_off_requests(sent, injector.faults, runs)
     violations += late_answers(sent, injector.faults)
+    violations += work_on_cold_servers(injector.restarts, COLD_S)
     violations += injector.problems
     violations += [f"{name} ended" for _, name in fleet.processes.crashes]
     violations += fleet.log_lines(fleet.nodes, "Traceback")
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -17,12 +17,14 @@
     Fault,
     Leaving,
     Pause,
+    Restart,
     broken_answers,
     cut_off_requests,
     late_answers,
     late_work,
     run_soak,
     work_in_pauses,
+    work_on_cold_servers,
 )
 
 SENT = SentRequest("c1-1", "n1", True, 10.0, 10.1, 200, True)
@@ -117,6 +119,28 @@
         self.assertEqual(self.late, len(found), found)
 
 
+class ColdServerTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see a cold server that is overrun."""
+
+    scenarios = [
+        ("within the rate", {"count": 8}),
+        ("overrun", {"count": 9, "found": 1}),
+        ("spread over two seconds", {"count": 9, "gap_s": 0.2}),
+        ("when it is warm", {"count": 9, "at": 104.0}),
+        ("before its start", {"count": 9, "at": 99.0}),
+    ]
+    gap_s = 0.1
+    at = 101.0
+    found = 0
+
+    def test_found(self):
+        arrived = [(self.at + number * self.gap_s, "x") for number in range(self.count)]
+        endpoint = SimpleNamespace(arrived=arrived)
+        server = SimpleNamespace(name="i-1", endpoint=endpoint)
+        found = work_on_cold_servers([Restart(server, 100.0)], 3.0)
+        self.assertEqual(self.found, len(found), found)
+
+
 class PauseTest(TestWithScenarios, TestCase):
     """Guards against a soak that doesn't see requests in a pause."""
 
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -120,8 +120,12 @@
         on_idle: Callable[[Any], None],
         clock: Callable[[], float],
         memory: AnswerMemory | None = None,
+        on_end: Callable[[Any, bool], None] = lambda _connection, _by_server: None,
     ):
         self.request_id_header = request_id_header
+        # Called when the connection has ended, with whether the server ended it
+        # without notice.
+        self.on_end = on_end
         self.memory = memory or AnswerMemory()
         # Memory reserved for the answer to the current request.
         self.reserved = 0
@@ -282,7 +286,8 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Fail the waiting request, unless the close completes its answer."""
-        self.usable = False
+        by_server, self.usable = self.usable, False
+        self.on_end(self, by_server)
         self.disconnected = True
         if self.waiting is None:
             return
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -15,6 +15,7 @@
 from ebonybend.node.answer_memory import AnswerMemory
 from ebonybend.node.backend_connection import ACK_TIMEOUT_MS, BackendConnection
 from ebonybend.sockets import enable_dead_peer_detection
+from ebonybend.steering.closures import Closures
 from ebonybend.world import BackendServer
 
 # Longest idle time after which a connection is reused. Servers that state no idle
@@ -63,6 +64,10 @@
         self.request_id_header = request_id_header
         self.memory = memory or AnswerMemory()
         self.idle: dict[ProcessKey, list[BackendConnection]] = {}
+        self.open: dict[ProcessKey, set[BackendConnection]] = {}
+        self.closures = Closures()
+        # Called with a server that closed a connection which could still be used.
+        self.on_lost: Callable[[BackendServer], None] = lambda _: None
         self.connections_opened = 0
 
     def acquire(
@@ -90,6 +95,7 @@
             self._release_callback(process_key(server)),
             self.reactor.seconds,
             self.memory,
+            lambda *ended: self._record_end(server, *ended),
         )
         connecting: Deferred[BackendConnection] = endpoint.connect(factory)
         try:
@@ -102,10 +108,31 @@
         except (ConnectError, OSError) as error:
             raise BackendUnreachable(str(error), False) from error
         self.connections_opened += 1
+        self.open.setdefault(process_key(server), set()).add(connection)
         connection.transport.setTcpNoDelay(True)
         enable_dead_peer_detection(connection.transport, ACK_TIMEOUT_MS)
         return connection
 
+    def _record_end(
+        self, server: BackendServer, connection: BackendConnection, by_server: bool
+    ) -> None:
+        """Record that a connection has ended, which the server may have closed."""
+        process, now = process_key(server), self.reactor.seconds()
+        connections = self.open.get(process, set())
+        connections.discard(connection)
+        if not connections:
+            self.open.pop(process, None)
+        max_idle_s = _max_idle_s(connection, False)
+        is_idle = connection.waiting is None
+        if not by_server or (is_idle and now - connection.idle_since > max_idle_s):
+            return
+        self.closures.record(process, now, is_last=not connections)
+        self.on_lost(server)
+
+    def closed_all_alone(self, server: BackendServer) -> float | None:
+        """Return when a server closed all its connections, if no other one did."""
+        return self.closures.closed_all_alone(process_key(server))
+
     def add_idle(self, server: BackendServer, connection: BackendConnection) -> None:
         """Keep a new connection for the next request to its server."""
         self._release_callback(process_key(server))(connection)
--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -14,7 +14,7 @@
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import LineBudget
 from ebonybend.steering.crashes import CrashDetector
-from ebonybend.steering.server_state import TrackedServer
+from ebonybend.steering.server_state import ServerTable, TrackedServer
 from ebonybend.steering.suspects import fingerprint
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.backend_server import ServerProcess
@@ -26,8 +26,14 @@
 # Lines per second about lost requests.
 MAX_LOSS_LINES_PER_S = 50
 
-# Called with a server, the crashes by request, and what showed its end.
-OnCrashes = Callable[[str, Mapping[str, int], str], None]
+# Called with a server, the crashes by request, what showed its end, and whether its
+# process was not known to have ended.
+OnEnd = Callable[[str, Mapping[str, int], str, bool], None]
+
+
+def log_end(server: str, evidence: str) -> None:
+    """Log that the process of a server has ended."""
+    get_logger().info("server_process_ended", server=server, evidence=evidence)
 
 
 def log_crashes(server: str, crashes: Mapping[str, int], evidence: str) -> None:
@@ -38,21 +44,32 @@
         )
 
 
+def log_end_and_crashes(
+    server: str, crashes: Mapping[str, int], evidence: str, is_new: bool
+) -> None:
+    """Log the end of a server's process, and the crashes that it counts as."""
+    if is_new:
+        log_end(server, evidence)
+    log_crashes(server, crashes, evidence)
+
+
 class CrashWatch:
-    """Tell the crash detector what the requests of this node show."""
+    """Tell the crash detector and the server table what this node's requests show."""
 
     def __init__(
         self,
         reactor: Any,
         pool: BackendPool,
         detector: CrashDetector,
-        on_crashes: OnCrashes = log_crashes,
+        table: ServerTable,
+        on_end: OnEnd = log_end_and_crashes,
     ):
         self.reactor = reactor
         self.pool = pool
         self.detector = detector
+        self.table = table
         # Called with a server that ended, and the crashes counted for its requests.
-        self.on_crashes = on_crashes
+        self.on_end = on_end
         # Times of the last or next check of each process.
         self.checks: dict[ServerProcess, float] = {}
         self.lines = LineBudget(MAX_LOSS_LINES_PER_S)
@@ -70,6 +87,8 @@
     def record_alive(self, server: BackendServer, since: float) -> None:
         """Record that a server's process answered what was sent at a time."""
         self.detector.record_alive(server.process, since)
+        if self.table.record_alive(server.process, since, self.reactor.seconds()):
+            get_logger().info("server_process_returned", server=server.name)
 
     def record_lost(
         self,
@@ -97,10 +116,19 @@
                 loss=loss.value if loss else "no answer in time",
             )
 
+    def record_connection_lost(self, server: BackendServer) -> None:
+        """Find out whether a server has ended that closed a connection."""
+        state = self.table.states.get(server.name)
+        is_leaving = state is None or state.states_leaving
+        if not is_leaving and state.server.state is LifeState.LIVE:
+            self._start_check(server)
+
     def record_end(self, server: BackendServer, evidence: str) -> None:
         """Record that a server's process has ended."""
+        now = self.reactor.seconds()
+        is_new = self.table.record_end(server.process, now)
         crashes = self.detector.record_end(server.process)
-        self.on_crashes(server.name, crashes, evidence)
+        self.on_end(server.name, crashes, evidence, is_new)
 
     def _start_check(self, server: BackendServer) -> None:
         """Check a server soon, since no other request for it may follow."""
@@ -123,6 +151,10 @@
             if failure.refused:
                 self.record_end(server, "refused connection")
             return
+        closed_at = self.pool.closed_all_alone(server)
+        if closed_at is not None and self.table.record_end(server.process, closed_at):
+            # It shows no crash, since the network may have closed the connections.
+            self.on_end(server.name, {}, "closed all connections", True)
         self.record_alive(server, started)
         self.pool.add_idle(server, connection)
 
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -289,6 +289,8 @@
             return "connected too late to be answered"
         if self.pause_gate.has_paused_since(selected_at):
             return "paused while connecting"
+        if not self.placement.table.is_current(tracked):
+            return "the server's process ended while connecting"
         if tracked.states_leaving:
             return "the server began to leave while connecting"
         if tracked.is_paused(now):
--- a/ebonybend/node/server_reports.py
+++ b/ebonybend/node/server_reports.py
@@ -1,15 +1,19 @@
 """Exchange with other nodes what this node's requests showed of servers."""
 
 from collections.abc import Callable, Mapping
+from math import isfinite
 
 from ebonybend.logs import get_logger
-from ebonybend.node.crash_watch import log_crashes
+from ebonybend.node.crash_watch import log_crashes, log_end
 from ebonybend.node.members import ServerReports
-from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.crashes import CrashDetector, EndReport
 from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
+from ebonybend.steering.process_life import REPORT_MARGIN_S
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.world import BackendServer, LifeState
+from ebonybend.world.backend_server import ServerProcess
 
+MS_PER_S = 1000.0
 EMPTY = ServerReports()
 
 
@@ -49,11 +53,31 @@
         for name in self.detector.merge(node, reports.suspects):
             get_logger().warning("suspect_refused", suspect=name, told_by=node)
         for report in reports.ended:
-            crashes = self.detector.merge_end(report)
-            self.on_crashes(report.name, crashes, f"told by {node}")
+            self._apply_end(report, f"told by {node}")
         for name in self.servers.merge_leaving(reports.leaving, self.clock()):
             get_logger().info("server_leaving", server=name, told_by=node)
 
+    def _apply_end(self, report: EndReport, evidence: str) -> None:
+        """Apply another node's report of a process that ended."""
+        crashes = self.detector.merge_end(report)
+        self.on_crashes(report.name, crashes, evidence)
+        if report.age_ms is None or not isfinite(report.age_ms):
+            return
+        ended_at = self.clock() - max(report.age_ms, 0.0) / MS_PER_S
+        process = ServerProcess(report.name, report.started_ms)
+        if self.servers.record_end(process, ended_at, REPORT_MARGIN_S):
+            log_end(report.name, evidence)
+
+    def on_end(
+        self, server: str, crashes: Mapping[str, int], evidence: str, is_new: bool
+    ) -> None:
+        """Log the end of a server's process, and tell other nodes."""
+        if is_new:
+            log_end(server, evidence)
+        self.on_crashes(server, crashes, evidence)
+        if is_new and not crashes:
+            self.on_crash()
+
     def on_crashes(
         self, server: str, crashes: Mapping[str, int], evidence: str
     ) -> None:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -49,7 +49,7 @@
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.lapsed import shortest_lapse_s
-from ebonybend.steering.placement import Placement
+from ebonybend.steering.placement import Placement, limits_of
 from ebonybend.steering.relays import PULSE_PERIOD_S, Relays
 from ebonybend.steering.server_limits import LimitDivision
 from ebonybend.steering.server_state import ServerTable
@@ -95,7 +95,11 @@
         self.tasks = Tasks(reactor)
         self.metrics = NodeMetrics()
         self.routing = RoutingState()
-        self.servers = ServerTable(self.random.random)
+        self.servers = ServerTable(
+            self.random.random,
+            lambda service: limits_of(self.routing.services, service).cold_s,
+            lambda server: self.times.forget_server(server),
+        )
         self.pool = BackendPool(
             reactor, wire.request_id_header, answer_memory(settings.memory_mb)
         )
@@ -125,6 +129,7 @@
             lambda time: self.watched_state.is_current_since(time),
         )
         self.forwarder = self._build_forwarder()
+        self._watch_connections()
         self.relays = Relays(settings.name)
         self.relayed_store = RelayedStore(
             store,
@@ -223,12 +228,17 @@
                 self.reactor,
                 self.pool,
                 self.crash_detector,
-                self.server_reports.on_crashes,
+                self.servers,
+                self.server_reports.on_end,
             ),
             self.pause_gate,
             lambda *request: self.stop.may_send(*request),
         )
 
+    def _watch_connections(self) -> None:
+        """Let the crash watch find out which closed connections show an end."""
+        self.pool.on_lost = self.forwarder.crash_watch.record_connection_lost
+
     def new_retry_window(self) -> RetryWindow:
         """Return a new retry budget for one service."""
         bounds = self.settings.bounds
--- a/ebonybend/node/tests/forwarder_fixture.py
+++ b/ebonybend/node/tests/forwarder_fixture.py
@@ -39,6 +39,8 @@
     objective_s=0.3,
     priority=1,
 )
+# Time for which a new process of a server is cold.
+COLD_S = 3.0
 OK = BackendAnswer(200, Headers(), b"whole")
 FAILED = BackendAnswer(500, Headers(), b"failed")
 MALFORMED = AnswerNotReceived(LossReason.MALFORMED)
@@ -95,6 +97,7 @@
         self.ack_timeouts_ms = []
         self.waiting = None
         self.checked = []
+        self.closed_all_at = None
         # If set, the next connection is delayed until it fires.
         self.connecting = None
 
@@ -109,6 +112,10 @@
             raise self.script.pop(0)
         return self
 
+    def closed_all_alone(self, server):
+        """Return when the server closed all its connections."""
+        return self.closed_all_at
+
     def add_idle(self, server, connection):
         """Count a connection that a check opened."""
         self.checked.append(server.name)
@@ -135,14 +142,12 @@
 class ForwarderFixture:
     """A forwarder with three servers behind a scripted pool."""
 
-    def __init__(self, script, slack=100.0, **route):
+    def __init__(self, script, slack=100.0, names=("s1", "s2", "s3"), **route):
         self.clock = Clock()
         self.pool = ScriptedPool(script)
-        table = ServerTable()
-        names = ("s1", "s2", "s3")
-        table.update(
-            {n: BackendServer(n, "s", "a-1", "1:1", 4, region="a") for n in names}, 0.0
-        )
+        table = self.table = ServerTable(cold_s=lambda _: COLD_S)
+        self.names = names
+        self.list_servers()
         self.crash_detector = CrashDetector(ReactorClock(self.clock))
         self.forwarder = Forwarder(
             self.clock,
@@ -153,7 +158,7 @@
             lambda: RetryWindow(0.0, slack, 10.0),
             lambda: 1,
             Random(1),
-            CrashWatch(self.clock, self.pool, self.crash_detector),
+            CrashWatch(self.clock, self.pool, self.crash_detector, table),
             PauseGate(self.clock, lambda: None, lambda time: True),
             lambda *request: self.may_send,
         )
@@ -162,6 +167,14 @@
         self.route = evolve(ROUTE, **route)
         self.results = []
 
+    def list_servers(self):
+        """Apply the list of servers, which doesn't change."""
+        listed = {
+            name: BackendServer(name, "s", "a-1", "1:1", 4, region="a")
+            for name in self.names
+        }
+        self.table.update(listed, self.clock.seconds())
+
     def forward(self, deadline=1.0):
         request = ClientRequest(
             request_id=b"a1",
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 )
 from ebonybend.node.tests.forwarder_fixture import (
     CLOSED,
+    COLD_S,
     FAILED,
     FULL,
     MALFORMED,
@@ -21,6 +22,7 @@
 )
 from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashReport
 from ebonybend.steering.suspects import fingerprint
+from ebonybend.world.route import ServiceLimits
 
 
 class SilentServerTest(TestWithScenarios, TestCase):
@@ -172,6 +174,67 @@
         self.assertEqual([], fixture.pool.sent)
 
 
+class RestartTest(TestWithScenarios, TestCase):
+    """Guards against a full rate for a cold server that the list doesn't name yet.
+
+    Load pattern: a server that starts again under its name while the store is down, and
+    many requests for it. They are answered at once, so the load limit doesn't bind.
+    """
+
+    RATE = 16.0
+    # What the users' rules allow in one second.
+    BOUND = 1.5 * RATE + 5
+
+    scenarios = [
+        ("connections are refused", {"evidence": "refused"}),
+        ("all connections are closed", {"evidence": "closed"}),
+        ("another server answered there", {"evidence": "misdirected"}),
+        ("another node tells", {"evidence": "told"}),
+        ("no evidence", {"evidence": "", "is_bound": False}),
+        ("the old entry is listed again", {"evidence": "refused", "lists": True}),
+    ]
+    is_bound = True
+    lists = False
+
+    def test_requests_in_each_second(self):
+        fixture = ForwarderFixture([OK], names=("s1",), max_sends=1)
+        fixture.forwarder.services = {"s": ServiceLimits("s", 0, COLD_S, self.RATE)}
+        self.send(fixture)
+        fixture.clock.advance(1.0)
+        self.show_end(fixture)
+        fixture.clock.advance(1.0)
+        counts = []
+        for _ in range(round(COLD_S)):
+            before = len(fixture.pool.sent)
+            for _ in range(100):
+                fixture.pool.script = [OK]
+                self.send(fixture)
+                fixture.clock.advance(0.01)
+            if self.lists:
+                fixture.list_servers()
+            counts.append(len(fixture.pool.sent) - before)
+        self.assertEqual(self.is_bound, max(counts) <= self.BOUND, counts)
+        self.assertGreater(min(counts), 1)
+
+    def send(self, fixture):
+        fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+
+    def show_end(self, fixture):
+        process = fixture.table.states["s1"].server.process
+        if self.evidence == "refused":
+            fixture.pool.script = [REFUSED]
+            self.send(fixture)
+        elif self.evidence == "misdirected":
+            fixture.pool.script = [WRONG_SERVER]
+            self.send(fixture)
+        elif self.evidence == "closed":
+            fixture.pool.closed_all_at = fixture.clock.seconds()
+            fixture.pool.script = [CLOSED]
+            self.send(fixture)
+        elif self.evidence == "told":
+            fixture.table.record_end(process, fixture.clock.seconds() - 0.2, 0.5)
+
+
 class WaitingTest(TestCase):
     """Guards against work for clients that disconnected or whose deadline passed."""
 
--- a/ebonybend/node/tests/test_server_reports.py
+++ b/ebonybend/node/tests/test_server_reports.py
@@ -81,6 +81,25 @@
             node.list()
         self.assertEqual(["crash"] * (CRASHES_TO_REFUSE - 1) + ["refusal"], node.told)
 
+    def test_the_end_of_a_process_is_told_once(self):
+        clock = ManualClock()
+        sender, receiver = Node(clock), Node(clock)
+        clock.advance(1.0)
+        for node in (sender, receiver):
+            node.list(SERVER)
+        sender.detector.record_end(SERVER.process)
+        clock.advance(0.1)
+        receiver.exchange.apply("n1", sender.exchange.build())
+        state = receiver.servers.states[SERVER.name]
+        self.assertTrue(state.life.is_awaited)
+        clock.advance(0.5)
+        now = clock.monotonic()
+        receiver.servers.record_alive(SERVER.process, now, now)
+        clock.advance(1.0)
+        receiver.exchange.apply("n1", sender.exchange.build())
+        self.assertIs(state, receiver.servers.states[SERVER.name])
+        self.assertFalse(state.life.is_awaited)
+
     def test_reports_reach_the_other_node(self):
         clock = ManualClock()
         sender, receiver = Node(clock), Node(clock)
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -65,6 +65,8 @@
 
     name: str
     started_ms: int = 0
+    # Time since the node found it, in milliseconds; None in reports of earlier builds.
+    age_ms: float | None = None
 
 
 @define
@@ -196,7 +198,11 @@
         }
         latest = sorted(self.ended, key=lambda process: -self.ended[process])
         return tuple(
-            EndReport(process.name, process.started_ms)
+            EndReport(
+                process.name,
+                process.started_ms,
+                (now - self.ended[process]) * MS_PER_S,
+            )
             for process in latest[:MAX_REPORTED_ENDS]
         )
 
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from ebonybend.steering.leaving import LeavingReport, LeavingServers
+from ebonybend.steering.process_life import ProcessLife
 from ebonybend.steering.server_limits import ServerLimit
 from ebonybend.steering.shared_rates import ColdPacer
 from ebonybend.world import BackendServer, LifeState
@@ -73,6 +74,15 @@
     paused_until: float = float("-inf")
     # Whether the server stated in its answers that it leaves.
     states_leaving: bool = False
+    life: ProcessLife = field(factory=ProcessLife)
+
+    def listed_again(self) -> "TrackedServer":
+        """Return the state of a later process after the list names it, too."""
+        self.life = ProcessLife()
+        self.ejections = 0
+        self.ejected_until = float("-inf")
+        self.ejected_unreachable = False
+        return self
 
     def load(self, now: float) -> float:
         """Return the estimated number of requests on the server."""
@@ -82,8 +92,33 @@
         return self.in_flight + self.others_in_flight * weight
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the server is warming up and gets only a bounded rate."""
-        return now < self.cold_until
+        """Return whether the server is warming up and gets only a bounded rate.
+
+        The next request to a server whose process has ended may be the first of a cold
+        one.
+        """
+        return now < self.cold_until or self.life.is_awaited
+
+    def next_process(self, pacer: ColdPacer) -> "TrackedServer":
+        """Return the state of the server's next process, which holds nothing yet.
+
+        What the server asked of its senders stays until it answers again, and so does
+        its ejection.
+        """
+        return TrackedServer(
+            self.server,
+            round_trip_s=self.round_trip_s,
+            ejections=self.ejections,
+            ejected_until=self.ejected_until,
+            ejected_unreachable=self.ejected_unreachable,
+            ejected_by_own_evidence=self.ejected_by_own_evidence,
+            cold_until=self.cold_until,
+            pacer=pacer,
+            limit=self.limit,
+            paused_until=self.paused_until,
+            states_leaving=self.states_leaving,
+            life=self.life,
+        )
 
     def is_ejected(self, now: float) -> bool:
         """Return whether the server is ejected after failures.
@@ -197,9 +232,18 @@
 class ServerTable:
     """All listed backend servers, by name and by service."""
 
-    def __init__(self, new_phase: Callable[[], float] = lambda: 0.0) -> None:
+    def __init__(
+        self,
+        new_phase: Callable[[], float] = lambda: 0.0,
+        cold_s: Callable[[str], float] = lambda _: 0.0,
+        on_next_process: Callable[[str], None] = lambda _: None,
+    ) -> None:
         # Returns the phase of a new server's pacer.
         self.new_phase = new_phase
+        # Returns the time for which a new process of a service is cold.
+        self.cold_s = cold_s
+        # Called with a server whose next process holds nothing of what is known.
+        self.on_next_process = on_next_process
         self.states: dict[str, TrackedServer] = {}
         # Servers without an entry, and the times until which their state is retained.
         self.unlisted: dict[str, tuple[float, TrackedServer]] = {}
@@ -216,7 +260,12 @@
         states: dict[str, TrackedServer] = {}
         for name, server in servers.items():
             state = self.states.get(name) or self._unlisted_state(name)
-            if state is None or _restarted(state.server, server):
+            if state is not None and _restarted(state.server, server):
+                self.on_next_process(name)
+                # The list names the process that gave a sign of life before.
+                is_known = state.life.ended_at > float("-inf")
+                state = state.listed_again() if is_known else None
+            if state is None:
                 state = TrackedServer(
                     server,
                     pacer=ColdPacer(self.new_phase()),
@@ -235,6 +284,40 @@
         for state in states.values():
             self.by_service.setdefault(state.server.service, []).append(state)
 
+    def record_end(
+        self, process: ServerProcess, at: float, margin_s: float = 0.0
+    ) -> bool:
+        """Record that a process did not exist at a time; return whether that is new.
+
+        Requests in flight keep the state of the process that ended.
+        """
+        state = self.states.get(process.name)
+        if state is None or state.server.process != process:
+            return False
+        if not state.life.record_end(at, margin_s):
+            return False
+        following = state.next_process(ColdPacer(self.new_phase()))
+        self.states[process.name] = following
+        of_service = self.by_service[state.server.service]
+        of_service[of_service.index(state)] = following
+        self.on_next_process(process.name)
+        return True
+
+    def record_alive(self, process: ServerProcess, asked_at: float, now: float) -> bool:
+        """Record a sign of life; return whether it is the first of a process."""
+        state = self.states.get(process.name)
+        if state is None or state.server.process != process:
+            return False
+        if not state.life.record_alive(asked_at, now):
+            return False
+        cold_until = now + self.cold_s(state.server.service)
+        state.cold_until = max(state.cold_until, cold_until)
+        return True
+
+    def is_current(self, state: TrackedServer) -> bool:
+        """Return whether a state is that of the server's present process."""
+        return self.states.get(state.server.name) is state
+
     def unlisted_servers(self) -> dict[str, BackendServer]:
         """Return the servers that were listed lately and aren't any more."""
         return {name: state.server for name, (_, state) in self.unlisted.items()}
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -140,6 +140,10 @@
                 times.add_sample(warm, seconds)
         self.warm.setdefault(name, WarmObjects()).add(key)
 
+    def forget_server(self, server: str) -> None:
+        """Drop the objects that were warm on a server, whose process has ended."""
+        self.warm.pop(server, None)
+
     def retain(self, servers: set[str], routes: set[str]) -> None:
         """Drop servers and routes that no longer exist."""
         self.warm = {n: w for n, w in self.warm.items() if n in servers}
--- a/ebonybend/steering/tests/test_server_state.py
+++ b/ebonybend/steering/tests/test_server_state.py
@@ -11,6 +11,7 @@
     TrackedServer,
 )
 from ebonybend.world import BackendServer
+from ebonybend.world.backend_server import ServerProcess
 
 SERVER = BackendServer("s1", "s", "a-1", "10.0.0.1:80", 4)
 
@@ -222,3 +223,50 @@
         state = TrackedServer(SERVER, in_flight=1, service_s=self.service_s)
         state.record_load(running=4, waiting=5, now=10.0)
         self.assertAlmostEqual(self.load, state.load(10.0 + self.age_s))
+
+
+class NextProcessTest(TestWithScenarios, TestCase):
+    """Guards against a process that is taken for the one before under its name."""
+
+    scenarios = [
+        ("listed as before", {"then": SERVER, "cold_until": 13.0}),
+        (
+            "listed as a new one",
+            {"then": evolve(SERVER, started_ms=2, cold_for_s=4.0), "cold_until": 15.0},
+        ),
+        (
+            "listed as a new one, warm by its entry",
+            {"then": evolve(SERVER, started_ms=2), "cold_until": 13.0},
+        ),
+        ("not listed, then as before", {"then": None, "cold_until": 13.0}),
+    ]
+
+    def test_what_ends_with_a_process(self):
+        ended = []
+        table = ServerTable(cold_s=lambda _: 3.0, on_next_process=ended.append)
+        table.update({"s1": SERVER}, 0.0)
+        old = table.states["s1"]
+        old.start_request()
+        old.record_load(4, 2, 8.0)
+        old.record_unreachable(9.0, True)
+        self.assertTrue(table.record_end(SERVER.process, 9.0))
+        self.assertFalse(table.record_end(SERVER.process, 9.1))
+        state = table.states["s1"]
+        self.assertEqual([state], table.by_service["s"])
+        self.assertTrue(table.is_current(state) and not table.is_current(old))
+        self.assertEqual(0, state.load(9.1))
+        self.assertTrue(state.is_ejected(9.1) and state.is_cold(9.1))
+        self.assertFalse(table.record_alive(SERVER.process, 9.05, 9.2))
+        self.assertTrue(table.record_alive(SERVER.process, 9.9, 10.0))
+        self.assertEqual(["s1"], ended)
+        if self.then is None:
+            table.update({}, 11.0)
+        table.update({"s1": self.then or SERVER}, 11.0)
+        state = table.states["s1"]
+        self.assertEqual(self.cold_until, state.cold_until)
+        self.assertFalse(table.record_end(ServerProcess("s1", 7), 12.0))
+
+    def test_nothing_is_known_of_others(self):
+        table = ServerTable()
+        self.assertFalse(table.record_end(SERVER.process, 1.0))
+        self.assertFalse(table.record_alive(SERVER.process, 1.0, 1.0))
