Don't take an idle timeout or an unframed answer for a server's end

A server that closes idle connections after a timeout that it doesn't state, or that ends its answers by closing, would have looked like one whose process has ended, and callers would have been kept from it for its warm-up time.

Change: only connections in use, or used in the last 0.3 s, count as closed at once, and only if no other server closed any; a close that completes an answer counts as ordinary.

--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -57,6 +57,15 @@
     """No more bytes of an answer may be stored."""
 
 
+# Called when a connection has ended, with whether the server ended it without notice,
+# and whether a request was waiting for an answer.
+OnEnd = Callable[[Any, bool, bool], None]
+
+
+def ignore_end(_connection: Any, _by_server: bool, _was_waiting: bool) -> None:
+    """Do nothing when a connection has ended."""
+
+
 @frozen
 class BackendAnswer:
     """A complete answer of a backend server."""
@@ -120,11 +129,9 @@
         on_idle: Callable[[Any], None],
         clock: Callable[[], float],
         memory: AnswerMemory | None = None,
-        on_end: Callable[[Any, bool], None] = lambda _connection, _by_server: None,
+        on_end: OnEnd = ignore_end,
     ):
         self.request_id_header = request_id_header
-        # Called when the connection has ended, with whether the server ended it
-        # without notice.
         self.on_end = on_end
         self.memory = memory or AnswerMemory()
         # Memory reserved for the answer to the current request.
@@ -286,11 +293,14 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Fail the waiting request, unless the close completes its answer."""
-        by_server, self.usable = self.usable, False
-        self.on_end(self, by_server)
+        was_usable, self.usable = self.usable, False
+        was_waiting = self.waiting is not None
         self.disconnected = True
-        if self.waiting is None:
-            return
+        is_answered = was_waiting and self._end_waiting_request(reason)
+        self.on_end(self, was_usable and not is_answered, was_waiting)
+
+    def _end_waiting_request(self, reason: Failure) -> bool:
+        """Return whether the close completes the answer that is waited for."""
         self.parser.connectionLost(reason)
         answer = self.unframed_answer
         if (
@@ -301,13 +311,14 @@
         ):
             waiting = self._end_request()
             waiting.callback(answer)
-            return
+            return True
         if self.waiting is not None:
             self._fail(
                 LossReason.UNACKNOWLEDGED
                 if self._is_unacknowledged(reason)
                 else LossReason.CLOSED
             )
+        return False
 
     def _is_unacknowledged(self, reason: Failure) -> bool:
         """Return whether the connection ended for lack of acknowledgements."""
--- a/ebonybend/node/backend_pool.py
+++ b/ebonybend/node/backend_pool.py
@@ -27,6 +27,9 @@
 # Longest idle time for a request that isn't idempotent, which can't be retried if the
 # server closes the connection.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
+# A server that closes a connection which was idle for longer may have an idle timeout
+# that it doesn't state.
+RECENT_USE_S = 0.3
 # Several round trips between regions.
 CONNECT_TIMEOUT_S = 0.6
 
@@ -66,7 +69,7 @@
         self.idle: dict[ProcessKey, list[BackendConnection]] = {}
         self.open: dict[ProcessKey, set[BackendConnection]] = {}
         self.closures = Closures()
-        # Called with a server that closed a connection which could still be used.
+        # Called with a server that closed a connection in use.
         self.on_lost: Callable[[BackendServer], None] = lambda _: None
         self.connections_opened = 0
 
@@ -114,7 +117,11 @@
         return connection
 
     def _record_end(
-        self, server: BackendServer, connection: BackendConnection, by_server: bool
+        self,
+        server: BackendServer,
+        connection: BackendConnection,
+        by_server: bool,
+        was_waiting: bool,
     ) -> None:
         """Record that a connection has ended, which the server may have closed."""
         process, now = process_key(server), self.reactor.seconds()
@@ -122,12 +129,13 @@
         connections.discard(connection)
         if not connections:
             self.open.pop(process, None)
-        max_idle_s = _max_idle_s(connection, False)
-        is_idle = connection.waiting is None
-        if not by_server or (is_idle and now - connection.idle_since > max_idle_s):
+        if not by_server:
             return
-        self.closures.record(process, now, is_last=not connections)
-        self.on_lost(server)
+        is_recent = now - connection.idle_since < RECENT_USE_S
+        was_used = was_waiting or (connection.requests > 0 and is_recent)
+        self.closures.record(process, now, was_used, is_last=not connections)
+        if was_used:
+            self.on_lost(server)
 
     def closed_all_alone(self, server: BackendServer) -> float | None:
         """Return when a server closed all its connections, if no other one did."""
--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -409,3 +409,32 @@
         exchange.now = self.after_s
         exchange.connection.connectionLost(self.reason)
         self.assertEqual(self.loss, exchange.results[0].value.loss)
+
+
+class EndTest(TestWithScenarios, TestCase):
+    """Guards against an ordinary close that is taken for the end of a server."""
+
+    scenarios = [
+        ("reset", {"parts": [], "ended": [(True, True)]}),
+        ("closed in an answer", {"parts": [COMPLETE[:-1]], "ended": [(True, True)]}),
+        ("closed while idle", {"parts": [COMPLETE], "ended": [(True, False)]}),
+        (
+            "announced",
+            {
+                "parts": [COMPLETE.replace(ID, ID + b"Connection: close\r\n")],
+                "ended": [(False, False)],
+            },
+        ),
+        (
+            "the end of an answer without a length",
+            {"parts": [OK + ID + b"\r\nwhole"], "ended": [(False, True)]},
+        ),
+    ]
+
+    def test_reported_end(self):
+        exchange, ended = Exchange(), []
+        exchange.connection.on_end = lambda _, *end: ended.append(end)
+        for part in self.parts:
+            exchange.connection.dataReceived(part)
+        exchange.connection.connectionLost(RESET if not self.parts else DONE)
+        self.assertEqual(self.ended, ended)
