--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -193,7 +193,9 @@
         they were removed.
         """
         now = self.reactor.seconds()
-        if heartbeat.followed_s and self.expired_servers.remaining_s(now):
+        is_same_era = heartbeat.era in (UNKNOWN_ERA, self.eras.current)
+        is_held = self.expired_servers.remaining_s(now) > 0
+        if heartbeat.followed_s and is_held and is_same_era:
             self.expired_servers.record_store_available_since(
                 now - heartbeat.followed_s
             )
@@ -335,6 +337,7 @@
 
     def _begin_era(self) -> None:
         """List all kinds again, because the store came back from an older copy."""
+        self.availability.record_restored()
         for watcher in self.watchers:
             if watcher.era != self.eras.current:
                 watcher.begin_era()
--- a/ebonybend/node/tests/test_followed.py
+++ b/ebonybend/node/tests/test_followed.py
@@ -235,6 +235,41 @@
         self.assertEqual(["s2"], list(node.servers.states))
 
 
+class RestoredStoreTest(TestWithScenarios, TestCase):
+    """Guards against dropping servers that an older copy of the store lacks.
+
+    Another node has reached the store for long, by what it knows of the time before.
+    """
+
+    scenarios = [
+        ("told from before the return", {"era": 1}),
+        ("told from after the return", {"era": 2, "contact_s": 0.1}),
+    ]
+    contact_s = 9.0
+
+    def test_servers_are_held(self):
+        node = WatchingNode()
+        node.store.era = 1
+        node.run(0.5)
+        node.put("servers", "s3", server_entry("10.3.0.3:80"))
+        node.run(0.5)
+        copy = node.store.copy()
+        node.put("servers", "s1", server_entry("10.3.0.1:80"))
+        node.run(6.0)
+        self.assertGreater(node.watched_state.store_contact_s(), 6.0)
+        version, objects = copy
+        objects = {key: x for key, x in objects.items() if key[1] != "s1"}
+        node.store.restore((version, objects))
+        node.run(0.7)
+        self.assertLess(node.watched_state.store_contact_s(), 1.0)
+        node.watched_state.apply_heartbeat(
+            heartbeat(OTHER, followed_s=self.contact_s, era=self.era)
+        )
+        self.assertIn("s1", node.servers.states)
+        node.run(SETTLE_S)
+        self.assertEqual(["s2", "s3"], sorted(node.servers.states))
+
+
 class DeletedNewestTest(TestCase):
     """Guards against endless lists on a node that listed after the last deletion.
 
--- a/ebonybend/store/availability.py
+++ b/ebonybend/store/availability.py
@@ -48,7 +48,8 @@
         # Called when an outage that counts has ended.
         self.on_return: Callable[[Outage], None] = lambda _: None
         self.answered_at = clock()
-        # Time of the first answer, or of the end of the last outage that counts.
+        # Time of the first answer, of the end of the last outage that counts, or of the
+        # store's return from an older copy.
         self.available_since: float | None = None
         # Time at which the last call without an answer was sent, if no answer followed.
         self.lost_at: float | None = None
@@ -66,6 +67,10 @@
         self.available_since = self.answered_at
         self.on_return(Outage(began_at, lost_at, self.answered_at))
 
+    def record_restored(self) -> None:
+        """Record that the store has come back from an older copy, without entries."""
+        self.available_since = self.clock()
+
     def record_loss(self, asked_at: float) -> None:
         """Record that a call that was sent at a time ended without an answer."""
         self.lost_at = max(asked_at, self.lost_at or -inf)
