--- a/bench/node_callers.py
+++ b/bench/node_callers.py
@@ -28,10 +28,10 @@
 WRITE_FRACTION = 0.4
 # Fraction of the requests for which servers need long.
 LONG_FRACTION = 0.03
-# Fraction of the look-ups whose answer is used only some time later, and the longest
-# such time.
+# Fraction of the callers that still go to a node that stops, by an older look-up, and
+# of those whose first request is a long one.
 LATE_FRACTION = 0.2
-MAX_LOOKUP_AGE_S = 4.5
+LATE_LONG_FRACTION = 0.5
 
 
 @frozen
@@ -74,8 +74,13 @@
             if node is None:
                 sleep(CONNECT_RETRY_S)
                 continue
-            if self.random.random() < LATE_FRACTION:
-                self.ended.wait(self.random.uniform(0.0, MAX_LOOKUP_AGE_S))
+            is_long = False
+            stopping = sorted(self.fleet.stopping.items())
+            if stopping and self.random.random() < LATE_FRACTION:
+                node, stopped_at = self.random.choice(stopping)
+                is_long = self.random.random() < LATE_LONG_FRACTION
+                at = stopped_at + self.random.uniform(0.0, self.fleet.serving_s)
+                self.ended.wait(max(at - monotonic(), 0.0))
             ip = self.fleet.nodes[node].ip
             connection = HTTPConnection(ip, CALLERS_PORT, timeout=ANSWER_TIMEOUT_S)
             try:
@@ -83,7 +88,7 @@
             except OSError:
                 sleep(CONNECT_RETRY_S)
                 continue
-            self._use(connection, node)
+            self._use(connection, node, is_long)
             connection.close()
 
     def _look_up(self) -> str | None:
@@ -97,19 +102,20 @@
         ]
         return self.random.choice(names) if names else None
 
-    def _use(self, connection: HTTPConnection, node: str) -> None:
+    def _use(self, connection: HTTPConnection, node: str, is_long: bool) -> None:
         """Send requests on a connection until it ends or has carried enough."""
         for _ in range(REQUESTS_PER_CONNECTION):
-            if self.ended.is_set() or not self._send(connection, node):
+            is_long = is_long or self.random.random() < LONG_FRACTION
+            if self.ended.is_set() or not self._send(connection, node, is_long):
                 return
+            is_long = False
             sleep(self.random.expovariate(1 / PAUSE_S))
 
-    def _send(self, connection: HTTPConnection, node: str) -> bool:
+    def _send(self, connection: HTTPConnection, node: str, is_long: bool) -> bool:
         """Send one request; return whether the connection serves another one."""
         request_id = f"{self.name}-{next(self.numbers)}"
         is_write = self.random.random() < WRITE_FRACTION
         method, prefix = ("POST", UNSAFE_PREFIX) if is_write else ("GET", SAFE_PREFIX)
-        is_long = self.random.random() < LONG_FRACTION
         path = prefix + (LONG_MARKER if is_long else "") + request_id
         body = request_id.encode() if is_write else b""
         headers = {
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -122,6 +122,8 @@
 
     fleet: NodeFleet
     random: Random
+    # The kinds of faults to inject; all if empty.
+    chosen: tuple[str, ...] = ()
     faults: list[Fault] = field(factory=list)
     leavings: list[Leaving] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
@@ -135,7 +137,7 @@
     def run(self, seconds: float) -> None:
         """Inject faults for some seconds, and wait until all have ended."""
         until = monotonic() + seconds
-        kinds = sorted(self._kinds())
+        kinds = sorted(self.chosen or self._kinds())
         next_at = monotonic() + self._gap_s()
         while next_at < until:
             sleep(max(next_at - monotonic(), 0.0))
@@ -213,8 +215,10 @@
         self._restart(node)
 
     def _stop(self, node: str, _seconds: float, _kind: str) -> None:
+        self.fleet.stopping[node] = monotonic()
         self.fleet.processes.terminate(node)
         status = self.fleet.processes.wait(node, self.fleet.grace_s + 2.0)
+        del self.fleet.stopping[node]
         if status != 0:
             self.problems.append(f"{node} stopped with {status}")
         self._restart(node)
--- a/bench/node_fleet.py
+++ b/bench/node_fleet.py
@@ -15,6 +15,7 @@
 from bench.http_calls import call, must_call
 from bench.processes import ProcessGroup, ProcessSpec
 from ebonybend.codec import to_json
+from ebonybend.node.stop import SERVING_FRACTION
 from standins.platform_server import PlatformEndpoint
 from standins.platform_store import PlatformStoreServer
 from standins.proxy_rules import Listener, ProxyConfig, ProxyRule
@@ -173,6 +174,8 @@
         self.listeners: list[Listener] = []
         self.rules: dict[str, ProxyRule] = {}
         self.lock = Lock()
+        # Times at which nodes got SIGTERM that stop now.
+        self.stopping: dict[str, float] = {}
         self.config_version = 0
         self.server_count = 0
 
@@ -196,6 +199,11 @@
     def __exit__(self, *_: object) -> None:
         self.stack.close()
 
+    @property
+    def serving_s(self) -> float:
+        """Return the time for which a node that stops takes new connections."""
+        return self.grace_s * SERVING_FRACTION
+
     def ip(self, network: int, host: int) -> str:
         """Return a loopback address of this fleet."""
         return f"127.{self.number}.{network}.{host}"
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -238,8 +238,10 @@
     return violations
 
 
-def run_soak(seconds: float, seed: int, directory: Path) -> SoakResult:
-    """Run a fleet under load and faults, then check the promises."""
+def run_soak(
+    seconds: float, seed: int, directory: Path, kinds: tuple[str, ...] = ()
+) -> SoakResult:
+    """Run a fleet under load and faults of some kinds, then check the promises."""
     ended = Event()
     try:
         fleet = NodeFleet(
@@ -254,16 +256,21 @@
                 server = fleet.add_server(service, min(ZONES), proxied=False)
                 fleet.stack.callback(server.endpoint.stop)
             callers = start_callers(fleet, CALLERS, seed, ended)
-            return _soak(fleet, callers, seconds, seed, ended)
+            injector = FaultInjector(fleet, Random(seed), kinds)
+            return _soak(fleet, callers, seconds, seed, ended, injector)
     finally:
         # Callers of a run that was broken off would use the next fleet's addresses.
         ended.set()
 
 
 def _soak(
-    fleet: NodeFleet, callers: list[Caller], seconds: float, seed: int, ended: Event
+    fleet: NodeFleet,
+    callers: list[Caller],
+    seconds: float,
+    seed: int,
+    ended: Event,
+    injector: FaultInjector,
 ) -> SoakResult:
-    injector = FaultInjector(fleet, Random(seed))
     injector.run(max(seconds - SETTLE_S, 0.0))
     sleep(SETTLE_S)
     settled_at = monotonic() - SETTLE_S + CONTACT_S
@@ -293,6 +300,12 @@
     flags.DEFINE_float("seconds", 30.0, "Length of a run.", **target)
     flags.DEFINE_integer("seed", 1, "Seed of the first run.", **target)
     flags.DEFINE_integer("runs", 1, "Runs with following seeds.", **target)
+    flags.DEFINE_list(
+        "kinds",
+        [],
+        "Kinds of faults, such as those of planned work only; all by default.",
+        **target,
+    )
     flags.DEFINE_string(
         "directory", "", "Folder for the logs of failed runs.", **target
     )
@@ -306,7 +319,8 @@
         values["seed"].value, values["seed"].value + values["runs"].value
     ):
         with TemporaryDirectory(prefix="ebonybend-soak-") as name:
-            result = run_soak(values["seconds"].value, seed, Path(name))
+            kinds = tuple(values["kinds"].value)
+            result = run_soak(values["seconds"].value, seed, Path(name), kinds)
             print(result.line(), flush=True)
             for violation in result.violations[:MAX_SHOWN]:
                 print(f"  {violation}", flush=True)
