Show that a node avoids an idle server for good after one long answer

Cause: the answer raises the server's slowness until its expected time is over the objective, and without answers the estimate stays.

--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -360,3 +360,21 @@
         self.limit(self.order[0], 4.0, sent=0)
         found = capacity_by_region(self.placement.table, "history", 0.0)
         self.assertAlmostEqual(2 * SLOTS + 4.0 * 0.05, found["kingston"])
+
+
+class LongRequestTest(TestWithScenarios, TestCase):
+    """Guards against idle servers that are avoided for good after long requests.
+
+    Load pattern: a few requests of a route take far longer than the others.
+    """
+
+    scenarios = [("one of many", {"long": 1}), ("several in a row", {"long": 5})]
+    SHORT_S, LONG_S, LATER_S = 0.04, 2.6, 60.0
+
+    def test_an_idle_server_is_used_again(self):
+        chooser = placement(server("s1"))
+        state = chooser.table.states["s1"]
+        for seconds in [self.SHORT_S] * 50 + [self.LONG_S] * self.long:
+            chooser.times.record_answer_time(ROUTE.name, state, b"17", seconds, False)
+            state.record_success(seconds)
+        self.assertIs(state, chooser.choose(QUERY, self.LATER_S))
