Give the node of a test ports that no connection takes

Cause: the test chose ports that were free for a moment from the range that the kernel also gives to outgoing connections, and a connection of another process got one before the node listened. Change: ports below that range, checked to be free. The tests ask for the same as before.

--- a/bench/tests/test_platform_node.py
+++ b/bench/tests/test_platform_node.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from random import randrange
 from socket import create_connection, socket
 from tempfile import TemporaryDirectory
 from threading import Event, Thread
@@ -36,27 +37,23 @@
 ZONE = "kingston-a"
 
 
+def is_free(port):
+    with socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count):
-    """Return ports that nothing listens on."""
-    sockets = [socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-def adjacent_free_ports():
-    """Return two adjacent ports that nothing listens on."""
+    """Return adjacent ports that nothing uses, and that no connection gets."""
+    # Below the ports that the kernel gives to outgoing connections.
     while True:
-        (port,) = free_ports(1)
-        with socket() as adjacent:
-            try:
-                adjacent.bind(("127.0.0.1", port + 1))
-            except OSError:
-                continue
-        return [port, port + 1]
+        first = randrange(10_000, 30_000)
+        ports = list(range(first, first + count))
+        if all(map(is_free, ports)):
+            return ports
 
 
 def config_with(version, service="history", prefix="/a/"):
@@ -90,8 +87,8 @@
             )
         self.store.state.put("servers", "i-odd", "not an entry")
         self.store.state.put("config", "main", config_with(1))
-        first, second = adjacent_free_ports()
-        self.ports = [first, *free_ports(4), second]
+        first, second, *others = free_ports(6)
+        self.ports = [first, *others, second]
         self.start()
         self.count = 0
 
