Show what a node knows of crashing requests first in its metrics

Cause: after an incident, the last lines of the logs and the first 4 KB of the metrics are left; the lines tell of the last seconds only, and the latency histograms fill the 4 KB. Change: gauges of suspects, refused ones and the most crashes of one that isn't refused, before the histograms; a line when a node itself refuses a suspect.

--- a/ebonybend/node/metrics.py
+++ b/ebonybend/node/metrics.py
@@ -14,25 +14,7 @@
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         options = {"registry": self.registry}
-        self.latency = Histogram(
-            "ebonybend_request_seconds",
-            "Time from receipt to answer.",
-            ("route",),
-            buckets=LATENCY_BUCKETS_S,
-            **options,
-        )
-        self.answers = Counter(
-            "ebonybend_answers",
-            "Answers by status; 0 means that the client disconnected.",
-            ("route", "status"),
-            **options,
-        )
-        self.refusals = Counter(
-            "ebonybend_refusals",
-            "Requests that failed in this node, by kind of error.",
-            ("kind",),
-            **options,
-        )
+        # The histograms come last, since a reader may keep only the first kilobytes.
         self.store_calls = Gauge(
             "ebonybend_store_calls", "Calls to the store since the start.", **options
         )
@@ -49,6 +31,38 @@
             "Nodes with a recent heartbeat, this one included.",
             **options,
         )
+        self.suspects = Gauge(
+            "ebonybend_suspects",
+            "Requests known to have run on servers that crashed.",
+            **options,
+        )
+        self.refused_suspects = Gauge(
+            "ebonybend_suspects_refused", "Suspects that are refused.", **options
+        )
+        self.most_crashes = Gauge(
+            "ebonybend_suspects_most_crashes",
+            "Largest number of crashes of a suspect that is not refused.",
+            **options,
+        )
+        self.refusals = Counter(
+            "ebonybend_refusals",
+            "Requests that failed in this node, by kind of error.",
+            ("kind",),
+            **options,
+        )
+        self.answers = Counter(
+            "ebonybend_answers",
+            "Answers by status; 0 means that the client disconnected.",
+            ("route", "status"),
+            **options,
+        )
+        self.latency = Histogram(
+            "ebonybend_request_seconds",
+            "Time from receipt to answer.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            **options,
+        )
 
     def record_outcome(
         self, route: str, status: int, error: SteeringError | None, seconds: float
--- a/ebonybend/node/server_reports.py
+++ b/ebonybend/node/server_reports.py
@@ -83,7 +83,12 @@
     ) -> None:
         """Log the crashes counted for a server's requests, and tell other nodes."""
         log_crashes(server, crashes, evidence)
-        if any(self.detector.is_refused(name) for name in crashes):
+        refused = [name for name in crashes if self.detector.is_refused(name)]
+        for name in refused:
+            get_logger().warning(
+                "suspect_refused", suspect=name, crashes=crashes[name], told_by=None
+            )
+        if refused:
             self.on_refusal()
         elif crashes:
             self.on_crash()
