Tell all nodes each crash, and refuse only what explains it

Callers saw servers crash one after the other under a request that came again, and 502 for it and for those beside it. Cause: what showed the request was lost between the loss and the refusal. A crash makes a suspect of each request on the server; heartbeats named three suspects in turn with the same two crashes of each, so with some hundred suspects the crashes of one request at several nodes never came together. The same class: a fingerprint with the service and the query, which change, and without the caller, whose runs others outweighed; losses by a broken-off answer or a client that left, which no one recorded; ends of processes that the list names alike, counted once. Change: a node owns the crashes of the requests that it lost and tells each of them to all nodes in three notices (steering/crash_evidence.py, node/crash_notices.py), whatever else it has to tell. Each node judges by the union: a request that crashed three servers is refused unless requests that crashed more explain each of its crashes (steering/culprits.py). A request is its path, caller and body; the same content of several addresses counts together. All losses are recorded, and a retry waits for the check that may refuse it. The exchange in test_crashes.py carries the evidence, as nodes do; its checks are unchanged. test_forwarder.py names the new identity.

--- a/ebonybend/node/beats.py
+++ b/ebonybend/node/beats.py
@@ -1,4 +1,7 @@
-"""Heartbeats: datagrams between nodes that report their state and versions."""
+"""Heartbeats: datagrams between nodes that report their state and versions.
+
+Crash notices share their port (node/crash_notices.py).
+"""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -9,6 +12,7 @@
 from ebonybend.codec import pack, unpack
 from ebonybend.errors import SteeringError
 from ebonybend.logs import get_logger
+from ebonybend.node.crash_notices import is_notice
 from ebonybend.node.members import Member, Members, NodeHeartbeat
 
 OPTIONAL_FIELDS = frozenset({"ejected", "era", "reports"})
@@ -37,12 +41,14 @@
         build_heartbeat: Callable[[bool], NodeHeartbeat],
         clock: Callable[[], float],
         on_heartbeat: Callable[[NodeHeartbeat], None],
+        on_notice: Callable[[bytes], None],
     ):
         self.members = members
         # Returns the heartbeat for nodes of the own region (True) or of others.
         self.build_heartbeat = build_heartbeat
         self.clock = clock
         self.on_heartbeat = on_heartbeat
+        self.on_notice = on_notice
 
     def send(self) -> None:
         """Send a heartbeat to the recipients of this period."""
@@ -52,6 +58,12 @@
         """Send a heartbeat to all other nodes."""
         self._send(*self.members.local_and_remote_peers())
 
+    def send_notice(self, notice: bytes) -> None:
+        """Send an encoded crash notice to all other nodes."""
+        if self.transport is not None:
+            for members in self.members.local_and_remote_peers():
+                self._send_each(notice, members)
+
     def _send(self, local: Iterable[Member], remote: Iterable[Member]) -> None:
         if self.transport is None:
             return
@@ -67,7 +79,10 @@
                 get_logger().info("beat_not_sent", peer=member.name, error=str(error))
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
-        """Decode and record a heartbeat."""
+        """Decode and record a heartbeat, or pass on a crash notice."""
+        if is_notice(datagram):
+            self.on_notice(datagram)
+            return
         try:
             heartbeat = unpack(datagram, NodeHeartbeat)
         except SteeringError as error:
--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -4,7 +4,7 @@
 from math import inf
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
@@ -13,9 +13,9 @@
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import LineBudget
-from ebonybend.steering.crashes import CrashDetector
+from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector
+from ebonybend.steering.culprits import identify
 from ebonybend.steering.server_state import ServerTable, TrackedServer
-from ebonybend.steering.suspects import fingerprint
 from ebonybend.world import BackendServer, LifeState
 from ebonybend.world.backend_server import ServerProcess
 
@@ -23,6 +23,13 @@
 CHECK_DELAY_S = 0.05
 # Shortest time between two checks of a server, which may be short of connections.
 CHECK_PERIOD_S = 1.0
+# Longest time for which a request waits for a check of the server that lost it: the
+# delay of the check and several round trips between regions.
+MAX_CHECK_WAIT_S = 0.5
+# Losses after which the server may have ended.
+POSSIBLE_ENDS = frozenset(
+    {LossReason.CLOSED, LossReason.UNACKNOWLEDGED, LossReason.MALFORMED}
+)
 # Lines per second about lost requests.
 MAX_LOSS_LINES_PER_S = 50
 
@@ -72,6 +79,8 @@
         self.on_end = on_end
         # Times of the last or next check of each process.
         self.checks: dict[ServerProcess, float] = {}
+        # Requests that wait for the end of a check, for each process.
+        self.waiting: dict[ServerProcess, list[Deferred[None]]] = {}
         self.lines = LineBudget(MAX_LOSS_LINES_PER_S)
 
     def is_refused(self, request: ClientRequest) -> bool:
@@ -88,6 +97,7 @@
         """Record that a server's process answered what was sent at a time."""
         self.detector.record_alive(server.process, since)
         if self.table.record_alive(server.process, since, self.reactor.seconds()):
+            self.detector.record_return(server.process)
             get_logger().info("server_process_returned", server=server.name)
 
     def record_lost(
@@ -98,12 +108,12 @@
     ) -> None:
         """Record a request without an answer, unless its server's end is planned.
 
-        If its connection was closed, find out whether the server has ended.
+        If the loss may show it, find out whether the server has ended.
         """
         server = tracked.server
         if server.state is not LifeState.LIVE or tracked.states_leaving:
             return
-        if loss is not None:
+        if loss in POSSIBLE_ENDS:
             self._start_check(server)
         name = fingerprint_of(request)
         self.detector.record_lost_request(server.process, name)
@@ -117,6 +127,19 @@
                 loss=loss.value if loss else "no answer in time",
             )
 
+    async def wait_for_check(
+        self, request: ClientRequest, server: BackendServer
+    ) -> None:
+        """Wait for a check of a server if its end would make the request refused."""
+        crashes = self.detector.crash_count(fingerprint_of(request))
+        waiting = self.waiting.get(server.process)
+        if waiting is None or crashes + 1 < CRASHES_TO_REFUSE:
+            return
+        checked: Deferred[None] = Deferred()
+        waiting.append(checked)
+        timeout = deferLater(self.reactor, MAX_CHECK_WAIT_S)
+        await DeferredList([checked, timeout], fireOnOneCallback=True)
+
     def record_connection_lost(self, server: BackendServer) -> None:
         """Find out whether a server has ended that closed a connection."""
         state = self.table.states.get(server.name)
@@ -139,8 +162,10 @@
         if last_at <= now:
             at = max(now + CHECK_DELAY_S, last_at + CHECK_PERIOD_S)
             checks[server.process] = at
+            self.waiting.setdefault(server.process, [])
             checking = Deferred.fromCoroutine(self._check(server, at - now))
             checking.addErrback(_log_check_failure)
+            checking.addBoth(self._end_check, server.process)
         self.checks = checks
 
     async def _check(self, server: BackendServer, delay_s: float) -> None:
@@ -159,12 +184,16 @@
         self.record_alive(server, started)
         self.pool.add_idle(server, connection)
 
+    def _end_check(self, _result: None, process: ServerProcess) -> None:
+        for checked in self.waiting.pop(process, ()):
+            checked.callback(None)
+
 
 def _log_check_failure(failure: Failure) -> None:
     get_logger().error("check_failed", error=failure.getErrorMessage())
 
 
 def fingerprint_of(request: ClientRequest) -> str:
-    """Return the fingerprint of a request's content."""
-    method, uri = request.method.decode("latin-1"), request.uri.decode("latin-1")
-    return fingerprint(request.service, method, uri, request.body)
+    """Return what a request has in common with itself when it comes again."""
+    path = request.uri.partition(b"?")[0].decode("latin-1")
+    return identify(path, request.caller, request.body)
--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -141,8 +141,8 @@
                     self._record_unreachable(tracked, False, str(failure))
                 else:
                     self._record_failure(tracked, str(failure))
-                if failure.loss in (LossReason.CLOSED, LossReason.UNACKNOWLEDGED):
-                    self.crash_watch.record_lost(request, tracked, failure.loss)
+                self.crash_watch.record_lost(request, tracked, failure.loss)
+                await self.crash_watch.wait_for_check(request, tracked.server)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -342,6 +342,11 @@
             self._record_silence(request, tracked, started)
             self.crash_watch.record_lost(request, tracked)
             raise
+        except CancelledError:
+            # The client left, and its server may end in spite of that.
+            if request.may_have_run:
+                self.crash_watch.record_lost(request, tracked, LossReason.ABORTED)
+            raise
         finally:
             tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
--- a/ebonybend/node/refused_requests.py
+++ b/ebonybend/node/refused_requests.py
@@ -3,7 +3,8 @@
 Nodes tell one another in heartbeats which requests they refuse, so a node that restarts
 alone learns it from the others. One object holds these requests for all nodes. The node
 that refuses a request first writes it, and so does the first live node of each region
-if it is still missing; entries that are too old to matter are dropped.
+if it is still missing; entries that are too old to matter, and requests that this node
+has cleared, are dropped.
 """
 
 from collections.abc import Callable, Mapping
@@ -89,12 +90,18 @@
             await self.write()
 
     async def write(self) -> None:
-        """Write the refused requests that the store doesn't have."""
+        """Write the refused requests if the store lacks one, or has a cleared one."""
         for _ in range(MAX_CONFLICTS):
             refused = self._refused()
-            if not self.is_loaded or refused.keys() <= self.stored.keys():
+            kept = {
+                name: crashed_ms
+                for name, crashed_ms in self.stored.items()
+                if not self.crash_detector.is_cleared(name)
+            }
+            is_current = refused.keys() <= kept.keys() == self.stored.keys()
+            if not self.is_loaded or is_current:
                 return
-            merged = self._latest({**refused, **self.stored})
+            merged = self._latest({**refused, **kept})
             value = self.documents.encode_refused(RefusedRequests(merged))
             result = await self.store.put(
                 self.documents.refused_kind, OBJECT_NAME, value, self.version
--- a/ebonybend/node/server_reports.py
+++ b/ebonybend/node/server_reports.py
@@ -6,6 +6,7 @@
 from ebonybend.logs import get_logger
 from ebonybend.node.crash_watch import log_crashes, log_end
 from ebonybend.node.members import ServerReports
+from ebonybend.steering.crash_evidence import CrashEvidence
 from ebonybend.steering.crashes import CrashDetector, EndReport
 from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
 from ebonybend.steering.process_life import REPORT_MARGIN_S
@@ -68,6 +69,18 @@
         if self.servers.record_end(process, ended_at, REPORT_MARGIN_S):
             log_end(report.name, evidence)
 
+    def apply_evidence(self, node: str, evidence: CrashEvidence) -> None:
+        """Apply another node's crashes, and the end of the process that they show."""
+        for name in self.detector.merge_evidence(evidence):
+            get_logger().warning(
+                "suspect_refused",
+                suspect=name,
+                crashes=self.detector.crash_count(name),
+                told_by=node,
+            )
+        report = EndReport(evidence.server, evidence.started_ms, evidence.age_ms)
+        self._apply_end(report, f"told by {node}")
+
     def on_end(
         self, server: str, crashes: Mapping[str, int], evidence: str, is_new: bool
     ) -> None:
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -17,6 +17,7 @@
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import HeartbeatProtocol
 from ebonybend.node.callers import ClientPort
+from ebonybend.node.crash_notices import CrashNotices
 from ebonybend.node.crash_watch import CrashWatch
 from ebonybend.node.decisions import RequestLog
 from ebonybend.node.demand import RegionSteering
@@ -120,7 +121,7 @@
             self.servers,
             self.crash_detector,
             reactor.seconds,
-            lambda: self.heartbeats.send(),
+            lambda: self.crash_notices.schedule(),
             self.on_refusal,
         )
         self.pause_gate = PauseGate(
@@ -188,7 +189,19 @@
         self.entry_writer = OwnEntryWriter(store, documents, self.own, self.random)
         self._build_sites()
         self.heartbeats = HeartbeatProtocol(
-            self.members, self.build_heartbeat, reactor.seconds, self.on_heartbeat
+            self.members,
+            self.build_heartbeat,
+            reactor.seconds,
+            self.on_heartbeat,
+            lambda notice: self.crash_notices.receive(notice),
+        )
+        self.crash_notices = CrashNotices(
+            settings.name,
+            reactor,
+            self.crash_detector.untold,
+            self.members.node_count,
+            self.heartbeats.send_notice,
+            self.server_reports.apply_evidence,
         )
         self.stop = NodeStop(
             reactor,
@@ -343,8 +356,8 @@
         self.watched_state.apply_heartbeat(heartbeat)
 
     def on_refusal(self) -> None:
-        """Tell all nodes, also those to come, which requests are refused."""
-        self.heartbeats.send_to_all()
+        """Tell all nodes of the crash, and those to come what is refused."""
+        self.crash_notices.schedule()
         self.tasks.start(self.refused_requests.write())
 
     def on_new_era(self) -> None:
--- a/ebonybend/node/tests/crash_fleet.py
+++ b/ebonybend/node/tests/crash_fleet.py
@@ -1,12 +1,15 @@
 """Nodes that lose requests on servers that crash, and tell one another."""
 
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
 from random import Random
 
 from attrs import define, field
 from twisted.internet.task import Clock
 
-from ebonybend.addresses import split_address
 from ebonybend.node.beats import HeartbeatProtocol
+from ebonybend.node.crash_notices import CrashNotices
 from ebonybend.node.members import HEARTBEAT_PERIOD_S, Member, Members
 from ebonybend.node.server_reports import ServerReportExchange
 from ebonybend.node.tests.beat_double import heartbeat
@@ -35,11 +38,23 @@
             self.servers,
             self.detector,
             clock.seconds,
-            lambda: self.beats.send(),
-            lambda: self.beats.send_to_all(),
+            lambda: self.notices.schedule(),
+            lambda: self.notices.schedule(),
         )
         self.beats = HeartbeatProtocol(
-            self.members, self.build_heartbeat, clock.seconds, self.on_heartbeat
+            self.members,
+            self.build_heartbeat,
+            clock.seconds,
+            self.on_heartbeat,
+            lambda notice: self.notices.receive(notice),
+        )
+        self.notices = CrashNotices(
+            own.name,
+            clock,
+            self.detector.untold,
+            self.members.node_count,
+            self.beats.send_notice,
+            self.exchange.apply_evidence,
         )
         self.beats.transport = self
         self.count = 0
@@ -80,6 +95,10 @@
     clock: Clock = field(factory=Clock)
     nodes: list[SimulatedNode] = field(factory=list)
     random: Random = field(init=False)
+    by_address: dict[str, SimulatedNode] = field(factory=dict)
+    # Datagrams by their time of arrival.
+    in_flight: list[tuple] = field(factory=list)
+    numbers: Iterator[int] = field(factory=count)
 
     def __attrs_post_init__(self):
         self.random = Random(self.seed)
@@ -87,7 +106,8 @@
             region = f"r{number % REGIONS}"
             ip = f"10.1.{number // 250}.{number % 250 + 1}"
             member = Member(f"n{number}", region, region, f"{ip}:80", f"{ip}:81", 1)
-            self.nodes.append(SimulatedNode(self, member))
+            node = self.by_address[member.peer_address] = SimulatedNode(self, member)
+            self.nodes.append(node)
         listed = {node.members.own.name: node.members.own for node in self.nodes}
         for node in self.nodes:
             node.members.update_list(listed, 0.0)
@@ -98,16 +118,16 @@
     def deliver(self, data, address):
         if self.random.random() < self.loss:
             return
-        name = f"{address[0]}:{address[1]}"
-        for node in self.nodes:
-            if node.members.own.peer_address == name:
-                sender = split_address(name)
-                delay_s = TRAVEL_S * self.random.random()
-                self.clock.callLater(delay_s, node.beats.datagramReceived, data, sender)
+        node = self.by_address["{}:{}".format(*address)]
+        arrives_at = self.clock.seconds() + TRAVEL_S * self.random.random()
+        heappush(self.in_flight, (arrives_at, next(self.numbers), node, data))
 
     def advance(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
+            while self.in_flight and self.in_flight[0][0] <= self.clock.seconds():
+                _, _, node, data = heappop(self.in_flight)
+                node.beats.datagramReceived(data, ("10.1.0.1", 81))
 
     def crash(self, number, culprits, crowd):
         """Crash a server under requests at one node each, and a crowd beside them."""
--- a/ebonybend/node/tests/forwarder_fixture.py
+++ b/ebonybend/node/tests/forwarder_fixture.py
@@ -192,8 +192,8 @@
         return self.forward_request(request)
 
     def forward_request(self, request):
-        """Forward a request that a test built."""
-        running = Deferred.fromCoroutine(self.forwarder.forward(request))
+        """Forward a request that a test built, as an attempt of its own."""
+        running = Deferred.fromCoroutine(self.forwarder.forward(evolve(request)))
         running.addBoth(self.results.append)
         return running
 
--- a/ebonybend/node/tests/test_foreign_bytes.py
+++ b/ebonybend/node/tests/test_foreign_bytes.py
@@ -105,7 +105,9 @@
     @given(st.binary(max_size=200) | JSON_VALUES.map(pack))
     def test_any_datagram(self, data):
         members, relays = Members(OWN), Relays(OWN.name)
-        heartbeats = HeartbeatProtocol(members, None, float, lambda _: None)
+        heartbeats = HeartbeatProtocol(
+            members, None, float, lambda _: None, lambda _: None
+        )
         pulses = PulseProtocol(
             members, relays, "10.1.0.1:82", lambda: None, int, None, float, lambda: None
         )
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -21,7 +21,7 @@
     ForwarderFixture,
 )
 from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashReport
-from ebonybend.steering.suspects import fingerprint
+from ebonybend.steering.culprits import identify
 from ebonybend.world.route import ServiceLimits
 
 
@@ -298,6 +298,18 @@
         fixture.forward(deadline=fixture.clock.seconds() + 1.0)
         self.assertEqual(ErrorKind.SUSPECT_REFUSED, fixture.outcome())
 
+    def test_a_retry_waits_for_the_check_that_may_refuse_it(self):
+        fixture = ForwarderFixture([CLOSED, REFUSED] * CRASHES_TO_REFUSE, max_sends=1)
+        for _ in range(CRASHES_TO_REFUSE - 1):
+            fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+            fixture.clock.pump([0.1] * 20)
+        fixture.route = evolve(fixture.route, max_sends=2)
+        fixture.results.clear()
+        fixture.forward(deadline=fixture.clock.seconds() + 1.0)
+        fixture.clock.advance(0.1)
+        self.assertEqual(CRASHES_TO_REFUSE, len(fixture.pool.sent))
+        self.assertEqual(ErrorKind.ANSWER_LOST, fixture.outcome())
+
     def test_server_that_still_listens_did_not_crash(self):
         fixture = ForwarderFixture([CLOSED] * 9, max_sends=1)
         for _ in range(9):
@@ -329,7 +341,7 @@
         connecting = fixture.pool.connecting = Deferred()
         fixture.forward()
         report = CrashReport("", refused=True)
-        name = fingerprint("s", "POST", "/x?y=1", b"body")
+        name = identify("/x", "", b"body")
         fixture.crash_detector.merge("n2", [evolve(report, fingerprint=name)])
         fixture.pool.connecting = None
         connecting.callback(None)
@@ -339,7 +351,7 @@
     def test_suspect_that_may_have_run_is_not_refused_as_not_run(self):
         fixture = ForwarderFixture([])
         fixture.forward()
-        name = fingerprint("s", "POST", "/x?y=1", b"body")
+        name = identify("/x", "", b"body")
         fixture.crash_detector.merge("n2", [CrashReport(name, refused=True)])
         fixture.pool.waiting.errback(CLOSED)
         self.assertEqual(ErrorKind.ANSWER_LOST, fixture.outcome())
--- a/ebonybend/node/tests/test_refused_requests.py
+++ b/ebonybend/node/tests/test_refused_requests.py
@@ -10,6 +10,7 @@
 from ebonybend.node.refused_requests import RefusedRequestStore
 from ebonybend.node.tests.beat_double import heartbeat
 from ebonybend.platform.documents import REFUSED_KIND, PlatformDocuments
+from ebonybend.steering.crash_evidence import CrashEvidence
 from ebonybend.steering.crashes import REFUSED_LIFETIME_S, CrashDetector
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient, result_of
 from ebonybend.store.watcher import Backoff
@@ -125,6 +126,22 @@
         after.restore()
         self.assertTrue(after.detector.is_refused("bad"))
 
+    def test_cleared_request_is_removed(self):
+        store = MemoryStore(Clock())
+        node = Node(store)
+        node.restore()
+        node.detector.restore_refused("good-1", 0.0)
+        node.write()
+        for number in range(4):
+            names = ["bad-1", "good-1"] if number < 3 else ["bad-1"]
+            evidence = CrashEvidence("s", number, requests=tuple(names))
+            node.detector.merge_evidence(evidence)
+        node.write()
+        after = Node(store)
+        after.restore()
+        self.assertTrue(after.detector.is_refused("bad-1"))
+        self.assertFalse(after.detector.is_refused("good-1"))
+
     def test_odd_object_is_replaced(self):
         store = MemoryStore(Clock())
         store.write(REFUSED_KIND, "all", b"{}")
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -3,9 +3,14 @@
 A request without an answer shows nothing by itself: the answer may have been lost. It
 stays pending until the process is known to live, by a later answer or a connection, or
 to have ended, by a refused connection, another server at its address, or a list without
-it. Each process counts once, whichever nodes saw its end, so nodes merge what they know
-by union, in any order. A suspect is forgotten SUSPECT_LIFETIME_S after its last crash;
-one that is refused, after REFUSED_LIFETIME_S.
+it. Each process counts once, whichever nodes saw its end.
+
+A node owns the crashes of the requests that it lost, and tells each of them to all
+other nodes a few times; nodes merge them by union, in any order, and each judges by
+itself (steering/culprits.py). Besides, a node tells which requests it refuses, for
+nodes that start later. A crash is forgotten SUSPECT_LIFETIME_S after the last one of
+its request, or REFUSED_LIFETIME_S if the request is refused. A node that is cut off
+goes by what it knows.
 """
 
 from collections.abc import Iterable
@@ -14,6 +19,8 @@
 from attrs import define, field, frozen
 
 from ebonybend.clock import Clock
+from ebonybend.steering.crash_evidence import CrashEvidence, EvidenceQueue
+from ebonybend.steering.culprits import content_of, find_culprits
 from ebonybend.world.backend_server import ServerProcess
 
 # Time for which a lost request may be explained by the end of its server. The list
@@ -22,12 +29,17 @@
 # Other requests run beside the one that crashes a server, so one or two crashes don't
 # identify it.
 CRASHES_TO_REFUSE = 3
-# Clients may send the same content, which crashes servers for one of them only, and
-# innocent requests run beside it. A request isn't refused if more of its runs than this
-# for each crash succeeded.
+# Several callers may share an address and send the same content, which crashes servers
+# for one of them only. A request isn't refused if more of its runs than this for each
+# crash succeeded.
 SUCCESSES_PER_CRASH = 0.5
 SUSPECT_LIFETIME_S = 60.0
 REFUSED_LIFETIME_S = 3600.0
+# Time after a crash for which a refusal isn't told to nodes without the evidence, since
+# more of it may clear the request.
+SETTLE_S = 0.5
+# Shortest time between two searches for suspects that are forgotten.
+EXPIRY_PERIOD_S = 1.0
 # Longest time between the ends of one suspicion on two nodes.
 FORGETTING_S = 5.0
 # Ends of a process without a start time that are closer to one another count once.
@@ -50,7 +62,7 @@
     """A suspect as a node reports it to others."""
 
     fingerprint: str
-    # The crashes that the node knows of; none for a request that is refused.
+    # Some of the crashes that the node knows of; none for a request that is refused.
     crashes: tuple[str, ...] = ()
     # Runs that succeeded on the reporting node since the first crash.
     successes: int = 0
@@ -74,23 +86,34 @@
     """A request that was running when servers crashed."""
 
     crashed_at: float
-    # Names and start times of the processes that ended.
+    # Names of the processes that ended.
     crashes: set[str] = field(factory=set)
     successes: int = 0
     # Successes on other nodes, by node.
     reported_successes: dict[str, int] = field(factory=dict)
-    refused: bool = False
+    # Whether the known crashes show that it is a culprit.
+    is_culprit: bool = False
+    # Whether another node, or the store, says that it is refused.
+    is_told: bool = False
+
+    @property
+    def has_evidence(self) -> bool:
+        """Return whether enough crashes are known to judge the request by them."""
+        return len(self.crashes) >= CRASHES_TO_REFUSE
+
+    @property
+    def refused(self) -> bool:
+        """Return whether the request is refused."""
+        return self.is_culprit or (self.is_told and not self.has_evidence)
 
     def lifetime_s(self) -> float:
         """Return how long the suspicion lasts after the last crash."""
         return REFUSED_LIFETIME_S if self.refused else SUSPECT_LIFETIME_S
 
-    def judge(self) -> None:
-        """Refuse the request from now on if it crashed too many servers."""
+    def is_excused(self) -> bool:
+        """Return whether too many runs succeeded for a request that crashes servers."""
         successes = self.successes + sum(self.reported_successes.values())
-        count = len(self.crashes)
-        if count >= CRASHES_TO_REFUSE and successes <= count * SUCCESSES_PER_CRASH:
-            self.refused = True
+        return successes > len(self.crashes) * SUCCESSES_PER_CRASH
 
 
 class CrashDetector:
@@ -103,6 +126,14 @@
         self.lost: dict[ServerProcess, dict[str, float]] = {}
         # Times at which processes were found to have ended by this node.
         self.ended: dict[ServerProcess, float] = {}
+        # Crashes of requests that this node lost, to be told to other nodes.
+        self.untold = EvidenceQueue()
+        # For processes that the list names alike: how many ended before, and when the
+        # last one was found to have ended.
+        self.earlier_ends: dict[ServerProcess, tuple[int, float]] = {}
+        # Suspects with enough crashes to judge them.
+        self.judged: set[str] = set()
+        self.expired_at = clock.monotonic()
         # Reports sent so far, so that the next ones follow by round-robin.
         self.reports_sent = 0
 
@@ -126,6 +157,11 @@
         else:
             del self.lost[server]
 
+    def record_return(self, server: ServerProcess) -> None:
+        """Record the first sign of another process that the list names alike."""
+        count, ended_at = self.earlier_ends.get(server, (0, self.clock.monotonic()))
+        self.earlier_ends[server] = count + 1, ended_at
+
     def record_end(self, server: ServerProcess) -> dict[str, int]:
         """Record that a process has ended, and count a crash for what it ran.
 
@@ -133,6 +169,8 @@
         """
         now = self.clock.monotonic()
         self._expire_losses(now)
+        if server not in self.ended:
+            self.untold.add(CrashEvidence(server.name, server.started_ms), now)
         self.ended[server] = now
         return self._count_crash(server, now)
 
@@ -142,19 +180,35 @@
 
     def record_success(self, fingerprint: str) -> None:
         """Record that a request ran without a crash."""
-        suspect = self.suspects.get(fingerprint)
-        if suspect is not None:
+        for name in {fingerprint, content_of(fingerprint)} & self.suspects.keys():
+            suspect = self.suspects[name]
             suspect.successes += 1
+            if suspect.has_evidence:
+                self._judge()
+
+    def crash_count(self, fingerprint: str) -> int:
+        """Return the number of servers that are known to have crashed under it."""
+        suspect = self.suspects.get(fingerprint)
+        return len(suspect.crashes) if suspect else 0
 
     def is_refused(self, fingerprint: str) -> bool:
         """Return whether a request has crashed too many servers."""
-        suspect = self.suspects.get(fingerprint)
-        return (
+        now = self.clock.monotonic()
+        found = (
+            self.suspects.get(name) for name in (fingerprint, content_of(fingerprint))
+        )
+        return any(
             suspect is not None
             and suspect.refused
-            and self.clock.monotonic() - suspect.crashed_at <= suspect.lifetime_s()
+            and now - suspect.crashed_at <= suspect.lifetime_s()
+            for suspect in found
         )
 
+    def is_cleared(self, fingerprint: str) -> bool:
+        """Return whether a request is served although it ran on crashing servers."""
+        suspect = self.suspects.get(fingerprint)
+        return suspect is not None and suspect.has_evidence and not suspect.refused
+
     def refused_ages_s(self) -> dict[str, float]:
         """Return the times since the last crash of all refused requests."""
         now = self.clock.monotonic()
@@ -178,10 +232,15 @@
         """Return the next suspects to report.
 
         The first is the one that crashed servers last; the others follow in turn.
+        Requests that ran on a single crashing server wait until all others were told.
         """
         now = self.clock.monotonic()
         self._expire_suspects(now)
-        names = sorted(self.suspects, key=lambda name: -self.suspects[name].crashed_at)
+        suspects = self.suspects
+        names = [n for n, s in suspects.items() if s.refused or len(s.crashes) > 1]
+        names.sort(
+            key=lambda name: (not suspects[name].refused, -suspects[name].crashed_at)
+        )
         latest = names[:1]
         rest = names[len(latest) :]
         count = min(MAX_REPORTED_SUSPECTS - len(latest), len(rest))
@@ -224,19 +283,31 @@
                 suspect.crashes.update(report.crashes)
             if report.successes:
                 suspect.reported_successes[node] = report.successes
-            suspect.refused |= report.refused
-            suspect.judge()
+            suspect.is_told |= report.refused
             # Near its end, a node that has just forgotten the suspicion would take it
             # over again from one that forgets it a little later.
             forgetting_s = 0.0 if known else FORGETTING_S
             if now - suspect.crashed_at > suspect.lifetime_s() - forgetting_s:
                 continue
             self.suspects[report.fingerprint] = suspect
-            if suspect.refused and not was_refused:
+            if suspect.has_evidence:
+                self.judged.add(report.fingerprint)
+            elif suspect.refused and not was_refused:
                 found.append(report.fingerprint)
+        found += self._judge()
         self._expire_suspects(now)
         return found
 
+    def merge_evidence(self, evidence: CrashEvidence) -> list[str]:
+        """Merge crashes that another node counted; return those refused from now on."""
+        now = self.clock.monotonic()
+        if not isfinite(evidence.age_ms):
+            return []
+        crashed_at = now - max(evidence.age_ms, 0.0) / MS_PER_S
+        if now - crashed_at > SUSPECT_LIFETIME_S - FORGETTING_S:
+            return []
+        return self._add_crash(evidence, crashed_at)
+
     def merge_end(self, report: EndReport) -> dict[str, int]:
         """Count a crash for what was lost on a process that another node saw end.
 
@@ -247,24 +318,69 @@
         return self._count_crash(ServerProcess(report.name, report.started_ms), now)
 
     def _count_crash(self, server: ServerProcess, now: float) -> dict[str, int]:
-        counted = {}
-        for fingerprint in self.lost.pop(server, ()):
-            suspect = self.suspects.setdefault(fingerprint, Suspect(now))
-            suspect.crashes.add(_crash_name(suspect, server, now))
-            suspect.crashed_at = now
-            suspect.judge()
-            counted[fingerprint] = len(suspect.crashes)
-        self._expire_suspects(now)
-        return counted
+        fingerprints = tuple(self.lost.pop(server, ()))
+        if not fingerprints:
+            return {}
+        evidence = CrashEvidence(
+            server.name,
+            server.started_ms,
+            self._count_earlier_ends(server, now),
+            requests=fingerprints,
+        )
+        self.untold.add(evidence, now)
+        self._add_crash(evidence, now)
+        return {name: self.crash_count(name) for name in fingerprints}
+
+    def _add_crash(self, evidence: CrashEvidence, at: float) -> list[str]:
+        """Count a crash for some requests; return those refused from now on."""
+        is_judged = False
+        for name in {n for x in evidence.requests for n in (x, content_of(x))}:
+            suspect = self.suspects.setdefault(name, Suspect(at))
+            if evidence.crash in suspect.crashes:
+                continue
+            suspect.crashes.add(evidence.crash)
+            suspect.crashed_at = max(suspect.crashed_at, at)
+            if suspect.has_evidence:
+                self.judged.add(name)
+                is_judged = True
+        found = self._judge() if is_judged else []
+        self._expire_suspects(self.clock.monotonic())
+        return found
+
+    def _count_earlier_ends(self, server: ServerProcess, now: float) -> int:
+        """Return how many processes ended before that the list names alike."""
+        self.earlier_ends = {
+            process: (count, at)
+            for process, (count, at) in self.earlier_ends.items()
+            if now - at <= SUSPECT_LIFETIME_S
+        }
+        count, ended_at = self.earlier_ends.get(server, (0, now))
+        if not server.started_ms and now - ended_at >= SAME_END_S:
+            count += 1
+        self.earlier_ends[server] = count, now
+        return count
+
+    def _judge(self) -> list[str]:
+        """Find the culprits by all crashes and successes; return the new ones."""
+        suspects = self.suspects
+        culprits = find_culprits(
+            {name: suspects[name].crashes for name in self.judged},
+            lambda name: suspects[name].is_excused(),
+        )
+        found = [name for name in culprits if not suspects[name].refused]
+        for name in self.judged:
+            suspects[name].is_culprit = name in culprits
+        return found
 
     def _report(self, name: str, now: float) -> CrashReport:
         suspect = self.suspects[name]
-        crashes = () if suspect.refused else sorted(suspect.crashes)
+        is_settled = suspect.refused and now - suspect.crashed_at >= SETTLE_S
+        crashes = () if is_settled else sorted(suspect.crashes)
         return CrashReport(
             name,
             tuple(crashes[:MAX_REPORTED_CRASHES]),
             suspect.successes,
-            suspect.refused,
+            is_settled,
             (now - suspect.crashed_at) * MS_PER_S,
         )
 
@@ -274,6 +390,10 @@
 
     def _expire_suspects(self, now: float) -> None:
         suspects = self.suspects
+        excess = len(suspects) - MAX_SUSPECTS
+        if excess <= 0 and now - self.expired_at < EXPIRY_PERIOD_S:
+            return
+        self.expired_at = now
         for name, suspect in list(suspects.items()):
             if now - suspect.crashed_at > suspect.lifetime_s():
                 del suspects[name]
@@ -284,12 +404,4 @@
             )
             for name in least[:excess]:
                 del suspects[name]
-
-
-def _crash_name(suspect: Suspect, server: ServerProcess, now: float) -> str:
-    """Return the same name for one crash on all nodes that know of it."""
-    if server.started_ms:
-        return f"{server.name}/{server.started_ms}"
-    earlier = sum(crash.startswith(f"{server.name}/~") for crash in suspect.crashes)
-    is_same = earlier > 0 and now - suspect.crashed_at < SAME_END_S
-    return f"{server.name}/~{earlier - is_same}"
+        self.judged &= suspects.keys()
--- /dev/null
+++ b/ebonybend/steering/culprits.py
@@ -0,0 +1,56 @@
+"""Recognise a request that comes again, and tell culprits from requests beside them.
+
+A request is known by its path, its caller and its body, whichever service, node or
+connection it comes by. The address of the connection tells the caller. Since one may
+come from several addresses, the same content from all callers together counts as a
+request of its own, too.
+"""
+
+from collections.abc import Callable, Collection, Mapping, Set
+from itertools import groupby
+
+from xxhash import xxh3_64, xxh3_64_hexdigest
+
+SEPARATOR = "-"
+
+
+def identify(path: str, caller: str, body: bytes) -> str:
+    """Return the identity of a request: hashes of its content and of its caller."""
+    # The length keeps a path with the start of a body from being another path.
+    state = xxh3_64(f"{len(path)};{path}".encode())
+    state.update(body)
+    return f"{state.hexdigest()}{SEPARATOR}{xxh3_64_hexdigest(caller.encode())[:8]}"
+
+
+def content_of(identity: str) -> str:
+    """Return the identity of the same content from any caller."""
+    return identity.partition(SEPARATOR)[0]
+
+
+def find_culprits(
+    crashes: Mapping[str, Collection[str]], is_excused: Callable[[str], bool]
+) -> Set[str]:
+    """Return the requests that explain the crashes, by the crashes of each request.
+
+    A request that ran on crashing servers is cleared if culprits that crashed more
+    servers explain each of its crashes. Content counts after the requests of its
+    callers, so it is a culprit only if none of them is.
+    """
+
+    def strength(identity: str) -> tuple[bool, int]:
+        return SEPARATOR in identity, len(crashes[identity])
+
+    culprits: set[str] = set()
+    explained: set[str] = set()
+    ordered = sorted(crashes, key=strength, reverse=True)
+    for _, equals in groupby(ordered, key=strength):
+        # Requests with the same number of crashes don't clear one another.
+        found = [
+            identity
+            for identity in equals
+            if not explained.issuperset(crashes[identity]) and not is_excused(identity)
+        ]
+        culprits.update(found)
+        for identity in found:
+            explained.update(crashes[identity])
+    return culprits
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -1,4 +1,4 @@
-from itertools import count
+from itertools import chain, count
 from math import inf, nan
 
 from attrs import frozen
@@ -21,13 +21,14 @@
 from ebonybend.world.backend_server import ServerProcess
 
 BEAT_S = 0.7
+MAX_DATAGRAMS = 4
 # Time between two nodes.
 TRAVEL_S = 0.055
 
 
 @frozen(eq=False)
 class Nodes:
-    """Detectors that exchange their reports by heartbeats."""
+    """Detectors that exchange their reports, and evidence that isn't told yet."""
 
     clock: ManualClock
     detectors: tuple[CrashDetector, ...]
@@ -35,11 +36,17 @@
     def exchange(self, beats=1):
         for _ in range(beats):
             self.clock.advance(BEAT_S)
-            sent = [(d.reports(), d.end_reports()) for d in self.detectors]
-            for number, (suspects, ended) in enumerate(sent):
+            now = self.clock.monotonic()
+            sent = [
+                (d.untold.take(now, MAX_DATAGRAMS), d.reports(), d.end_reports())
+                for d in self.detectors
+            ]
+            for number, (datagrams, suspects, ended) in enumerate(sent):
                 for receiver in self.detectors:
                     if receiver is self.detectors[number]:
                         continue
+                    for evidence in chain.from_iterable(datagrams):
+                        receiver.merge_evidence(evidence)
                     receiver.merge(f"n{number}", suspects)
                     for report in ended:
                         receiver.merge_end(report)
@@ -306,3 +313,49 @@
         restarted = CrashDetector(fleet.clock)
         restarted.merge("n1", fleet.detectors[1].reports())
         self.assertTrue(restarted.is_refused("bad"))
+
+
+class ClearedTest(TestCase):
+    """Guards against a neighbour of the culprit that a restarted node refuses."""
+
+    def test_evidence_goes_before_what_others_say(self):
+        fleet = nodes()
+        for number in range(5):
+            names = ["bad-1", "good-1"] if number < CRASHES_TO_REFUSE else ["bad-1"]
+            for name in names:
+                fleet.detectors[0].record_lost_request(process(number), name)
+            fleet.detectors[0].record_end(process(number))
+        fleet.exchange()
+        fleet.detectors[1].restore_refused("good-1", 1.0)
+        self.assertEqual([True, True], fleet.refused("bad-1"))
+        self.assertEqual([False, False], fleet.refused("good-1"))
+        self.assertTrue(fleet.detectors[1].is_cleared("good-1"))
+
+    def test_caller_with_several_addresses(self):
+        fleet = nodes()
+        for number in range(CRASHES_TO_REFUSE):
+            fleet.detectors[0].record_lost_request(process(number), f"bad-{number}")
+            fleet.detectors[0].record_end(process(number))
+        fleet.exchange()
+        self.assertEqual([True, True], fleet.refused("bad-9"))
+
+
+class SameNameTest(TestWithScenarios, TestCase):
+    """Guards against a server that crashes again before the list names its process."""
+
+    scenarios = [
+        ("it came back", {"returns": True, "crashes": 3}),
+        ("no sign of another process", {"returns": False, "crashes": 1}),
+    ]
+
+    def test_crashes(self):
+        fleet = nodes()
+        detector = fleet.detectors[0]
+        for _ in range(3):
+            detector.record_lost_request(process(1), "bad")
+            detector.record_end(process(1))
+            if self.returns:
+                detector.record_return(process(1))
+            fleet.exchange()
+        counts = [d.crash_count("bad") for d in fleet.detectors]
+        self.assertEqual([self.crashes] * 2, counts)
