Let a caller's request crash servers in the soak, beside others' same content

Cause: the soak had no request that ends servers, and the mend itself had a hole that it found: a request that crashed some servers and ran well on others was excused by its successes, whoever's they were. One caller's request is excused only by more than four successes for each crash; content of several callers as before by half. A client that leaves isn't logged as a loss.

--- a/bench/http_calls.py
+++ b/bench/http_calls.py
@@ -26,10 +26,12 @@
     body: Any = None,
     headers: dict[str, str] | None = None,
     timeout: float = TIMEOUT_S,
+    source_ip: str = "",
 ) -> CallAnswer:
     """Send one request; the body is encoded as JSON unless it is bytes."""
     host, port = split_address(address)
-    connection = HTTPConnection(host, port, timeout=timeout)
+    source = (source_ip, 0) if source_ip else None
+    connection = HTTPConnection(host, port, timeout=timeout, source_address=source)
     data = body if isinstance(body, bytes | None) else to_json(body)
     try:
         connection.request(method, path, data, headers or {})
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field, frozen
 
+from bench.crash_bursts import CrashBurst
 from bench.node_fleet import SERVICES, FleetServer, NodeFleet, server_object
 from standins.platform_store import StoreCopy
 from standins.proxy_rules import ProxyRule
@@ -128,6 +129,7 @@
     leavings: list[Leaving] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
     restarts: list[Restart] = field(factory=list)
+    crash_bursts: list[CrashBurst] = field(factory=list)
     # Servers whose entries were removed.
     removed: set[str] = field(factory=set)
     busy: set[str] = field(factory=set)
@@ -174,12 +176,15 @@
             "grace_changed": self._grace_changed,
             "hang_up": self._hang_up,
             "server_restarts": self._server_restarts,
+            "crash_burst": self._crash_burst,
         }
 
     def _start(self, kind: str) -> None:
         is_node = kind in NODE_KINDS
         is_server = kind.startswith(("server", "answers")) or kind in SERVER_KINDS
         names = sorted(self.fleet.nodes) if is_node else ["store"]
+        if kind == "crash_burst":
+            names = ["crash_burst"]
         if is_server:
             gone = {leaving.server.name for leaving in self.leavings}
             names = sorted(set(self.fleet.servers) - gone)
@@ -390,6 +395,13 @@
         )
         state.put("servers", name, entry)
 
+    def _crash_burst(self, _target: str, seconds: float, _kind: str) -> None:
+        """Let a caller's request crash servers, beside others with the same content."""
+        number = len(self.crash_bursts) + 1
+        burst = CrashBurst(self.fleet, number, Random(self.random.random()))
+        self.crash_bursts.append(burst)
+        burst.run(seconds)
+
     def _server_rule(self, name: str, seconds: float, kind: str) -> None:
         action = {"server_cut": "cut", "server_frozen": "freeze"}.get(kind, "none")
         rule = ProxyRule(
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -53,6 +53,18 @@
 # grace time.
 EXCUSED_S = 3.0
 LAST_PART = 1 / 6
+# Faults after which a node, or all of them, may not know what the others found.
+DISTURBING_KINDS = (
+    "pause",
+    "kill",
+    "stop",
+    "grace_changed",
+    "store_down",
+    "store_cut",
+    "store_frozen",
+    "store_restored",
+    "server_restarts",
+)
 STATUSES_NOT_RUN = (408, 421, 429, 503)
 # Below this fraction of whole answers in the last seconds, service has not recovered.
 MIN_RECOVERED_FRACTION = 0.95
@@ -287,6 +299,13 @@
     violations += cut_off_requests(sent, injector.faults, runs)
     violations += late_answers(sent, injector.faults)
     violations += work_on_cold_servers(injector.restarts, COLD_S)
+    disturbed = [
+        (fault.target, fault.started_at, fault.ended_at)
+        for fault in injector.faults
+        if fault.kind in DISTURBING_KINDS
+    ]
+    for burst in injector.crash_bursts:
+        violations += burst.violations(disturbed, CONTACT_S)
     violations += injector.problems
     violations += [f"{name} ended" for _, name in fleet.processes.crashes]
     violations += fleet.log_lines(fleet.nodes, "Traceback")
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -8,6 +8,7 @@
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
+from bench.crash_bursts import CrashBurst
 from bench.node_callers import SentRequest
 from bench.node_soak import (
     CONTACT_S,
@@ -216,15 +217,58 @@
         self.assertEqual(self.cut, len(found), found)
 
 
+class CrashBurstTest(TestWithScenarios, TestCase):
+    """Guards against a soak that doesn't see a culprit that reaches servers."""
+
+    scenarios = [
+        ("refused", {"late": 0, "found": 0}),
+        ("as often as allowed", {"late": 3, "found": 0}),
+        ("too often", {"late": 4, "found": 1}),
+        ("before nodes have to know it", {"late": 4, "at": 106.9, "found": 0}),
+        ("two crashes", {"late": 4, "crashes": 2, "found": 0}),
+        (
+            "at a node that was paused",
+            {"late": 4, "disturbed": [("n1", 103.5, 104.5)], "found": 0},
+        ),
+        (
+            "while another was paused",
+            {"late": 4, "disturbed": [("n2", 103.5, 104.5)], "found": 1},
+        ),
+    ]
+    at = 107.1
+    crashes = 3
+    disturbed: ClassVar[list] = []
+
+    def test_found(self):
+        burst = CrashBurst(None, 1, None)
+        ids = [f"{burst.sender}-{number}" for number in range(self.late)]
+        burst.attempts = dict.fromkeys(ids, ("n1", self.at))
+        endpoint = SimpleNamespace(
+            crashed=[100.0 + number for number in range(self.crashes)],
+            arrived=[(self.at, request_id) for request_id in (*ids, "crowd-1-0")],
+        )
+        burst.servers = [SimpleNamespace(endpoint=endpoint)]
+        found = burst.violations(self.disturbed, 5.0)
+        self.assertEqual(self.found, len(found), found)
+
+
 class NodeSoakTest(TestWithScenarios, TestCase):
     """Nodes of the users' platform under load and random faults."""
 
     # Seeds that ever failed are added here, each with a line on the cause.
-    scenarios = [("seed 11", {"seed": 11})]
+    scenarios = [
+        ("seed 11", {"seed": 11}),
+        # Another caller's runs of the same content outweighed the crashes.
+        (
+            "seed 1, crashing requests",
+            {"seed": 1, "seconds": 18.0, "kinds": ("crash_burst", "config")},
+        ),
+    ]
     seconds = 16.0
+    kinds = ()
 
     def test_no_promise_is_broken(self):
         with TemporaryDirectory(prefix="ebonybend-soak-") as directory:
-            result = run_soak(self.seconds, self.seed, Path(directory))
+            result = run_soak(self.seconds, self.seed, Path(directory), self.kinds)
         print(result.line())
         self.assertEqual([], result.violations)
--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -117,6 +117,8 @@
             self._start_check(server)
         name = fingerprint_of(request)
         self.detector.record_lost_request(server.process, name)
+        if loss is LossReason.ABORTED:
+            return
         if self.lines.allow(self.reactor.seconds()):
             get_logger().info(
                 "request_lost",
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -20,7 +20,7 @@
 
 from ebonybend.clock import Clock
 from ebonybend.steering.crash_evidence import CrashEvidence, EvidenceQueue
-from ebonybend.steering.culprits import content_of, find_culprits
+from ebonybend.steering.culprits import content_of, find_culprits, has_caller
 from ebonybend.world.backend_server import ServerProcess
 
 # Time for which a lost request may be explained by the end of its server. The list
@@ -29,10 +29,12 @@
 # Other requests run beside the one that crashes a server, so one or two crashes don't
 # identify it.
 CRASHES_TO_REFUSE = 3
-# Several callers may share an address and send the same content, which crashes servers
-# for one of them only. A request isn't refused if more of its runs than this for each
-# crash succeeded.
+# Several callers may send the same content, which crashes servers for one of them only.
+# Content isn't refused if more of its runs than this for each crash succeeded.
 SUCCESSES_PER_CRASH = 0.5
+# The same for one caller's request. It may run well on some servers, but each that
+# crashes takes requests of others with it.
+CALLER_SUCCESSES_PER_CRASH = 4.0
 SUSPECT_LIFETIME_S = 60.0
 REFUSED_LIFETIME_S = 3600.0
 # Time after a crash for which a refusal isn't told to nodes without the evidence, since
@@ -110,10 +112,10 @@
         """Return how long the suspicion lasts after the last crash."""
         return REFUSED_LIFETIME_S if self.refused else SUSPECT_LIFETIME_S
 
-    def is_excused(self) -> bool:
-        """Return whether too many runs succeeded for a request that crashes servers."""
+    def has_succeeded(self, per_crash: float) -> bool:
+        """Return whether more than a number of runs succeeded for each crash."""
         successes = self.successes + sum(self.reported_successes.values())
-        return successes > len(self.crashes) * SUCCESSES_PER_CRASH
+        return successes > len(self.crashes) * per_crash
 
 
 class CrashDetector:
@@ -365,7 +367,9 @@
         suspects = self.suspects
         culprits = find_culprits(
             {name: suspects[name].crashes for name in self.judged},
-            lambda name: suspects[name].is_excused(),
+            lambda name: suspects[name].has_succeeded(
+                CALLER_SUCCESSES_PER_CRASH if has_caller(name) else SUCCESSES_PER_CRASH
+            ),
         )
         found = [name for name in culprits if not suspects[name].refused]
         for name in self.judged:
--- a/ebonybend/steering/culprits.py
+++ b/ebonybend/steering/culprits.py
@@ -27,6 +27,11 @@
     return identity.partition(SEPARATOR)[0]
 
 
+def has_caller(identity: str) -> bool:
+    """Return whether an identity is that of one caller's request."""
+    return SEPARATOR in identity
+
+
 def find_culprits(
     crashes: Mapping[str, Collection[str]], is_excused: Callable[[str], bool]
 ) -> Set[str]:
@@ -38,7 +43,7 @@
     """
 
     def strength(identity: str) -> tuple[bool, int]:
-        return SEPARATOR in identity, len(crashes[identity])
+        return has_caller(identity), len(crashes[identity])
 
     culprits: set[str] = set()
     explained: set[str] = set()
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -258,7 +258,16 @@
         ("after each crash", {"pattern": "cscscscs", "refused": False}),
         ("after each crash, elsewhere", {"pattern": "cScScScS", "refused": False}),
         ("many", {"pattern": "cssscssscsssc", "refused": False}),
+        (
+            "of the same caller",
+            {"name": "bad-1", "pattern": "cssscssscsssc", "refused": True},
+        ),
+        (
+            "many of the same caller",
+            {"name": "bad-1", "pattern": "csssssssscsssssSSc", "refused": False},
+        ),
     ]
+    name = "bad"
 
     def test_refused(self):
         fleet = nodes()
@@ -267,14 +276,14 @@
             match step:
                 case "c":
                     server = process(next(numbers))
-                    fleet.detectors[0].record_lost_request(server, "bad")
+                    fleet.detectors[0].record_lost_request(server, self.name)
                     fleet.detectors[0].record_end(server)
                 case "s":
-                    fleet.detectors[0].record_success("bad")
+                    fleet.detectors[0].record_success(self.name)
                 case "S":
-                    fleet.detectors[1].record_success("bad")
+                    fleet.detectors[1].record_success(self.name)
             fleet.exchange()
-        self.assertEqual([self.refused] * 2, fleet.refused())
+        self.assertEqual([self.refused] * 2, fleet.refused(self.name))
 
 
 class ForgottenTest(TestWithScenarios, TestCase):
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -40,7 +40,7 @@
             fields = {"Not-Executed": "1", "Retry-After": retry_after}
             self._send(503, b"", {**headers, **fields})
             return
-        if endpoint.crash_marker and endpoint.crash_marker in self.path:
+        if endpoint.crashes_under(self.path, self.headers["User-Agent"]):
             self.close_connection = True
             endpoint.crash()
             return
@@ -121,6 +121,8 @@
         self.turned_away: list[float] = []
         # A request whose path contains it crashes the endpoint when it begins to run.
         self.crash_marker = ""
+        # So does each request of a caller with this name.
+        self.crash_sender = ""
         # A request whose path contains the marker needs this time.
         self.long_marker = ""
         self.long_service_s = 0.0
@@ -142,6 +144,15 @@
                 setattr(self, fault, remaining - 1)
             return remaining > 0
 
+    def crashes_under(self, path: str, sender: str | None) -> bool:
+        """Return whether the endpoint crashes when it begins to run a request."""
+        has_marker = self.crash_marker != "" and self.crash_marker in path
+        return has_marker or (self.crash_sender != "" and sender == self.crash_sender)
+
+    def is_listening(self) -> bool:
+        """Return whether the endpoint accepts connections."""
+        return self.server.socket.fileno() >= 0
+
     def crash(self) -> None:
         """Close the port and reset all connections, as when the process ends."""
         self.crashed.append(monotonic())
