Bound the memory of heads that never end

The HTTP client for the store, relays, probes and the entries' servers bounded the body, but read the lines of a head, or interim answers, until its time limit. On the node's path each head ends at 64 KiB, but its lines take some 20 times that, outside the memory that all answers share, so many slow ones at once add up. Change: the client closes a connection whose head is over 64 KiB (http_client_protocol.py), and collects a body in one buffer. A node counts an incomplete head, at 50 bytes each, in the memory of all answers. Measured: EndlessAnswerTest of the client: lines and interim answers ran until the time limit, now closed before 24 MB; one line, chunks, chunk extensions and a body without length were closed before. ManyEndlessAnswersTest: 20 slow heads took 21 MB where all answers may take 3, now below 12; interim answers and chunks of one byte were below before.

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -21,11 +21,12 @@
     RequestNotSent,
     RequestTransmissionFailed,
 )
-from twisted.web.client import HTTPConnectionPool, ResponseDone, ResponseFailed
+from twisted.web.client import ResponseDone, ResponseFailed
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from ebonybend.http_client_protocol import LimitedHeadPool
 from ebonybend.sockets import enable_dead_peer_detection
 from ebonybend.timeouts import Timeout
 
@@ -131,8 +132,8 @@
     def __init__(self, expected_size: int | None, max_size: int):
         self.expected_size = expected_size
         self.max_size = max_size
-        self.chunks: list[bytes] = []
-        self.size = 0
+        # One buffer, since a body may arrive in chunks of one byte.
+        self.body = bytearray()
         self.done: Deferred[bytes] = Deferred(lambda _: self.abort())
 
     def abort(self) -> None:
@@ -140,28 +141,30 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        self.size += len(data)
-        self.chunks.append(data)
-        if self.size > self.max_size and not self.done.called:
+        if self.done.called:
+            return
+        self.body += data
+        if len(self.body) > self.max_size:
             self.abort()
             self.done.errback(AnswerTooLarge(f"answer over {self.max_size} bytes"))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self.done.called:
             return
+        size = len(self.body)
         if not reason.check(ResponseDone):
             # Also covers a body that ends with the connection: without a length or
             # chunks a truncated body looks like a complete one.
-            self.done.errback(AnswerLost(f"answer cut off after {self.size} bytes"))
-        elif self.expected_size is not None and self.size != self.expected_size:
+            self.done.errback(AnswerLost(f"answer cut off after {size} bytes"))
+        elif self.expected_size is not None and size != self.expected_size:
             self.done.errback(
-                AnswerLost(f"answer has {self.size} of {self.expected_size} bytes")
+                AnswerLost(f"answer has {size} of {self.expected_size} bytes")
             )
         else:
-            self.done.callback(b"".join(self.chunks))
+            self.done.callback(bytes(self.body))
 
 
-class _IdleLimitedPool(HTTPConnectionPool):
+class _IdleLimitedPool(LimitedHeadPool):
     """Keep idle connections, and reuse none that was idle for longer than a limit.
 
     The idle time is checked when a connection is acquired, because the timers of a
@@ -234,7 +237,7 @@
             Reuse.RECENT: _IdleLimitedPool(
                 reactor, RECENT_MAX_IDLE_S, connections_per_host
             ),
-            Reuse.NEVER: HTTPConnectionPool(reactor, persistent=False),
+            Reuse.NEVER: LimitedHeadPool(reactor, persistent=False),
         }
         self.endpoints: dict[str, Any] = {}
         # Connections that have carried a request.
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -21,6 +21,9 @@
 MAX_SKIPPED_ANSWERS = 2
 # Limit on the head of an answer, together with skipped and interim answers before it.
 MAX_HEAD_BYTES = 64 << 10
+# Memory that a byte of an incomplete head takes at most; each line becomes several
+# objects.
+HEAD_MEMORY_FACTOR = 50
 # An idempotent request is lost, and may be sent to another server, if the kernel of its
 # server doesn't acknowledge it within this time: long enough for three transmissions on
 # the longest path, and below most client deadlines.
@@ -218,9 +221,14 @@
         response.deliverBody(_BodyCollector(self._reserve, on_end))
 
     def _reserve(self, size: int) -> None:
-        if not self.memory.try_reserve(self.reserved, size):
+        if not self._try_reserve(size):
             raise _AnswerTooLarge
+
+    def _try_reserve(self, size: int) -> bool:
+        if not self.memory.try_reserve(self.reserved, size):
+            return False
         self.reserved += size
+        return True
 
     def _end_request(self) -> Deferred[BackendAnswer] | None:
         """Release the answer's memory; return the result that waits for the answer."""
@@ -250,7 +258,9 @@
             return
         if not self.is_head_complete:
             self.head_bytes += len(data)
-            if self.head_bytes > MAX_HEAD_BYTES:
+            if self.head_bytes > MAX_HEAD_BYTES or not self._try_reserve(
+                len(data) * HEAD_MEMORY_FACTOR
+            ):
                 self._fail(LossReason.TOO_LARGE)
                 return
         if self.parser is not parser and self.waiting is not None and self.unparsed:
--- a/ebonybend/node/tests/test_backend_connection.py
+++ b/ebonybend/node/tests/test_backend_connection.py
@@ -1,3 +1,4 @@
+import tracemalloc
 from socket import TCP_KEEPCNT, TCP_USER_TIMEOUT
 
 from testscenarios import TestWithScenarios
@@ -351,6 +352,48 @@
         self.assertEqual(0, memory.reserved)
 
 
+class ManyEndlessAnswersTest(TestWithScenarios, TestCase):
+    """Guards against many answers at once, each within its limit, that fill the memory.
+
+    Pattern: faulty servers send a little at a time, without end.
+    """
+
+    scenarios = [
+        ("short lines", {"head": OK, "line": b"%d:\r\n"}),
+        ("interim answers", {"head": b"", "line": b"HTTP/1.1 103 x\r\n%d:\r\n\r\n"}),
+        (
+            "chunks of one byte",
+            {
+                "head": OK + ID + b"Transfer-Encoding: chunked\r\n\r\n",
+                "line": b"1\r\nx\r\n",
+            },
+        ),
+    ]
+    # Of a process with 30 times as much.
+    MEMORY_BYTES = 3_000_000
+    MAX_TRACED_BYTES = 4 * MEMORY_BYTES
+    CONNECTIONS = 20
+    PIECE_LINES = 50
+
+    def test_memory(self):
+        memory = AnswerMemory(self.MEMORY_BYTES)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        exchanges = [Exchange(memory) for _ in range(self.CONNECTIONS)]
+        for exchange in exchanges:
+            exchange.connection.dataReceived(self.head)
+        has_number = b"%d" in self.line
+        for number in range(0, 8000, self.PIECE_LINES):
+            piece = b"".join(
+                self.line % (number + x) if has_number else self.line
+                for x in range(self.PIECE_LINES)
+            )
+            for exchange in exchanges:
+                if not exchange.results:
+                    exchange.connection.dataReceived(piece)
+        self.assertLess(tracemalloc.get_traced_memory()[1], self.MAX_TRACED_BYTES)
+
+
 class RecordedSocket:
     """A socket that records its options."""
 
--- a/ebonybend/tests/test_http_client.py
+++ b/ebonybend/tests/test_http_client.py
@@ -15,6 +15,10 @@
     NotSent,
 )
 
+STATUS = b"HTTP/1.1 200 OK\r\n"
+MAX_BODY = 1 << 20
+# More than the limits on the head and on the body, and what sockets buffer.
+MAX_SENT_BYTES = 24 << 20
 COMPLETE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
 
@@ -183,6 +187,67 @@
             self.assertEqual(b"second", second.body)
 
 
+class EndlessServer(Protocol):
+    """A server that sends one piece again and again until the connection ends."""
+
+    def dataReceived(self, data):
+        self.transport.write(self.factory.answer)
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self):
+        self.factory.sent += len(self.factory.piece)
+        if self.factory.sent > MAX_SENT_BYTES:
+            self.stopProducing()
+            return
+        self.transport.write(self.factory.piece)
+
+    def stopProducing(self):
+        self.transport.unregisterProducer()
+
+
+class EndlessAnswerTest(TestWithScenarios, ClientTestCase):
+    """Guards against bytes without end that take memory until the process is killed."""
+
+    scenarios = [
+        ("one line", {"answer": STATUS + b"X: ", "piece": b"x" * 1000}),
+        ("lines", {"answer": STATUS, "piece": b"X: y\r\n" * 100}),
+        (
+            "interim answers",
+            {"answer": b"", "piece": b"HTTP/1.1 103 x\r\nX: y\r\n\r\n" * 40},
+        ),
+        ("no length", {"answer": STATUS + b"\r\n", "piece": b"x" * 1000}),
+        (
+            "chunks",
+            {
+                "answer": STATUS + b"Transfer-Encoding: chunked\r\n\r\n",
+                "piece": b"3e8\r\n" + b"x" * 1000 + b"\r\n",
+            },
+        ),
+        (
+            "chunk extensions",
+            {
+                "answer": STATUS + b"Transfer-Encoding: chunked\r\n\r\n3e8;",
+                "piece": b"x" * 1000,
+            },
+        ),
+    ]
+
+    def test_connection_is_closed(self):
+        address = self.start_server(self.answer, closes=False)
+        factory = self.factory
+        factory.protocol, factory.piece, factory.sent = EndlessServer, self.piece, 0
+        client = self.client()
+        request = client.request("GET", address, "/", timeout=8.0, max_body=MAX_BODY)
+        running = Deferred.fromCoroutine(request)
+        running.addCallbacks(
+            lambda answer: self.fail(f"answered {answer.status}"),
+            lambda failure: failure.trap(AnswerTooLarge, AnswerLost),
+        )
+        return running.addCallback(
+            lambda _: self.assertLess(factory.sent, MAX_SENT_BYTES)
+        )
+
+
 class AddressTest(TestWithScenarios, ClientTestCase):
     """Guards against an unhandled error where a peer's address is not known."""
 
