Search for forgotten losses once a second, and judge when a verdict may change

Cause: each lost request searched the losses of all servers, and losses of clients that leave are many; each success of a request with three crashes judged all. Change: both only when due.

--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -40,7 +40,7 @@
 # Time after a crash for which a refusal isn't told to nodes without the evidence, since
 # more of it may clear the request.
 SETTLE_S = 0.5
-# Shortest time between two searches for suspects that are forgotten.
+# Shortest time between two searches for losses or suspects that are forgotten.
 EXPIRY_PERIOD_S = 1.0
 # Longest time between the ends of one suspicion on two nodes.
 FORGETTING_S = 5.0
@@ -135,7 +135,7 @@
         self.earlier_ends: dict[ServerProcess, tuple[int, float]] = {}
         # Suspects with enough crashes to judge them.
         self.judged: set[str] = set()
-        self.expired_at = clock.monotonic()
+        self.expired_at = self.losses_expired_at = clock.monotonic()
         # Reports sent so far, so that the next ones follow by round-robin.
         self.reports_sent = 0
 
@@ -184,8 +184,9 @@
         """Record that a request ran without a crash."""
         for name in {fingerprint, content_of(fingerprint)} & self.suspects.keys():
             suspect = self.suspects[name]
+            was_excused = self._is_excused(name)
             suspect.successes += 1
-            if suspect.has_evidence:
+            if suspect.has_evidence and not was_excused and self._is_excused(name):
                 self._judge()
 
     def crash_count(self, fingerprint: str) -> int:
@@ -320,7 +321,8 @@
         return self._count_crash(ServerProcess(report.name, report.started_ms), now)
 
     def _count_crash(self, server: ServerProcess, now: float) -> dict[str, int]:
-        fingerprints = tuple(self.lost.pop(server, ()))
+        lost = self.lost.pop(server, {})
+        fingerprints = tuple(n for n, at in lost.items() if now - at < LOSS_LIFETIME_S)
         if not fingerprints:
             return {}
         evidence = CrashEvidence(
@@ -367,15 +369,20 @@
         suspects = self.suspects
         culprits = find_culprits(
             {name: suspects[name].crashes for name in self.judged},
-            lambda name: suspects[name].has_succeeded(
-                CALLER_SUCCESSES_PER_CRASH if has_caller(name) else SUCCESSES_PER_CRASH
-            ),
+            self._is_excused,
         )
         found = [name for name in culprits if not suspects[name].refused]
         for name in self.judged:
             suspects[name].is_culprit = name in culprits
         return found
 
+    def _is_excused(self, name: str) -> bool:
+        """Return whether too many runs succeeded for a request that crashes servers."""
+        per_crash = SUCCESSES_PER_CRASH
+        if has_caller(name):
+            per_crash = CALLER_SUCCESSES_PER_CRASH
+        return self.suspects[name].has_succeeded(per_crash)
+
     def _report(self, name: str, now: float) -> CrashReport:
         suspect = self.suspects[name]
         is_settled = suspect.refused and now - suspect.crashed_at >= SETTLE_S
@@ -389,6 +396,9 @@
         )
 
     def _expire_losses(self, now: float) -> None:
+        if now - self.losses_expired_at < EXPIRY_PERIOD_S:
+            return
+        self.losses_expired_at = now
         for server in list(self.lost):
             self.record_alive(server, now - LOSS_LIFETIME_S)
 
