--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -1,7 +1,7 @@
 """Forward a request to a backend server; retry on another where that is safe."""
 
 from collections.abc import Callable
-from math import ceil, inf
+from math import ceil
 from random import Random
 from typing import Any
 
@@ -9,7 +9,6 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from ebonybend.errors import ErrorKind, SteeringError
-from ebonybend.logs import get_logger
 from ebonybend.node.backend_connection import (
     ACK_TIMEOUT_MS,
     AnswerNotReceived,
@@ -19,28 +18,21 @@
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.crash_watch import CrashWatch, fingerprint_of
-from ebonybend.node.decisions import LineBudget
 from ebonybend.node.demand import RegionSteering
 from ebonybend.node.pause_gate import PauseGate
 from ebonybend.node.request_encoding import encode_request
+from ebonybend.node.server_outcomes import MIN_FAILURE_STATUS, ServerOutcomes
 from ebonybend.node.wire import WireFormat
 from ebonybend.steering.placement import Placement, PlacementQuery, limits_of
 from ebonybend.steering.server_state import TrackedServer
 from ebonybend.steering.shared_rates import RetryWindow
 from ebonybend.timeouts import Timeout
-from ebonybend.world import BackendServer
 from ebonybend.world.route import ServiceLimits
 
-# Lines per second about pauses that servers ask for.
-MAX_PAUSE_LINES_PER_S = 50
 # Failed connection attempts after which a request is refused.
 MAX_CONNECT_FAILURES = 3
 # With less time than this until the deadline, an answer can no longer arrive.
 MIN_REMAINING_S = 0.02
-# From this status on, an answer counts as a failure of the server.
-MIN_FAILURE_STATUS = 500
-# Another server has the address; what its answer states is not about this one.
-MISDIRECTED_STATUS = 421
 MS_PER_S = 1000
 # Retry delay sent while the node stops; other nodes can take the request at once.
 STOPPING_RETRY_MS = 0
@@ -97,7 +89,9 @@
         self.crash_watch = crash_watch
         self.pause_gate = pause_gate
         self.may_send = may_send
-        self.pause_lines = LineBudget(MAX_PAUSE_LINES_PER_S)
+        self.outcomes = ServerOutcomes(
+            reactor.seconds, wire, placement.table, placement.times, crash_watch
+        )
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
 
@@ -129,7 +123,9 @@
             except BackendUnreachable as failure:
                 progress.connect_failures += 1
                 if failure.counts_as_failure:
-                    self._record_unreachable(tracked, failure.refused, str(failure))
+                    self.outcomes.record_unreachable(
+                        tracked, failure.refused, str(failure)
+                    )
                 if failure.refused:
                     self.crash_watch.record_end(tracked.server, "refused connection")
                 progress.error = SteeringError(
@@ -138,9 +134,9 @@
                 continue
             except AnswerNotReceived as failure:
                 if failure.loss is LossReason.UNACKNOWLEDGED:
-                    self._record_unreachable(tracked, False, str(failure))
+                    self.outcomes.record_unreachable(tracked, False, str(failure))
                 else:
-                    self._record_failure(tracked, str(failure))
+                    self.outcomes.record_failure(tracked, str(failure))
                 self.crash_watch.record_lost(request, tracked, failure.loss)
                 await self.crash_watch.wait_for_check(request, tracked.server)
                 progress.error = SteeringError(
@@ -156,41 +152,6 @@
             if answer.status < MIN_FAILURE_STATUS or not request.route.idempotent:
                 return answer
 
-    def _record_failure(self, tracked: TrackedServer, reason: str) -> None:
-        previous_ejected_until = tracked.ejected_until
-        tracked.record_failure(self._now())
-        self._log_ejection(tracked, previous_ejected_until, reason)
-
-    def _record_silence(
-        self, request: ClientRequest, tracked: TrackedServer, sent_at: float
-    ) -> None:
-        expected_s = self.times.expected(
-            request.route.name, tracked, request.object_key
-        )
-        previous_ejected_until = tracked.ejected_until
-        tracked.record_silence(
-            self._now(), sent_at, max(expected_s, request.route.objective_s)
-        )
-        self._log_ejection(tracked, previous_ejected_until, "no answer in time")
-
-    def _record_unreachable(
-        self, tracked: TrackedServer, refused: bool, reason: str
-    ) -> None:
-        previous_ejected_until = tracked.ejected_until
-        tracked.record_unreachable(self._now(), refused)
-        self._log_ejection(tracked, previous_ejected_until, reason)
-
-    def _log_ejection(
-        self, tracked: TrackedServer, previous_ejected_until: float, reason: str
-    ) -> None:
-        if tracked.ejected_until != previous_ejected_until:
-            get_logger().info(
-                "server_left_out",
-                server=tracked.server.name,
-                seconds=round(tracked.ejected_until - self._now(), 2),
-                reason=reason,
-            )
-
     def _refuse_unfinishable(self, request: ClientRequest) -> None:
         """Raise DRAINING for a request that did not run and may outlive this node."""
         if not request.may_have_run and not self._may_send(request):
@@ -339,7 +300,7 @@
             )
             answer = await self._await_answer(waiting, request)
         except SteeringError:
-            self._record_silence(request, tracked, started)
+            self.outcomes.record_silence(request, tracked, started)
             self.crash_watch.record_lost(request, tracked)
             raise
         except CancelledError:
@@ -351,67 +312,9 @@
             tracked.end_request(is_trial)
         if self.wire.states_not_run(answer.status, answer.headers):
             request.may_have_run = may_have_run_before
-        if answer.status == MISDIRECTED_STATUS:
-            self.crash_watch.record_end(server, "another server at its address")
-        else:
-            self.crash_watch.record_alive(server, started)
-            self._record_leaving(server, answer)
-            self._record_answer(request, tracked, answer, started)
+        self.outcomes.record(request, tracked, server, answer, started)
         return answer
 
-    def _record_leaving(self, server: BackendServer, answer: BackendAnswer) -> None:
-        table = self.placement.table
-        if self.wire.states_leaving(answer.headers) and table.record_leaving(
-            server.process, self._now()
-        ):
-            get_logger().info("server_leaving", server=server.name, told_by=None)
-
-    def _record_answer(
-        self,
-        request: ClientRequest,
-        tracked: TrackedServer,
-        answer: BackendAnswer,
-        started: float,
-    ) -> None:
-        now = self.reactor.seconds()
-        load = self.wire.read_load(answer.headers)
-        if load is not None:
-            tracked.record_load(load.running, load.waiting, now)
-        self._record_limit(tracked, answer, now)
-        self._record_pause(tracked, answer, now)
-        if self.wire.states_not_run(answer.status, answer.headers):
-            return
-        if answer.status >= MIN_FAILURE_STATUS:
-            self._record_failure(tracked, f"answered {answer.status}")
-        else:
-            seconds = max(now - started - (tracked.round_trip_s or 0.0), 0.001)
-            tracked.record_success(seconds, now)
-            self.crash_watch.record_success(request)
-            waited = request.load >= tracked.server.slots
-            self.times.record_answer_time(
-                request.route.name, tracked, request.object_key, seconds, waited
-            )
-
-    def _record_limit(
-        self, tracked: TrackedServer, answer: BackendAnswer, now: float
-    ) -> None:
-        limit = self.wire.read_limit(answer.headers)
-        if limit is not None and tracked.limit.record_answer(limit, now):
-            get_logger().info(
-                "server_limit",
-                server=tracked.server.name,
-                limit=limit if limit < inf else None,
-            )
-
-    def _record_pause(
-        self, tracked: TrackedServer, answer: BackendAnswer, now: float
-    ) -> None:
-        seconds = self.wire.read_pause(answer.status, answer.headers)
-        if tracked.record_pause(seconds, now) and self.pause_lines.allow(now):
-            get_logger().info(
-                "server_paused", server=tracked.server.name, seconds=seconds
-            )
-
     async def _await_answer(
         self, waiting: Deferred[BackendAnswer], request: ClientRequest
     ) -> BackendAnswer:
--- a/ebonybend/node/metrics.py
+++ b/ebonybend/node/metrics.py
@@ -1,9 +1,12 @@
 """Prometheus metrics of a node."""
 
+from collections.abc import Collection
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from ebonybend.errors import SteeringError
+from ebonybend.steering.crashes import Suspect
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10)
 
@@ -73,6 +76,13 @@
         if error is not None:
             self.refusals.labels(error.kind.value).inc()
 
+    def record_suspects(self, suspects: Collection[Suspect]) -> None:
+        """Update the gauges of requests that ran on crashed servers."""
+        counts = [len(suspect.crashes) for suspect in suspects if not suspect.refused]
+        self.suspects.set(len(suspects))
+        self.refused_suspects.set(len(suspects) - len(counts))
+        self.most_crashes.set(max(counts, default=0))
+
     def render(self) -> tuple[bytes, str]:
         """Return the metrics as text and its content type."""
         return generate_latest(self.registry), CONTENT_TYPE_LATEST
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -386,13 +386,7 @@
         self.metrics.connections_opened.set(self.pool.connections_opened)
         self.metrics.config_version.set(self.routing.version or 0)
         self.metrics.nodes_alive.set(self.members.alive_count(self.reactor.seconds()))
-        suspects = self.crash_detector.suspects.values()
-        refused = sum(suspect.refused for suspect in suspects)
-        self.metrics.suspects.set(len(suspects))
-        self.metrics.refused_suspects.set(refused)
-        self.metrics.most_crashes.set(
-            max((len(x.crashes) for x in suspects if not x.refused), default=0)
-        )
+        self.metrics.record_suspects(self.crash_detector.suspects.values())
 
     def start(self) -> None:
         """Open the ports, watch the store and start the periodic tasks."""
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -171,10 +171,11 @@
         """
         now = self.clock.monotonic()
         self._expire_losses(now)
-        if server not in self.ended:
+        crashes = self._count_crash(server, now)
+        if not crashes and server not in self.ended:
             self.untold.add(CrashEvidence(server.name, server.started_ms), now)
         self.ended[server] = now
-        return self._count_crash(server, now)
+        return crashes
 
     def forget_losses(self, server: ServerProcess) -> None:
         """Drop the losses on a server whose end was planned."""
