--- a/ebonybend/node/tests/crash_fleet.py
+++ b/ebonybend/node/tests/crash_fleet.py
@@ -73,7 +73,7 @@
     def write(self, data, address):
         self.datagrams_sent += 1
         self.bytes_sent += len(data)
-        self.fleet.deliver(data, address)
+        self.fleet.deliver(self.members.own.region, data, address)
 
     def lose(self, server, name):
         self.detector.record_lost_request(server, name)
@@ -92,6 +92,8 @@
     node_count: int
     loss: float = 0.0
     seed: int = 1
+    # Two regions between which all datagrams are lost.
+    cut: frozenset[str] = frozenset()
     clock: Clock = field(factory=Clock)
     nodes: list[SimulatedNode] = field(factory=list)
     random: Random = field(init=False)
@@ -115,10 +117,11 @@
         # The first heartbeats let the nodes know one another.
         self.advance(2 * HEARTBEAT_PERIOD_S)
 
-    def deliver(self, data, address):
-        if self.random.random() < self.loss:
-            return
+    def deliver(self, region, data, address):
         node = self.by_address["{}:{}".format(*address)]
+        is_cut = {region, node.members.own.region} == self.cut
+        if is_cut or self.random.random() < self.loss:
+            return
         arrives_at = self.clock.seconds() + TRAVEL_S * self.random.random()
         heappush(self.in_flight, (arrives_at, next(self.numbers), node, data))
 
--- a/ebonybend/node/tests/test_crash_spread.py
+++ b/ebonybend/node/tests/test_crash_spread.py
@@ -23,6 +23,11 @@
         ("three ends", {"crowd": 30, "ends": 3}),
         ("in one moment", {"crowd": 30, "gap_s": 0.0}),
         ("lost datagrams", {"crowd": 30, "gap_s": 0.0, "loss": 0.1}),
+        ("two regions cut off", {"crowd": 30, "cut": frozenset({"r0", "r1"})}),
+        (
+            "two regions cut off, in one moment",
+            {"crowd": 30, "cut": frozenset({"r0", "r1"}), "gap_s": 0.0},
+        ),
         ("many servers", {"crowd": 30, "ends": 40, "gap_s": 0.0, "seeds": 3}),
         ("many nodes", {"crowd": 24, "gap_s": 0.0, "nodes": 78, "seeds": 1}),
     ]
@@ -30,12 +35,13 @@
     ends = 12
     gap_s = 0.08
     loss = 0.0
+    cut = frozenset()
     seeds = 10
 
     def test_all_nodes_refuse_it_in_time(self):
         refusing = []
         for seed in range(self.seeds):
-            fleet = CrashFleet(self.nodes, self.loss, seed)
+            fleet = CrashFleet(self.nodes, self.loss, seed, self.cut)
             for number in range(self.ends):
                 fleet.clock.callLater(
                     self.gap_s * number, fleet.crash, number, [CULPRIT], self.crowd
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -236,7 +236,7 @@
         """Return the next suspects to report.
 
         The first is the one that crashed servers last; the others follow in turn.
-        Requests that ran on a single crashing server wait until all others were told.
+        Requests that ran on a single crashing server aren't reported.
         """
         now = self.clock.monotonic()
         self._expire_suspects(now)
