Count no loss on a server that a request was never sent to

Cause: a client that leaves while its request connects for a second send left a loss on that server, too, which counts as a crash if the server ends soon. Change: only what was sent is lost. A request that can't be sent again doesn't wait for the check of its server. Measured: LeftWhileConnectingTest has losses on two servers before, on one now.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -138,7 +138,8 @@
                 else:
                     self.outcomes.record_failure(tracked, str(failure))
                 self.crash_watch.record_lost(request, tracked, failure.loss)
-                await self.crash_watch.wait_for_check(request, tracked.server)
+                if request.route.idempotent:
+                    await self.crash_watch.wait_for_check(request, tracked.server)
                 progress.error = SteeringError(
                     ErrorKind.ANSWER_LOST, f"no whole answer: {failure}"
                 )
@@ -272,6 +273,7 @@
         self.placement.record_send(tracked, limits, self.reactor.seconds())
         is_trial = tracked.start_request()
         selected_at = self.reactor.seconds()
+        is_sent = False
         try:
             connection = self.pool.acquire(server, not request.route.idempotent)
             if connection is None:
@@ -298,6 +300,7 @@
                 data,
                 _ack_timeout_ms(request, started),
             )
+            is_sent = True
             answer = await self._await_answer(waiting, request)
         except SteeringError:
             self.outcomes.record_silence(request, tracked, started)
@@ -305,7 +308,7 @@
             raise
         except CancelledError:
             # The client left, and its server may end in spite of that.
-            if request.may_have_run:
+            if is_sent:
                 self.crash_watch.record_lost(request, tracked, LossReason.ABORTED)
             raise
         finally:
--- a/ebonybend/node/tests/test_crash_watch.py
+++ b/ebonybend/node/tests/test_crash_watch.py
@@ -1,6 +1,7 @@
 from attrs import evolve
 from testscenarios import TestWithScenarios
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 from twisted.web.http_headers import Headers
 
 from ebonybend.node.caller_requests import ClientRequest
@@ -71,6 +72,27 @@
         self.assertEqual(1, len(suspects[fingerprint_of(request)].crashes))
 
 
+class LeftWhileConnectingTest(TestCase):
+    """Guards against a crash that counts for a request that the server never got."""
+
+    def test_no_loss(self):
+        fixture = ForwarderFixture([MALFORMED], names=("s1", "s2"))
+        request = evolve(REQUEST, route=fixture.route)
+        connecting = Deferred()
+        send = fixture.pool.send
+
+        def delay_the_next(*arguments):
+            fixture.pool.connecting = connecting
+            return send(*arguments)
+
+        fixture.pool.send = delay_the_next
+        running = fixture.forward_request(request)
+        running.cancel()
+        lost_on = [server.name for server in fixture.crash_detector.lost]
+        self.assertEqual(1, len(fixture.pool.sent))
+        self.assertEqual(1, len(lost_on), lost_on)
+
+
 class SharedContentTest(TestCase):
     """Guards against a culprit that others' runs of the same content acquit.
 
