Read the head of every answer by the grammar of HTTP

Callers saw: a server's answer with status 000 came as "HTTP/1.1 0 Unknown Status". So did statuses of two and four digits, with a sign or an underscore, below 100 and above 599, some of them as 200; heads of other protocols' versions; field values and reasons with NUL, a bare CR or another control byte; and a line that begins with a blank, which changed the value of the field before it. A status 000 of the store counted as "nothing was written". Cause: the parser of twisted.web, which both readers of answers use (the node's connections and the HTTP client of entries, controls and stores), converts the status with int(), checks no version and no bytes of values, and joins folded lines. Neither reader checked what it returned. Change: AnswerParser checks the status line and each field line by RFC 9112 and RFC 9110 before the library's parser reads them; both readers use it. A folded line is refused, as RFC 9112, section 5.2 allows. A missing reason, unusual names, bytes over 0x7f, lines that end with LF alone, HTTP/1.0 and interim answers are still read. What follows: the answer counts as lost. The connection is closed, nothing in the answer is believed, and the server's failure is counted. An idempotent request goes to another server within the budget; another one is answered 502, its outcome unknown. Handled before: names with a blank or a control byte inside, blanks before the colon, empty names and lines without a colon (twisted.web.http_headers refuses them); these keep their tests. Why this works: no answer gets past the parser's lines, and no reader has another parser.

--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -26,7 +26,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
-from ebonybend.http_client_protocol import LimitedHeadPool
+from ebonybend.http_client_protocol import StrictPool
 from ebonybend.sockets import enable_dead_peer_detection
 from ebonybend.timeouts import Timeout
 
@@ -164,7 +164,7 @@
             self.done.callback(bytes(self.body))
 
 
-class _IdleLimitedPool(LimitedHeadPool):
+class _IdleLimitedPool(StrictPool):
     """Keep idle connections, and reuse none that was idle for longer than a limit.
 
     The idle time is checked when a connection is acquired, because the timers of a
@@ -237,7 +237,7 @@
             Reuse.RECENT: _IdleLimitedPool(
                 reactor, RECENT_MAX_IDLE_S, connections_per_host
             ),
-            Reuse.NEVER: LimitedHeadPool(reactor, persistent=False),
+            Reuse.NEVER: StrictPool(reactor, persistent=False),
         }
         self.endpoints: dict[str, Any] = {}
         # Connections that have carried a request.
--- a/ebonybend/http_client_protocol.py
+++ b/ebonybend/http_client_protocol.py
@@ -1,4 +1,4 @@
-"""A connection of the HTTP client that bounds the memory of an answer's head."""
+"""A connection of the HTTP client that reads answers strictly."""
 
 from typing import Any
 
@@ -7,23 +7,29 @@
 from twisted.web._newclient import HEADER, STATUS, HTTP11ClientProtocol, Request
 from twisted.web.client import HTTPConnectionPool, _HTTP11ClientFactory
 
-# Limit on the head of an answer, together with interim answers before it.
-MAX_HEAD_BYTES = 64 << 10
+from ebonybend.http_answer_parser import MAX_HEAD_BYTES, AnswerParser, HeadTooLarge
 
 
-class HeadTooLarge(Exception):
-    """The head of an answer is over the limit."""
-
-
-class LimitedHeadProtocol(HTTP11ClientProtocol):
-    """Close the connection when the head of an answer is over the limit."""
+class StrictClientProtocol(HTTP11ClientProtocol):
+    """Close the connection on a malformed answer, or on a head over the limit."""
 
     head_bytes = 0
 
     def request(self, request: Request) -> Deferred[Any]:
         """Send a request; return its response once the head is received."""
         self.head_bytes = 0
-        return super().request(request)
+        finished = super().request(request)
+        # There is no new parser if the request could not be sent.
+        if not isinstance(self._parser, AnswerParser | None):
+            self._parser = self._strict_parser(request)
+        return finished
+
+    def _strict_parser(self, request: Request) -> AnswerParser:
+        """Return a parser that takes the place of the library's own."""
+        parser = AnswerParser(request, self._finishResponse)
+        parser.makeConnection(self._transportProxy)
+        parser._responseDeferred = self._responseDeferred
+        return parser
 
     def dataReceived(self, bytes: bytes) -> None:
         """Parse received bytes."""
@@ -37,15 +43,15 @@
             self._giveUp(Failure(error))
 
 
-class LimitedHeadFactory(_HTTP11ClientFactory):
+class StrictClientFactory(_HTTP11ClientFactory):
     """Build connections for a pool."""
 
-    def buildProtocol(self, addr: Any) -> LimitedHeadProtocol:
+    def buildProtocol(self, addr: Any) -> StrictClientProtocol:
         """Return a new connection."""
-        return LimitedHeadProtocol(self._quiescentCallback)
+        return StrictClientProtocol(self._quiescentCallback)
 
 
-class LimitedHeadPool(HTTPConnectionPool):
-    """A pool whose connections bound the heads of answers."""
+class StrictPool(HTTPConnectionPool):
+    """A pool whose connections read answers strictly."""
 
-    _factory = LimitedHeadFactory
+    _factory = StrictClientFactory
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -9,18 +9,16 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web._newclient import HTTPClientParser
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 
+from ebonybend.http_answer_parser import MAX_HEAD_BYTES, AnswerParser, HeadTooLarge
 from ebonybend.node.answer_memory import AnswerMemory
 from ebonybend.sockets import set_unacknowledged_timeout
 
 # Late answers to earlier requests that are skipped before the connection is closed.
 MAX_SKIPPED_ANSWERS = 2
-# Limit on the head of an answer, together with skipped and interim answers before it.
-MAX_HEAD_BYTES = 64 << 10
 # Memory that a byte of an incomplete head takes at most; each line becomes several
 # objects.
 HEAD_MEMORY_FACTOR = 50
@@ -155,7 +153,7 @@
         # Idle timeout that the server stated in its last answer, in seconds.
         self.keep_alive_s: float | None = None
         self.waiting: Deferred[BackendAnswer] | None = None
-        self.parser: HTTPClientParser | None = None
+        self.parser: AnswerParser | None = None
         self.method = b""
         self.request_id = b""
         self.skipped_answers = 0
@@ -194,7 +192,7 @@
             self.transport.abortConnection()
 
     def _expect_answer(self) -> None:
-        parser = HTTPClientParser(_ParserRequest(self.method), self._on_parsed)
+        parser = AnswerParser(_ParserRequest(self.method), self._on_parsed)
         parser.makeConnection(_NoFlowControl())
         parser._responseDeferred.addCallbacks(self._on_head, lambda _: None)
         self.parser = parser
@@ -249,7 +247,7 @@
         parser = self.parser
         try:
             parser.dataReceived(data)
-        except _AnswerTooLarge:
+        except (_AnswerTooLarge, HeadTooLarge):
             self._fail(LossReason.TOO_LARGE)
             return
         except Exception:
@@ -267,7 +265,7 @@
             unparsed, self.unparsed = self.unparsed, b""
             self._parse(unparsed)
 
-    def _on_complete(self, answer: BackendAnswer, parser: HTTPClientParser) -> None:
+    def _on_complete(self, answer: BackendAnswer, parser: AnswerParser) -> None:
         """Deliver a complete answer, or skip it if it belongs to an earlier request."""
         if self.waiting is None:
             return
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -8,6 +8,7 @@
 from time import monotonic, sleep
 from typing import Any
 
+from standins.broken_answers import BROKEN_ANSWERS, AnswerChange
 from standins.threaded_server import ThreadedServer
 
 # Closes a connection with a reset.
@@ -58,8 +59,12 @@
         fields = {**headers, "Content-Length": str(len(body))}
         lines += [f"{name}: {value}" for name, value in fields.items()]
         answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        endpoint: PlatformEndpoint = self.server.endpoint
+        if endpoint.use_up("answers_to_break"):
+            answer = endpoint.break_answer(answer)
+            endpoint.broken[headers.get("Attempt-Id")] += 1
         self.wfile.write(self.late_copies + answer)
-        repeats = self.server.endpoint.use_up("answers_to_repeat")
+        repeats = endpoint.use_up("answers_to_repeat")
         self.late_copies = answer if repeats else b""
 
     do_GET = do_POST = _answer  # noqa: N815
@@ -113,6 +118,11 @@
         # Answers that get lost after the run, and that are sent a second time, late.
         self.answers_to_lose = 0
         self.answers_to_repeat = 0
+        # Answers that are changed before they are sent, and how.
+        self.answers_to_break = 0
+        self.break_answer: AnswerChange = BROKEN_ANSWERS["status b'000'"]
+        # Number of changed answers by request id.
+        self.broken: Counter[str] = Counter()
         # Added to each answer, such as Server-Leaving and Server-Limit.
         self.answer_headers: dict[str, str] = {}
         # If set, requests are turned away with 503 and this Retry-After.
