Refuse answers whose framing contradicts itself

Callers saw: an answer with both a length and chunks, with two transfer codings of which the first is chunked, with chunks in HTTP/1.0 or in a 204, a 204 with a length, an interim answer with a body, one after a 101 that nobody asked for, and trailers that are no fields (such as the next answer's head, after a last chunk without its end) were delivered. Another reader of the same bytes may find another body in them. Cause: the library's parser uses the first transfer coding and ignores everything else that a head says of its body; it drops trailers unread. Change: AnswerParser checks the framing when a head is complete (RFC 9112, section 6), and each trailer as a field line. Equal lengths, chunk extensions, trailers, a length of zero where no body may be, and lengths in answers to HEAD and in 304 are still read.

--- a/bench/tests/test_broken_answers.py
+++ b/bench/tests/test_broken_answers.py
@@ -118,6 +118,8 @@
         "field name b'X\\x7fName'",
         "field value b'a\\x00b'",
         "a folded length",
+        "a coding after chunks",
+        "trailer b'X-Name'",
     )
 ] + [
     (name, {"change": ODD_ANSWERS[name], "is_broken": False})
--- a/ebonybend/http_answer_parser.py
+++ b/ebonybend/http_answer_parser.py
@@ -6,7 +6,13 @@
 
 import re
 
-from twisted.web._newclient import STATUS, HTTPClientParser
+from twisted.web._newclient import STATUS, HTTPClientParser, _contentLength
+from twisted.web.http import (
+    NO_CONTENT,
+    SWITCHING,
+    _ChunkedTransferDecoder,
+    _MalformedChunkedDataError,
+)
 
 # Limit on the head of an answer, together with interim answers before it.
 MAX_HEAD_BYTES = 64 << 10
@@ -14,6 +20,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*)?")
 # A folded line begins with a blank, so it doesn't match.
 FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*")
+MIN_FINAL_STATUS = 200
 
 
 class MalformedAnswer(Exception):
@@ -29,12 +36,25 @@
         raise MalformedAnswer(f"field line {line[:100]!r}")
 
 
+class _ChunkedDecoder(_ChunkedTransferDecoder):
+    """Decode a chunked body, and check its trailers."""
+
+    def _dataReceived_TRAILER(self) -> bool:  # noqa: N802
+        known = len(self._trailerHeaders)
+        has_more = super()._dataReceived_TRAILER()
+        for line in self._trailerHeaders[known:]:
+            _check_field_line(bytes(line))
+        return has_more
+
+
 class AnswerParser(HTTPClientParser):
     """Parse one final answer, and skip the interim ones before it.
 
     Raises MalformedAnswer; the parser can't be used after that.
     """
 
+    _transferDecoders = {b"chunked": _ChunkedDecoder}  # noqa: N815
+
     def lineReceived(self, line: bytes) -> None:
         """Check and parse a line of a head."""
         content = line.removesuffix(b"\r")
@@ -44,3 +64,44 @@
         elif content:
             _check_field_line(content)
         super().lineReceived(line)
+
+    def allHeadersReceived(self) -> None:
+        """Check how the body is framed, and prepare to read it."""
+        self._check_framing()
+        super().allHeadersReceived()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Decode bytes of the body."""
+        try:
+            super().rawDataReceived(data)
+        except _MalformedChunkedDataError as error:
+            raise MalformedAnswer(str(error)) from error
+
+    def _check_framing(self) -> None:
+        """Refuse an answer whose length recipients may understand in several ways."""
+        status = self.response.code
+        has_no_body = status < MIN_FINAL_STATUS or status == NO_CONTENT
+        length = self._content_length()
+        if status == SWITCHING:
+            raise MalformedAnswer("another protocol, which no request asked for")
+        if has_no_body and length:
+            raise MalformedAnswer(f"status {status} with a body of {length} bytes")
+        codings = self.connHeaders.getRawHeaders(b"Transfer-Encoding")
+        if codings is None:
+            return
+        if len(codings) != 1 or codings[0].lower() not in self._transferDecoders:
+            raise MalformedAnswer(f"transfer codings {codings!r}")
+        if length is not None:
+            raise MalformedAnswer("both a length and a transfer coding")
+        if has_no_body:
+            raise MalformedAnswer(f"status {status} with a transfer coding")
+        if self.response.version == (b"HTTP", 1, 0):
+            raise MalformedAnswer("a transfer coding in HTTP/1.0")
+
+    def _content_length(self) -> int | None:
+        # In an answer to HEAD, the length isn't among the connection's fields.
+        is_head = self.request.method == b"HEAD"
+        try:
+            return _contentLength(self.headers if is_head else self.connHeaders)
+        except ValueError as error:
+            raise MalformedAnswer(str(error)) from error
--- a/ebonybend/tests/test_http_answer_parser.py
+++ b/ebonybend/tests/test_http_answer_parser.py
@@ -40,10 +40,10 @@
         self.transport = MemoryTransport()
         connection.makeConnection(self.transport)
 
-    def ask(self, request_id=b"a1"):
+    def ask(self, request_id=b"a1", method=b"GET"):
         self.idle.clear()
         self.results = []
-        waiting = self.receiver.send(b"GET", request_id, b"request")
+        waiting = self.receiver.send(method, request_id, b"request")
         waiting.addBoth(self.results.append)
 
     def is_malformed(self, error):
@@ -61,10 +61,10 @@
         self.client = HttpClient(self.reactor)
         self.transport = None
 
-    def ask(self, request_id=b"a1"):
+    def ask(self, request_id=b"a1", method=b"GET"):
         self.results = []
         headers = {"Request-Id": request_id.decode()}
-        asked = self.client.request("GET", "127.0.0.1:80", "/", headers)
+        asked = self.client.request(method.decode(), "127.0.0.1:80", "/", headers)
         Deferred.fromCoroutine(asked).addBoth(self.results.append)
         if self.transport is None:
             # The endpoint's own protocol passes everything on to the client's.
@@ -174,6 +174,39 @@
             self.assertTrue(reader.is_reusable())
 
 
+class NoBodyTest(TestWithScenarios, TestCase):
+    """Guards against a body where none may be, and a refusal where a length may be."""
+
+    HEAD = b"HTTP/1.1 %s x\r\nRequest-Id: a1\r\n%s\r\n\r\n"
+    scenarios = multiply_scenarios(
+        READERS,
+        [
+            ("length", {"method": b"HEAD", "line": b"Content-Length: 5"}),
+            ("chunks", {"method": b"HEAD", "line": b"Transfer-Encoding: chunked"}),
+            ("broken length", {"method": b"HEAD", "line": b"Content-Length: +5"}),
+            ("broken coding", {"method": b"HEAD", "line": b"Transfer-Encoding: x"}),
+            ("not modified", {"status": b"304", "line": b"Content-Length: 5"}),
+            ("no content", {"status": b"204", "line": b"X-Name: v"}),
+            ("no content, length 0", {"status": b"204", "line": b"Content-Length: 0"}),
+            ("broken, no content", {"status": b"204", "line": b"Content-Length: 5"}),
+        ],
+    )
+    method = b"GET"
+    status = b"200"
+
+    def test_answer(self):
+        reader = self.new_reader()
+        reader.ask(method=self.method)
+        answer = read(reader, self.HEAD % (self.status, self.line))
+        if "broken" in self.id():
+            self.assertTrue(reader.is_malformed(reader.results[0].value))
+        else:
+            self.assertEqual(
+                (int(self.status), b"", True),
+                (answer.status, answer.body, reader.is_reusable()),
+            )
+
+
 class StatusTest(TestWithScenarios, TestCase):
     """Guards against a limit on statuses that is not that of the grammar."""
 
@@ -184,7 +217,7 @@
             reader = self.new_reader()
             reader.ask()
             answer = read(reader, ANSWER.replace(b"200", b"%d" % status))
-            if status >= 600:
+            if status >= 600 or status == 204:
                 self.assertIsNone(answer, status)
             else:
                 self.assertEqual(status, answer.status)
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -96,6 +96,27 @@
     return lambda answer: data + answer
 
 
+def _without_body(status: bytes, *fields: bytes) -> AnswerChange:
+    """Return a change to a status that has no body, with fields that claim one."""
+
+    def change(answer: bytes) -> bytes:
+        parts = split_answer(answer).without(b"Content-Length")
+        line = b"HTTP/1.1 %s No Content" % status
+        return AnswerParts(line, parts.fields + fields, b"").encode()
+
+    return change
+
+
+def _change_chunked(line: bytes) -> AnswerChange:
+    """Return a change to a chunked body, with one more line in the head."""
+
+    def change(answer: bytes) -> bytes:
+        size = len(split_answer(answer).body)
+        return _insert_line(line.replace(b"SIZE", b"%d" % size))(_chunk()(answer))
+
+    return change
+
+
 BROKEN_STATUSES = (
     b"000",
     b"00",
@@ -179,9 +200,48 @@
         "a folded line": _insert_line(b"  continued"),
         "a folded line after the status line": _insert_line(b"  continued", 0),
         "a folded length": _insert_line(b" Content-Length: 1", 0),
+        **{
+            f"length {x!r}": _replace_framing(b"Content-Length: " + x)
+            for x in (b"", b"+SIZE", b"-SIZE", b"0x5", b"SIZE, 1", b"SIZE 1", b"SIZE,")
+        },
+        "two lengths": _replace_framing(b"Content-Length: SIZE", b"Content-Length: 1"),
+        "a length and chunks": _change_chunked(b"Content-Length: SIZE"),
+        "an unknown coding": _replace_framing(b"Transfer-Encoding: x", body=b""),
+        "no coding": _replace_framing(b"Transfer-Encoding:", b"Content-Length: SIZE"),
+        "two codings": _change_chunked(b"Transfer-Encoding: gzip"),
+        "a coding after chunks": lambda answer: _chunk()(answer).replace(
+            b": chunked", b": chunked\r\nTransfer-Encoding: gzip", 1
+        ),
+        "chunks twice": _change_chunked(b"Transfer-Encoding: chunked"),
+        "chunks after another coding": _replace_framing(
+            b"Transfer-Encoding: gzip, chunked", body=b"0\r\n\r\n"
+        ),
+        "chunks in version 1.0": lambda answer: _chunk()(answer).replace(
+            b"HTTP/1.1", b"HTTP/1.0", 1
+        ),
+        "chunks where no body may be": _without_body(
+            b"204", b"Transfer-Encoding: chunked"
+        ),
+        "a length where no body may be": _without_body(b"204", b"Content-Length: 5"),
+        **{
+            f"chunk size {x!r}": _chunk(x)
+            for x in (b"+SIZE", b"-1", b"0xSIZE", b"SIZE ", b" SIZE", b"", b"SIZE;\0")
+        },
+        "a chunk without its end": _chunk(end=b""),
+        "a chunk over its size": _chunk(end=b"x\r\n"),
+        **{
+            f"trailer {x!r}": _chunk(last=b"0\r\n" + x + HEAD_END)
+            for x in (b"X Name: v", b"X-Name", b"X-Name: a\0b", b"HTTP/1.1 200 OK")
+        },
+        "another protocol after an interim answer": _prepend(
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+        ),
         "a broken field in an interim answer": _prepend(
             b"HTTP/1.1 103 Early Hints\r\nX Name: v\r\n\r\n"
         ),
+        "an interim answer with a body": _prepend(
+            b"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+        ),
         "an empty line first": _prepend(CRLF),
     }
 )
