Refuse an answer with a long line, instead of reading on behind it

Callers saw: a server's line of over 16 KiB in a head, such as a long cookie, was cut out of the answer, or the request waited for an answer that had arrived. If what followed the cut was a status line, it was delivered as the answer. Cause: the library's LineReceiver drops a line over its limit together with what it has received behind it, and closes its transport. The transport of a node's parser is a double that closes nothing, so the node read on behind the cut. Which bytes were dropped depended on how they arrived. The HTTP client did close its connections. Change: AnswerParser raises HeadTooLarge on such a line. A node counts it like a head over its limit: the connection is closed, an idempotent request goes to another server.

--- a/ebonybend/http_answer_parser.py
+++ b/ebonybend/http_answer_parser.py
@@ -50,7 +50,7 @@
 class AnswerParser(HTTPClientParser):
     """Parse one final answer, and skip the interim ones before it.
 
-    Raises MalformedAnswer; the parser can't be used after that.
+    Raises MalformedAnswer or HeadTooLarge; the parser can't be used after that.
     """
 
     _transferDecoders = {b"chunked": _ChunkedDecoder}  # noqa: N815
@@ -65,6 +65,10 @@
             _check_field_line(content)
         super().lineReceived(line)
 
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a line that the parser would drop, and read on behind it."""
+        raise HeadTooLarge(f"line over {self.MAX_LENGTH} bytes")
+
     def allHeadersReceived(self) -> None:
         """Check how the body is framed, and prepare to read it."""
         self._check_framing()
--- a/ebonybend/tests/test_http_answer_parser.py
+++ b/ebonybend/tests/test_http_answer_parser.py
@@ -223,6 +223,47 @@
                 self.assertEqual(status, answer.status)
 
 
+class LongLineTest(TestWithScenarios, TestCase):
+    """Guards against a long line of a head that is cut out of it.
+
+    What follows the cut would be read as further lines of the head.
+    """
+
+    LINE = b"x" * 17_000
+    scenarios = multiply_scenarios(
+        READERS,
+        [
+            ("value", {"head": b"HTTP/1.1 200 OK\r\nX-Name: " + LINE}),
+            ("reason", {"head": b"HTTP/1.1 200 " + LINE}),
+            ("interim reason", {"head": b"HTTP/1.1 103 " + LINE}),
+        ],
+        [
+            ("in one piece", {"step": None}),
+            ("at the cut", {"step": 16_500}),
+            ("up to the line's end", {"step": len}),
+            ("in pieces", {"step": 1000}),
+        ],
+        [
+            ("own answer behind", {"tail": b"\r\n" + ANSWER.partition(b"\r\n")[2]}),
+            ("another head behind", {"tail": b"\r\n\r\n" + ANSWER}),
+            ("status line in it", {"tail": ANSWER}),
+        ],
+    )
+
+    def test_answer_is_refused(self):
+        reader = self.new_reader()
+        reader.ask()
+        step = len(self.head) if self.step is len else self.step
+        self.assertIsNone(read(reader, self.head + self.tail, step))
+        self.assertEqual(1, len(reader.results), "still waits for an answer")
+        error = reader.results[0].value
+        if isinstance(reader, NodeReader):
+            self.assertIs(LossReason.TOO_LARGE, error.loss)
+        else:
+            self.assertIsInstance(error, AnswerLost)
+        self.assertTrue(reader.transport.disconnecting)
+
+
 # The grammar, written once more and apart from the parser's.
 REASON = rb"(?: [\t -~\x80-\xff]*)?"
 FIELD = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*\r?\n"
