Count no crash for an answer that an entry can't read

Callers saw: after two answers outside the grammar, requests with the same content were refused with 422, "crashed backend servers", though no server had ended. Cause: the HTTP client raised AnswerLost for bytes that are no answer and for a head over its limit, and an entry takes AnswerLost for the end of a server. This is older than the strict parser, which makes it come about more often. Change: the client raises AnswerMalformed and AnswerTooLarge for these; an entry treats them as a server's failure that is no crash. A request that is idempotent is sent to another server, another one is answered 502, its outcome unknown, as before. The stub of a backend server can break answers. EndlessAnswerTest names the error of each case, where it allowed two; a chunk's line over its limit is AnswerMalformed.

--- a/bench/tests/test_broken_answers.py
+++ b/bench/tests/test_broken_answers.py
@@ -1,5 +1,8 @@
 """Readers of answers against servers that send broken ones, on real connections."""
 
+from itertools import count
+from time import sleep
+
 from testscenarios import TestWithScenarios, multiply_scenarios
 from testtools import TestCase
 from testtools.twistedsupport import AsynchronousDeferredRunTest
@@ -7,6 +10,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from bench.deployments import blue_mahoe, reduced
+from bench.fleet import Fleet, FleetOptions
+from bench.hops import service_servers
 from bench.http_calls import call
 from bench.node_fleet import CALLERS_PORT, HOST
 from bench.tests.fleet_case import FleetCase
@@ -21,10 +27,12 @@
 from ebonybend.peers.http_transport import HttpPeerTransport
 from ebonybend.peers.records import ShardVersion
 from ebonybend.platform.store import PlatformStore
+from ebonybend.steering.suspects import CRASHES_TO_REFUSE
 from ebonybend.steps import no_pause
 from ebonybend.store.client import PlatformClient, StoredObject, StoreFailureKind
 from ebonybend.world import BackendServer
 from standins.answer_server import AnswerServer
+from standins.backend_server import ServerFaults
 from standins.broken_answers import BROKEN_ANSWERS, ODD_ANSWERS
 
 ID = "a1"
@@ -227,3 +235,49 @@
         (line, *_) = self.fleet.log_lines([NODE], "server_left_out")
         self.assertIn("garbled", line)
         self.assertEqual([], self.fleet.log_lines([NODE], "server_process_ended"))
+
+
+SERVICE, DOMAIN, INSTANCE = "ride-history", "kingston-1", "kingston-1-a"
+PAUSE_S = 0.25
+
+
+class EntryTest(TestCase):
+    """Entries as processes, whose servers send broken answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.numbers = count(1)
+        plan = reduced(blue_mahoe(), (DOMAIN,))
+        self.fleet = Fleet(plan, FleetOptions(cold_s=0.2))
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+
+    def set_breakage(self, breakage, number):
+        faults = ServerFaults(break_answers=number, breakage=breakage)
+        for name in service_servers(self.fleet, SERVICE, DOMAIN):
+            self.fleet.set_server_faults(name, faults)
+
+    def send(self):
+        headers = {"Request-Id": f"a{next(self.numbers)}", "Deadline-Ms": "1500"}
+        address = self.fleet.addresses.public(INSTANCE).advertise
+        return call("GET", address, f"/s/{SERVICE}/item", None, headers, 3.0)
+
+    def send_after(self, pause_s):
+        sleep(pause_s)
+        return self.send().status
+
+    def wait_until_answered(self):
+        self.fleet.wait_until(lambda: self.send().status == 200, "no answer", 10.0)
+
+    def test_answers_and_crashes(self):
+        """Guards against passing a broken answer on, and calling it a crash."""
+        self.wait_until_answered()
+        for breakage in INCIDENTS:
+            self.set_breakage(breakage, 100)
+            # The same content again and again, as of a request that crashes servers.
+            statuses = [self.send_after(PAUSE_S) for _ in range(REQUESTS)]
+            # A slot stays in use for some time after a failure.
+            self.assertEqual({502}, set(statuses) - {503}, statuses)
+            self.assertGreater(statuses.count(502), CRASHES_TO_REFUSE)
+            self.set_breakage(breakage, 0)
+            self.wait_until_answered()
--- a/ebonybend/entry/dispatch.py
+++ b/ebonybend/entry/dispatch.py
@@ -13,6 +13,7 @@
 from ebonybend.errors import ErrorKind
 from ebonybend.http_client import (
     AnswerLost,
+    AnswerMalformed,
     AnswerMismatch,
     AnswerTimeout,
     AnswerTooLarge,
@@ -198,7 +199,8 @@
             self._abandon(server, ServerResult.LOST, started)
             await self.running.report_crash(running)
             return failed_attempt(ErrorKind.ANSWER_LOST, f"{server.name}: {error}")
-        except (AnswerMismatch, AnswerTooLarge) as error:
+        except (AnswerMalformed, AnswerMismatch, AnswerTooLarge) as error:
+            # The server still runs, so this isn't a crash.
             self._abandon(server, ServerResult.TIMEOUT, started)
             return failed_attempt(ErrorKind.ANSWER_LOST, f"{server.name}: {error}")
         except AnswerTimeout as error:
--- a/ebonybend/entry/tests/test_forwarder.py
+++ b/ebonybend/entry/tests/test_forwarder.py
@@ -14,6 +14,7 @@
 from ebonybend.errors import ErrorKind
 from ebonybend.http_client import (
     AnswerLost,
+    AnswerMalformed,
     AnswerTimeout,
     AnswerTooLarge,
     NotSent,
@@ -54,12 +55,14 @@
         case("read_shed", "GET", SHED, OVERLOADED, 3),
         case("read_lost", "GET", AnswerLost("x"), LOST, 2),
         case("read_timeout", "GET", AnswerTimeout("x"), TIMED_OUT, 3),
+        case("read_malformed", "GET", AnswerMalformed("x"), LOST, 3),
         case("read_too_large", "GET", AnswerTooLarge("x"), LOST, 3),
         case("read_late", "GET", SendTooLate("x"), ErrorKind.DEADLINE_NOT_RUN, 1),
         case("write_refused", "POST", NotSent("x", True), UNREACHABLE, 3),
         case("write_shed", "POST", SHED, OVERLOADED, 3),
         case("write_lost", "POST", AnswerLost("x"), LOST, 1),
         case("write_timeout", "POST", AnswerTimeout("x"), TIMED_OUT, 1),
+        case("write_malformed", "POST", AnswerMalformed("x"), LOST, 1),
         case("write_too_large", "POST", AnswerTooLarge("x"), LOST, 1),
         case("write_late", "POST", SendTooLate("x"), ErrorKind.DEADLINE_NOT_RUN, 1),
     ]
--- a/ebonybend/http_client.py
+++ b/ebonybend/http_client.py
@@ -26,6 +26,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from ebonybend.http_answer_parser import HeadTooLarge, MalformedAnswer
 from ebonybend.http_client_protocol import StrictPool
 from ebonybend.sockets import enable_dead_peer_detection
 from ebonybend.timeouts import Timeout
@@ -97,8 +98,12 @@
     """The answer belongs to another request; the sent one may have run."""
 
 
+class AnswerMalformed(RequestFailed):
+    """The received bytes are not an answer; the request may have run."""
+
+
 class AnswerTooLarge(RequestFailed):
-    """The answer's body is over the limit."""
+    """The answer's head or body is over the limit."""
 
 
 @implementer(IBodyProducer)
@@ -152,7 +157,10 @@
         if self.done.called:
             return
         size = len(self.body)
-        if not reason.check(ResponseDone):
+        malformed = _reason_of(reason.value, MalformedAnswer)
+        if malformed is not None:
+            self.done.errback(AnswerMalformed(str(malformed)))
+        elif not reason.check(ResponseDone):
             # Also covers a body that ends with the connection: without a length or
             # chunks a truncated body looks like a complete one.
             self.done.errback(AnswerLost(f"answer cut off after {size} bytes"))
@@ -214,9 +222,19 @@
     return RequestCancelled("cancelled by the caller")
 
 
-def _was_cancelled(error: ResponseFailed) -> bool:
-    """Return whether this process itself cancelled the request."""
-    return any(reason.check(CancelledError) for reason in error.reasons)
+def _reason_of(error: Exception, kind: type[Exception]) -> Exception | None:
+    """Return the error of a kind that caused a ResponseFailed, or None."""
+    reasons = error.reasons if isinstance(error, ResponseFailed) else ()
+    return next((x.value for x in reasons if x.check(kind)), None)
+
+
+def _response_error(error: ResponseFailed, address: str) -> RequestFailed:
+    """Return the error of a request whose answer's head did not arrive."""
+    if malformed := _reason_of(error, MalformedAnswer):
+        return AnswerMalformed(f"{address} sent no answer: {malformed}")
+    if too_large := _reason_of(error, HeadTooLarge):
+        return AnswerTooLarge(f"answer of {address}: {too_large}")
+    return AnswerLost(f"connection to {address} lost: {error}")
 
 
 class HttpClient:
@@ -335,9 +353,9 @@
         except RequestNotSent as error:
             raise NotSent(f"connection to {address} was not usable") from error
         except ResponseFailed as error:
-            if _was_cancelled(error):
+            if _reason_of(error, CancelledError):
                 raise _no_answer(timeout) from error
-            raise AnswerLost(f"connection to {address} lost: {error}") from error
+            raise _response_error(error, address) from error
         except (RequestGenerationFailed, RequestTransmissionFailed) as error:
             raise AnswerLost(f"connection to {address} lost: {error}") from error
         finally:
--- a/ebonybend/tests/test_http_answer_parser.py
+++ b/ebonybend/tests/test_http_answer_parser.py
@@ -9,7 +9,13 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from ebonybend.http_client import AnswerLost, HttpClient
+from ebonybend.http_client import (
+    AnswerLost,
+    AnswerMalformed,
+    AnswerMismatch,
+    AnswerTooLarge,
+    HttpClient,
+)
 from ebonybend.node.backend_connection import BackendConnection, LossReason
 from ebonybend.tests.profile import REPEATABLE
 from standins.broken_answers import BROKEN_ANSWERS, ODD_ANSWERS
@@ -73,7 +79,7 @@
             self.receiver.makeConnection(self.transport)
 
     def is_malformed(self, error):
-        return isinstance(error, AnswerLost)
+        return isinstance(error, AnswerMalformed)
 
     def is_reusable(self):
         return not self.transport.disconnecting
@@ -260,7 +266,7 @@
         if isinstance(reader, NodeReader):
             self.assertIs(LossReason.TOO_LARGE, error.loss)
         else:
-            self.assertIsInstance(error, AnswerLost)
+            self.assertIsInstance(error, AnswerTooLarge)
         self.assertTrue(reader.transport.disconnecting)
 
 
@@ -346,3 +352,11 @@
             for value in values:
                 line = b"%s: %s\r\n" % (name, value)
                 self.assertIsNotNone(re.fullmatch(FIELD, line), line)
+
+
+class ErrorKindTest(TestCase):
+    """Guards against a broken answer that is taken for the end of its server."""
+
+    def test_malformed_is_no_lost_connection(self):
+        for other in (AnswerLost, AnswerMismatch, AnswerTooLarge):
+            self.assertFalse(issubclass(AnswerMalformed, other))
--- a/ebonybend/tests/test_http_client.py
+++ b/ebonybend/tests/test_http_client.py
@@ -8,6 +8,7 @@
 
 from ebonybend.http_client import (
     AnswerLost,
+    AnswerMalformed,
     AnswerMismatch,
     AnswerTimeout,
     AnswerTooLarge,
@@ -228,9 +229,12 @@
             {
                 "answer": STATUS + b"Transfer-Encoding: chunked\r\n\r\n3e8;",
                 "piece": b"x" * 1000,
+                # The parser limits a chunk's first line.
+                "error": AnswerMalformed,
             },
         ),
     ]
+    error = AnswerTooLarge
 
     def test_connection_is_closed(self):
         address = self.start_server(self.answer, closes=False)
@@ -241,7 +245,7 @@
         running = Deferred.fromCoroutine(request)
         running.addCallbacks(
             lambda answer: self.fail(f"answered {answer.status}"),
-            lambda failure: failure.trap(AnswerTooLarge, AnswerLost),
+            lambda failure: failure.trap(self.error),
         )
         return running.addCallback(
             lambda _: self.assertLess(factory.sent, MAX_SENT_BYTES)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -17,6 +17,7 @@
 from ebonybend.http_answers import IncomingRequest, OutgoingAnswer, json_answer
 from ebonybend.http_router import Router
 from ebonybend.http_server import HttpLimits
+from standins.broken_answers import BROKEN_ANSWERS
 from standins.command import (
     TrackingSite,
     listen,
@@ -53,6 +54,9 @@
     slow_factor: float = 1.0
     # Number of further requests that run but get a connection reset, not an answer.
     lose_answers: int = 0
+    # Number of further requests that run but get a broken answer, and which kind of it.
+    break_answers: int = 0
+    breakage: str = "status b'000'"
 
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
@@ -112,8 +116,9 @@
         self.history = history
         self.random = Random(options.name)
         self.faults = ServerFaults()
-        # Remaining number of answers to lose.
+        # Remaining numbers of answers to lose and to break.
         self.lose_answers = 0
+        self.break_answers = 0
         self.in_flight = 0
         # The site that serves the requests; None until it listens.
         self.site: TrackingSite | None = None
@@ -195,7 +200,23 @@
             job.body,
             job.filler_bytes,
         )
-        return self._answer(job, 200, body)
+        answer = self._answer(job, 200, body)
+        if self.break_answers > 0:
+            self.break_answers -= 1
+            await self._send_broken(answer, raw)
+        return answer
+
+    async def _send_broken(self, answer: OutgoingAnswer, raw: Any) -> None:
+        """Send a broken answer, and wait until the connection has ended."""
+        change = BROKEN_ANSWERS[self.faults.breakage]
+        lines = [f"HTTP/1.1 {answer.status} OK"]
+        lines += [f"{name}: {value}" for name, value in answer.headers.items()]
+        lines += [f"Content-Length: {len(answer.body)}", "", ""]
+        ended: Deferred[None] = Deferred()
+        raw.notifyFinish().addErrback(lambda _: ended.callback(None))
+        raw.channel.transport.write(change("\r\n".join(lines).encode() + answer.body))
+        raw.channel.transport.loseConnection()
+        await ended
 
     def _answer(
         self,
@@ -257,6 +278,7 @@
         """Replace all faults."""
         self.faults = faults
         self.lose_answers = faults.lose_answers
+        self.break_answers = faults.break_answers
 
 
 def admin_router(server: BackendServerStub) -> Router:
