Use no connection again on which bytes follow an answer

What could be seen: the HTTP client of entries, controls and stores dropped what arrived behind an answer, and used the connection again. Where that was the first part of a second answer or of a longer body, the rest was read as the next request's answer. Cause: HTTP11ClientProtocol ignores the bytes that its parser returns. RFC 9112, section 6.3 forbids to take such bytes for a further answer. Change: the client closes such a connection, as after an answer that announces it.

--- a/ebonybend/http_client_protocol.py
+++ b/ebonybend/http_client_protocol.py
@@ -26,11 +26,17 @@
 
     def _strict_parser(self, request: Request) -> AnswerParser:
         """Return a parser that takes the place of the library's own."""
-        parser = AnswerParser(request, self._finishResponse)
+        parser = AnswerParser(request, self._on_parsed)
         parser.makeConnection(self._transportProxy)
         parser._responseDeferred = self._responseDeferred
         return parser
 
+    def _on_parsed(self, unparsed: bytes) -> None:
+        """End the request; use the connection no more if bytes follow the answer."""
+        if unparsed:
+            self._currentRequest.persistent = False
+        self._finishResponse(unparsed)
+
     def dataReceived(self, bytes: bytes) -> None:
         """Parse received bytes."""
         super().dataReceived(bytes)
--- a/ebonybend/tests/test_http_client.py
+++ b/ebonybend/tests/test_http_client.py
@@ -26,6 +26,9 @@
 class ScriptedServer(Protocol):
     """A server that answers each request with fixed bytes and may then close."""
 
+    def connectionMade(self):
+        self.factory.connections += 1
+
     def dataReceived(self, data):
         self.factory.requests += 1
         self.transport.write(self.factory.answer)
@@ -47,7 +50,7 @@
         factory = Factory.forProtocol(ScriptedServer)
         factory.answer = answer
         factory.closes = closes
-        factory.requests = 0
+        factory.requests = factory.connections = 0
         port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.addCleanup(port.stopListening)
         self.factory = factory
@@ -188,6 +191,30 @@
             self.assertEqual(b"second", second.body)
 
 
+class ExtraBytesTest(TestWithScenarios, ClientTestCase):
+    """Guards against bytes behind an answer that become part of the next one.
+
+    They arrive with the answer; more of them may arrive with the next one.
+    """
+
+    scenarios = [
+        ("a part of a line", {"extra": b"HTTP"}),
+        ("an interim answer", {"extra": b"HTTP/1.1 100 Continue\r\n\r\n"}),
+        ("another answer", {"extra": COMPLETE_ANSWER}),
+    ]
+
+    def test_connection_is_not_used_again(self):
+        address = self.start_server(COMPLETE_ANSWER + self.extra, False)
+        return Deferred.fromCoroutine(self.send_twice(address))
+
+    async def send_twice(self, address):
+        client = self.client()
+        for number in (1, 2):
+            answer = await client.request("GET", address, "/")
+            self.assertEqual((200, b"hello"), (answer.status, answer.body))
+            self.assertEqual(number, self.factory.connections)
+
+
 class EndlessServer(Protocol):
     """A server that sends one piece again and again until the connection ends."""
 
