Read the tool's answers with the parser of all readers

What could be seen: the operators' tool took an answer of a control outside the grammar for one, such as status 2_00 for an accepted change. Cause: it reads with http.client of the standard library, which is as lenient as the library's parser was, and has no check of its own. Change: read_answer feeds the bytes of its socket to AnswerParser. http.client still sends the request. What isn't an answer leaves the outcome of a change unknown; the next control is asked as before. The parts that a parser without a transport needs move from the node's connection to AnswerParser.

--- a/ebonybend/http_answer_parser.py
+++ b/ebonybend/http_answer_parser.py
@@ -5,7 +5,10 @@
 """
 
 import re
+from collections.abc import Callable
+from typing import Self
 
+from attrs import define
 from twisted.web._newclient import STATUS, HTTPClientParser, _contentLength
 from twisted.web.http import (
     NO_CONTENT,
@@ -36,6 +39,30 @@
         raise MalformedAnswer(f"field line {line[:100]!r}")
 
 
+@define
+class _SentRequest:
+    """The attributes of a request that the library's parser reads."""
+
+    method: bytes
+    absoluteURI: None = None  # noqa: N815
+    headers: None = None
+
+
+class _NoFlowControl:
+    """A transport for a parser whose owner reads and closes the connection."""
+
+    disconnecting = False
+
+    def pauseProducing(self) -> None:
+        """Do nothing; bodies are read as they arrive."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing; bodies are read as they arrive."""
+
+    def loseConnection(self) -> None:
+        """Do nothing; the owner closes the connection."""
+
+
 class _ChunkedDecoder(_ChunkedTransferDecoder):
     """Decode a chunked body, and check its trailers."""
 
@@ -55,6 +82,18 @@
 
     _transferDecoders = {b"chunked": _ChunkedDecoder}  # noqa: N815
 
+    @classmethod
+    def without_transport(
+        cls, method: bytes, on_parsed: Callable[[bytes], None]
+    ) -> Self:
+        """Return a parser of the answer to a request with a method.
+
+        on_parsed is called with the bytes behind the answer once that is complete.
+        """
+        parser = cls(_SentRequest(method), on_parsed)
+        parser.makeConnection(_NoFlowControl())
+        return parser
+
     def lineReceived(self, line: bytes) -> None:
         """Check and parse a line of a head."""
         content = line.removesuffix(b"\r")
--- a/ebonybend/node/backend_connection.py
+++ b/ebonybend/node/backend_connection.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Any
 
-from attrs import define, frozen
+from attrs import frozen
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
@@ -76,30 +76,6 @@
     body: bytes
 
 
-@define
-class _ParserRequest:
-    """The attributes of a request that the parser reads."""
-
-    method: bytes
-    absoluteURI: None = None  # noqa: N815
-    headers: None = None
-
-
-class _NoFlowControl:
-    """A transport for the parser, without flow control."""
-
-    disconnecting = False
-
-    def pauseProducing(self) -> None:
-        """Do nothing; bodies are read as they arrive."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing; bodies are read as they arrive."""
-
-    def loseConnection(self) -> None:
-        """Do nothing; BackendConnection decides when to close."""
-
-
 class _BodyCollector(Protocol):
     """Collect the body of an answer."""
 
@@ -192,8 +168,7 @@
             self.transport.abortConnection()
 
     def _expect_answer(self) -> None:
-        parser = AnswerParser(_ParserRequest(self.method), self._on_parsed)
-        parser.makeConnection(_NoFlowControl())
+        parser = AnswerParser.without_transport(self.method, self._on_parsed)
         parser._responseDeferred.addCallbacks(self._on_head, lambda _: None)
         self.parser = parser
         self.is_head_complete = False
--- a/ebonybend/tool/admin_client.py
+++ b/ebonybend/tool/admin_client.py
@@ -21,9 +21,18 @@
     WhereAnswer,
 )
 from ebonybend.errors import ErrorKind, Outcome, SteeringError
+from ebonybend.http_answer_parser import HeadTooLarge, MalformedAnswer
+from ebonybend.tool.answer_reader import AnswerIncomplete, ReceivedAnswer, read_answer
 
 T = TypeVar("T")
 MAX_ANSWER_BYTES = 32 << 20
+NO_WHOLE_ANSWER = (
+    OSError,
+    HTTPException,
+    AnswerIncomplete,
+    MalformedAnswer,
+    HeadTooLarge,
+)
 
 
 @frozen
@@ -38,12 +47,6 @@
     change_id: str
 
 
-@frozen
-class _Answer:
-    status: int
-    body: bytes
-
-
 @frozen
 class _ErrorBody:
     """The body of an error answer."""
@@ -131,7 +134,7 @@
 
     def _first_answer(
         self, method: str, path: str, headers: Mapping[str, str], body: bytes
-    ) -> _Answer:
+    ) -> ReceivedAnswer:
         """Return the first answer with a status below 500; raise if there is none."""
         outcome_unknown = False
         failures = []
@@ -161,7 +164,7 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes,
-    ) -> _Answer:
+    ) -> ReceivedAnswer:
         host, port = split_address(address)
         connection = HTTPConnection(host, port, timeout=self.timeout_s)
         try:
@@ -170,22 +173,18 @@
             raise _ConnectError(error.strerror or str(error)) from error
         try:
             connection.request(method, path, body or None, dict(headers))
-            response = connection.getresponse()
-            data = response.read(MAX_ANSWER_BYTES)
-            length = response.headers.get("Content-Length")
-        except (OSError, HTTPException) as error:
+            return read_answer(connection.sock, method, MAX_ANSWER_BYTES)
+        except NO_WHOLE_ANSWER as error:
             message = str(error) or type(error).__name__
             raise _AnswerLost(f"no whole answer: {message}") from error
         finally:
             connection.close()
-        # HTTPResponse.read with a size returns a truncated body without an error.
-        if length is not None and len(data) != int(length):
-            raise _AnswerLost(f"answer has {len(data)} of {length} bytes")
-        return _Answer(response.status, data)
 
 
 def _decode(
-    answer: _Answer, answer_type: type[T], error_kind: ErrorKind = ErrorKind.INTERNAL
+    answer: ReceivedAnswer,
+    answer_type: type[T],
+    error_kind: ErrorKind = ErrorKind.INTERNAL,
 ) -> T:
     try:
         return from_json(answer.body, answer_type)
@@ -194,14 +193,14 @@
         raise SteeringError(error_kind, message) from error
 
 
-def _error_body(answer: _Answer) -> _ErrorBody:
+def _error_body(answer: ReceivedAnswer) -> _ErrorBody:
     try:
         return from_json(answer.body, _ErrorBody)
     except SteeringError:
         return _ErrorBody(message=f"HTTP status {answer.status}")
 
 
-def _steering_error(answer: _Answer) -> SteeringError:
+def _steering_error(answer: ReceivedAnswer) -> SteeringError:
     """Return an error answer as a SteeringError."""
     error_body = _error_body(answer)
     known = error_body.kind in {kind.value for kind in ErrorKind}
