Let the soak's servers send broken answers

Change: a fault "answers_broken" of the soak of nodes, with any of the stand-in's broken answers. Its checks find an answer that callers got though each of the servers' answers was broken, bytes that are no answer, and a server's stamp on a failure.

--- a/bench/node_callers.py
+++ b/bench/node_callers.py
@@ -131,9 +131,10 @@
             answer = connection.getresponse()
             received = answer.read()
             status = answer.status
-            own = status != 200 or (
-                received == f"{method} {path} ".encode() + body
-                and answer.getheader("Server-Stamp") is not None
+            has_stamp = answer.getheader("Server-Stamp") is not None
+            # Servers stamp no other answer than a whole one.
+            own = has_stamp == (status == 200) and (
+                status != 200 or received == f"{method} {path} ".encode() + body
             )
             reusable = not answer.will_close
         except (OSError, HTTPException) as failure:
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -11,6 +11,7 @@
 
 from bench.crash_bursts import CrashBurst
 from bench.node_fleet import SERVICES, FleetServer, NodeFleet, server_object
+from standins.broken_answers import BROKEN_ANSWERS
 from standins.platform_store import StoreCopy
 from standins.proxy_rules import ProxyRule
 
@@ -170,6 +171,7 @@
             "asks_for_pause": self._ask_for_pause,
             "answers_lost": self._answers,
             "answers_repeated": self._answers,
+            "answers_broken": self._answers,
             "odd_entry": self._odd_entry,
             "watches_cut": self._watches_cut,
             "vanish": self._vanish,
@@ -425,5 +427,8 @@
         endpoint = self.fleet.servers[name].endpoint
         if kind == "answers_lost":
             endpoint.answers_to_lose = 3
-        else:
+        elif kind == "answers_repeated":
             endpoint.answers_to_repeat = 3
+        else:
+            endpoint.break_answer = self.random.choice([*BROKEN_ANSWERS.values()])
+            endpoint.answers_to_break = 3
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -66,6 +66,8 @@
     "server_restarts",
 )
 STATUSES_NOT_RUN = (408, 421, 429, 503)
+# Errors of http.client for bytes that are no answer, apart from a closed connection.
+MALFORMED_ERRORS = ("BadStatusLine", "LineTooLong", "UnknownProtocol", "HTTPException")
 # Below this fraction of whole answers in the last seconds, service has not recovered.
 MIN_RECOVERED_FRACTION = 0.95
 MAX_SHOWN = 5
@@ -89,6 +91,14 @@
         )
 
 
+def count_broken(fleet: NodeFleet) -> Counter:
+    """Return how many answers to each request servers broke."""
+    broken: Counter = Counter()
+    for server in fleet.servers.values():
+        broken.update(server.endpoint.broken)
+    return broken
+
+
 def count_runs(fleet: NodeFleet) -> Counter:
     """Return how many times each request ran on any server."""
     runs: Counter = Counter()
@@ -97,8 +107,13 @@
     return runs
 
 
-def broken_answers(sent: Iterable[SentRequest], runs: Counter) -> list[str]:
-    """Return the answers that belong to another request, or are not true."""
+def broken_answers(
+    sent: Iterable[SentRequest], runs: Counter, broken: Counter
+) -> list[str]:
+    """Return the answers that belong to another request, or are not true.
+
+    Counted by request: how often it ran, and how many of the answers were broken.
+    """
     violations = []
     for request in sent:
         times = runs[request.request_id]
@@ -110,6 +125,10 @@
             violations.append(f"ran, but was refused as not run: {request}")
         if request.status == 200 and not times:
             violations.append(f"answered, but did not run: {request}")
+        elif request.status == 200 and times <= broken[request.request_id]:
+            violations.append(f"answered, but each answer was broken: {request}")
+        if request.error in MALFORMED_ERRORS:
+            violations.append(f"got bytes that are no answer: {request}")
     return violations
 
 
@@ -293,7 +312,7 @@
         caller.thread.join()
     sent = [request for caller in callers for request in caller.sent]
     runs = count_runs(fleet)
-    violations += broken_answers(sent, runs)
+    violations += broken_answers(sent, runs, count_broken(fleet))
     violations += late_work(injector.leavings, injector.faults)
     violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
     violations += cut_off_requests(sent, injector.faults, runs)
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -44,16 +44,40 @@
         ("a read ran twice", {"is_write": False, "runs": 2, "broken": 0}),
         ("refused, but ran", {"status": 503, "runs": 1, "broken": 1}),
         ("answered, but did not run", {"runs": 0, "broken": 1}),
+        ("a broken answer", {"runs": 1, "breaks": 1, "broken": 1}),
+        (
+            "a whole answer after a broken one",
+            {"is_write": False, "runs": 2, "breaks": 1, "broken": 0},
+        ),
+        (
+            "failed after a broken answer",
+            {"status": 502, "runs": 1, "breaks": 1, "broken": 0},
+        ),
+        (
+            "no status line",
+            {"status": 0, "error": "BadStatusLine", "runs": 1, "broken": 1},
+        ),
+        (
+            "a closed connection",
+            {"status": 0, "error": "RemoteDisconnected", "runs": 1, "broken": 0},
+        ),
     ]
     status = 200
     own = True
     is_write = True
+    error = ""
+    breaks = 0
 
     def test_found(self):
         request = evolve(
-            SENT, status=self.status, is_own_answer=self.own, is_write=self.is_write
+            SENT,
+            status=self.status,
+            is_own_answer=self.own,
+            is_write=self.is_write,
+            error=self.error,
         )
-        found = broken_answers([request], Counter({"c1-1": self.runs}))
+        runs, breaks = Counter({"c1-1": self.runs}), Counter({"c1-1": self.breaks})
+        found = broken_answers([request], runs, breaks)
         self.assertEqual(self.broken, len(found), found)
 
 
@@ -263,6 +287,11 @@
             "seed 1, crashing requests",
             {"seed": 1, "seconds": 18.0, "kinds": ("crash_burst", "config")},
         ),
+        # Answers outside the grammar were passed on, some with status 0.
+        (
+            "seed 1, broken answers",
+            {"seed": 1, "seconds": 18.0, "kinds": ("answers_broken", "config")},
+        ),
     ]
     seconds = 16.0
     kinds = ()
