--- a/bench/measure.py
+++ b/bench/measure.py
@@ -5,6 +5,7 @@
 
 from absl import flags
 
+from bench.figures.answers import answers
 from bench.figures.cap import cap
 from bench.figures.choice import choice
 from bench.figures.configuration import configuration
@@ -22,6 +23,7 @@
 Measurement = Callable[[int], Iterator[Figure]]
 
 MEASUREMENTS: dict[str, Measurement] = {
+    "answers": answers,
     "cap": cap,
     "choice": choice,
     "config": configuration,
