Let the servers of the entries' soak send broken answers

Cause: like the soak of nodes, it had no server that sends an answer outside the grammar, and no check that could see one that is passed on as whole. Change: a fault "break_answers"; servers record each answer that they broke, and the check of a run reports an answered operation all of whose answers were broken.

--- a/bench/history.py
+++ b/bench/history.py
@@ -120,10 +120,14 @@
     for event in events:
         if event.event == "started":
             starts[operation_name(event)].append(event)
+    broken = Counter(operation_name(x) for x in events if x.event == "broken")
     started_requests = {x.request_id for x in events if x.event == "started"}
     started_keys = {x.key for x in events if x.event == "started"}
     for operation in operations:
-        _check_operation(report, operation, starts[operation.name])
+        runs = starts[operation.name]
+        _check_operation(report, operation, runs)
+        if operation.result == "whole" and 0 < len(runs) <= broken[operation.name]:
+            report.fault("wrong", f"{operation.path}: each answer was broken")
         _check_attempts(report, operation, started_requests)
         _check_keys(report, operation, started_keys)
     _check_servers(report, events, leaving_since or {})
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -11,6 +11,7 @@
 from bench.fleet import Fleet
 from ebonybend.world import LifeState
 from standins.backend_server import ServerFaults
+from standins.broken_answers import BROKEN_ANSWERS
 from standins.platform import PlatformFaults
 from standins.proxy_rules import ProxyRule
 
@@ -23,6 +24,8 @@
 # Minimum time between two faults of a target, so that a replaced instance can
 # acquire its slots before it fails again.
 RECOVERY_S = 5.0
+# Answers that a server breaks in a row.
+BROKEN_NUMBER = 5
 STOP_TIMEOUT_S = 30.0
 MAX_TRIES = 10
 
@@ -36,7 +39,7 @@
 PAIR_KINDS = ("cut", "cut_one_way", "freeze")
 PLATFORM_LINK_KINDS = ("cut_from_platform", "freeze_from_platform")
 PLATFORM_KINDS = ("platform_down", "platform_slow", "platform_loses")
-SERVER_KINDS = ("crash_server", "drain_server")
+SERVER_KINDS = ("crash_server", "drain_server", "break_answers")
 KINDS = (
     *INSTANCE_KINDS,
     *PAIR_KINDS,
@@ -208,6 +211,13 @@
         self.fleet.set_server_faults(name, ServerFaults())
         self.fleet.register_server(name, LifeState.LIVE)
 
+    def _break_answers(self, fault: PlannedFault) -> None:
+        breakage = Random(fault.line()).choice([*BROKEN_ANSWERS])
+        faults = ServerFaults(break_answers=BROKEN_NUMBER, breakage=breakage)
+        self.fleet.set_server_faults(fault.targets[0], faults)
+        sleep(fault.lasts_s)
+        self.fleet.set_server_faults(fault.targets[0], ServerFaults())
+
     def _inject_platform_faults(self, fault: PlannedFault) -> None:
         self.fleet.set_platform_faults(PLATFORM_FAULTS[fault.kind])
         sleep(fault.lasts_s)
--- a/bench/tests/test_history.py
+++ b/bench/tests/test_history.py
@@ -66,3 +66,12 @@
     def test_a_read_whose_earlier_attempt_was_lost_is_no_untruthful_refusal(self):
         refused = operation("not_run", ("lost", "not_run"), "GET")
         self.assertTrue(check([refused], [event()]).ok)
+
+    def test_finds_an_answered_write_whose_answer_was_broken(self):
+        events = [event(), event("finished"), event("broken")]
+        self.assert_found("wrong", [operation("whole")], events)
+
+    def test_a_whole_answer_after_a_broken_one_is_no_fault(self):
+        answered = operation("whole", ("unknown", "answered"), "GET")
+        events = [event(), event("broken"), event(request_id="op1.2", server="s2")]
+        self.assertTrue(check([answered], events).ok)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -203,6 +203,7 @@
         answer = self._answer(job, 200, body)
         if self.break_answers > 0:
             self.break_answers -= 1
+            self._record_event("broken", job, -1)
             await self._send_broken(answer, raw)
         return answer
 
--- a/standins/server_history.py
+++ b/standins/server_history.py
@@ -6,7 +6,8 @@
 from attrs import frozen
 from msgspec import json
 
-EventKind = Literal["received", "started", "finished", "cancelled", "refused"]
+# "broken" follows "finished" where the answer is outside the grammar.
+EventKind = Literal["received", "started", "finished", "broken", "cancelled", "refused"]
 
 
 @frozen
