Leave out a fault of the soak that no server is left for

Change: the fault is left out. A chosen target draws the same random numbers as before. Measured: NoTargetTest raised IndexError before.

--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -197,6 +197,9 @@
         if kind == "server_restarts":
             # The proxy would accept connections to a server that isn't there.
             names = [x for x in names if not self.fleet.servers[x].is_proxied]
+        if not names:
+            # All servers of the kind have left or crash.
+            return
         target = self.random.choice(names)
         if target in self.busy:
             return
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -1,5 +1,6 @@
 from collections import Counter
 from pathlib import Path
+from random import Random
 from tempfile import TemporaryDirectory
 from types import SimpleNamespace
 from typing import ClassVar
@@ -10,6 +11,7 @@
 
 from bench.crash_bursts import CrashBurst
 from bench.node_callers import SentRequest
+from bench.node_faults import FaultInjector
 from bench.node_soak import (
     CONTACT_S,
     DEADLINE_S,
@@ -276,6 +278,16 @@
         self.assertEqual(self.found, len(found), found)
 
 
+class NoTargetTest(TestCase):
+    """Guards against a soak that ends when no server is left for a fault."""
+
+    def test_fault_is_left_out(self):
+        servers = {"i-1": SimpleNamespace(is_proxied=True)}
+        injector = FaultInjector(SimpleNamespace(servers=servers), Random(1))
+        injector._start("server_restarts")
+        self.assertEqual([], injector.threads)
+
+
 class NodeSoakTest(TestWithScenarios, TestCase):
     """Nodes of the users' platform under load and random faults."""
 
