Review case 6: a stopping node resets answers after a second

Cause: after an answer with Connection: close, the node aborts the connection one second after the answer is in the kernel's send buffer.

--- a/review/rig.py
+++ b/review/rig.py
@@ -436,6 +436,120 @@
         connection.close()
 
 
+@frozen
+class Link:
+    """The link of a client: its rate, its window and its packets."""
+
+    bytes_per_s: float
+    window_bytes: int = 65_536
+    packet_bytes: int = 1_400
+
+
+@define
+class SlowClient:
+    """A client that receives answers steadily, at the rate of its link.
+
+    It sends a number of requests one after the other on one connection.
+    """
+
+    node: Node
+    record: Record
+    name: str
+    link: Link
+    answer_bytes: int
+    method: str = "GET"
+    path: str = "/read/"
+    body: bytes = b""
+    budget_s: float = 20.0
+    requests: int = 1
+    # Results of the requests: whether the whole answer arrived.
+    whole: list[bool] = field(factory=list)
+    # Bytes of the last answer's body.
+    received: int = 0
+    thread: threading.Thread = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        with socket.socket() as connection:
+            options = (
+                (socket.SOL_SOCKET, socket.SO_RCVBUF, self.link.window_bytes),
+                (socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.link.packet_bytes),
+            )
+            for option in options:
+                connection.setsockopt(*option)
+            connection.settimeout(self.budget_s)
+            try:
+                connection.connect((self.node.ip, self.node.front))
+            except OSError:
+                return
+            for number in range(self.requests):
+                attempt = f"{self.name}-{number}"
+                self.whole.append(self._ask(connection, attempt))
+                if not self.whole[-1]:
+                    return
+
+    def _ask(self, connection: socket.socket, attempt: str) -> bool:
+        """Send a request; return whether the whole answer arrived."""
+        head = (
+            f"{self.method} {self.path}{attempt} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Attempt-Id: {attempt}\r\nDeadline-Ms: {int(self.budget_s * 1000)}\r\n"
+            f"Content-Length: {len(self.body)}\r\n\r\n"
+        )
+        self.record.write(f"client sends {attempt}")
+        started_at = time.monotonic()
+        received, error = 0, "the connection was closed"
+        try:
+            connection.sendall(head.encode() + self.body)
+            received = self._receive(connection)
+        except OSError as failure:
+            error = repr(failure)
+        seconds = time.monotonic() - started_at
+        if received >= self.answer_bytes:
+            self.record.write(
+                f"client has the whole answer to {attempt}, {seconds:.2f} s"
+            )
+            return True
+        self.record.write(
+            f"client has {self.received} bytes of the answer to {attempt} after"
+            f" {seconds:.2f} s: {error}"
+        )
+        return False
+
+    def _receive(self, connection: socket.socket) -> int:
+        head = b""
+        while b"\r\n\r\n" not in head:
+            byte = connection.recv(1)
+            if not byte:
+                return 0
+            head += byte
+        self.record.write(f"client gets status {head.split(b' ')[1].decode()}")
+        started_at = time.monotonic()
+        self.received = 0
+        while self.received < self.answer_bytes:
+            data = connection.recv(2048 if self.link.window_bytes < 65_536 else 16_384)
+            if not data:
+                break
+            self.received += len(data)
+            due_s = self.received / self.link.bytes_per_s
+            time.sleep(max(due_s - (time.monotonic() - started_at), 0.0))
+        return self.received
+
+
+def long_answer(name: str, seconds: float, size: int) -> Answerer:
+    """Return what an endpoint does that has long answers."""
+    body = b"x" * size
+
+    def answer(connection: socket.socket, request: Request) -> bool:
+        time.sleep(seconds)
+        send_answer(connection, 200, request, {"Server-Stamp": name}, body)
+        return True
+
+    return answer
+
+
 def run_case(main: Callable[[bool], bool]) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if neither."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
