Review case 6: a node refuses a service for good after a freeze

Cause: the time for which the process stood still counts as the service time of the requests in flight; endpoints that are expected to be too slow get no request, so the estimate is never corrected.

--- a/review/6/__init__.py
+++ b/review/6/__init__.py
@@ -1,1 +1,1 @@
-"""A node that stops resets connections whose answers take a second."""
+"""A node that was frozen for some seconds refuses a service for good."""
