--- a/review/6/case.py
+++ b/review/6/case.py
@@ -134,6 +134,8 @@
             thread.join()
         for thread in clients.threads:
             thread.join()
+        state = "200" if node.is_ready() else "no 200"
+        rig.record.write(f"/ready of the node answers {state}")
         steady_from_s = FREEZE_AT_S + FREEZE_S + RECOVERY_S
         before = [x for x in clients.sent if x.sent_s < FREEZE_AT_S - 2.0]
         after = [x for x in clients.sent if x.sent_s > steady_from_s]
