--- a/review/rig.py
+++ b/review/rig.py
@@ -369,6 +369,10 @@
         self.store.stop()
         self.temporary.cleanup()
 
+    def ran(self) -> set[str]:
+        """Return the ids of the requests that an endpoint began to run."""
+        return {attempt for x in self.endpoints for _, attempt in x.runs}
+
     def add_endpoint(
         self, name: str, service: str, answer: Answerer, slots: int = 6
     ) -> Endpoint:
@@ -466,12 +470,21 @@
     whole: list[bool] = field(factory=list)
     # Bytes of the last answer's body.
     received: int = 0
+    # The last request, and when it was sent and ended.
+    attempt: str = ""
+    sent_at: float = 0.0
+    ended_at: float = 0.0
     thread: threading.Thread = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
+    def is_cut_off(self, ran: set[str]) -> bool:
+        """Return whether the last request ran and was cut off within its budget."""
+        is_in_time = self.ended_at - self.sent_at < self.budget_s
+        return self.whole[-1:] == [False] and self.attempt in ran and is_in_time
+
     def _run(self) -> None:
         with socket.socket() as connection:
             options = (
@@ -499,14 +512,15 @@
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         self.record.write(f"client sends {attempt}")
-        started_at = time.monotonic()
+        self.attempt, self.sent_at = attempt, time.monotonic()
         received, error = 0, "the connection was closed"
         try:
             connection.sendall(head.encode() + self.body)
             received = self._receive(connection)
         except OSError as failure:
             error = repr(failure)
-        seconds = time.monotonic() - started_at
+        self.ended_at = time.monotonic()
+        seconds = self.ended_at - self.sent_at
         if received >= self.answer_bytes:
             self.record.write(
                 f"client has the whole answer to {attempt}, {seconds:.2f} s"
