Log the estimate that a refusal follows from

Cause: a refusal for want of room logged the load only, so an idle server that was passed over as too slow looked like a full one.

--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -135,6 +135,18 @@
         return (
             f"{text}; {state.server.name} {state.load(now):.1f} of {state.server.slots}"
             f" (report {now - state.reported_at:.1f} s old)"
+            f", {self._describe_estimate(state, query, now)}"
+        )
+
+    def _describe_estimate(
+        self, state: TrackedServer, query: PlacementQuery, now: float
+    ) -> str:
+        expected_s = self.times.expected(query.route.name, state, query.object_key)
+        expected_s += state.round_trip_s or 0.0
+        return (
+            f"expects {expected_s:.2f} s of {_on_time_s(query):.2f} s"
+            f" (slowness {state.slowness:.1f}, last answer"
+            f" {now - state.answered_at:.1f} s ago)"
         )
 
     def _preferred(self, query: PlacementQuery, now: float) -> TrackedServer | None:
@@ -228,8 +240,7 @@
         load, slots = state.load(now), state.server.slots
         expected_s = self.times.expected(query.route.name, state, query.object_key)
         round_trip_s = state.round_trip_s or 0.0
-        allowed_s = query.retry_remaining_s or query.route.objective_s
-        on_time_s = allowed_s * ON_TIME_FRACTION
+        on_time_s = _on_time_s(query)
         if load < min(slots, self._load_limit(state, query)):
             # The request starts at once; a slow server has to answer on time too.
             return (
@@ -284,6 +295,12 @@
         return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
 
 
+def _on_time_s(query: PlacementQuery) -> float:
+    """Return the time that an answer may be estimated to take."""
+    allowed_s = query.retry_remaining_s or query.route.objective_s
+    return allowed_s * ON_TIME_FRACTION
+
+
 def without_ejected(states: list[TrackedServer], now: float) -> list[TrackedServer]:
     """Filter out ejected servers, up to MAX_EJECTED_FRACTION of a region's servers.
 
--- a/ebonybend/steering/tests/test_placement.py
+++ b/ebonybend/steering/tests/test_placement.py
@@ -378,3 +378,39 @@
             chooser.times.record_answer_time(ROUTE.name, state, b"17", seconds, False)
             state.record_success(seconds)
         self.assertIs(state, chooser.choose(QUERY, self.LATER_S))
+
+
+class RefusalReasonTest(TestWithScenarios, TestCase):
+    """Guards against a log line that hides whether a server is full or seems slow.
+
+    Load pattern: a server that is full, and one that is idle but expected to be late.
+    """
+
+    scenarios = [
+        (
+            "full",
+            {
+                "load": 3 * SLOTS,
+                "reason": "s0 30.0 of 10 (report inf s old), expects 0.07 s of 0.26 s"
+                " (slowness 1.0, last answer 5.0 s ago)",
+            },
+        ),
+        (
+            "expected to be late",
+            {
+                "slowness": 10.0,
+                "reason": "s0 0.0 of 10 (report inf s old), expects 0.70 s of 0.26 s"
+                " (slowness 10.0, last answer 5.0 s ago)",
+            },
+        ),
+    ]
+    load = 0
+    slowness = 1.0
+
+    def test_reason(self):
+        chooser = placement(server("s0"))
+        state = chooser.table.states["s0"]
+        chooser.times.record_answer_time("ride-history", state, b"17", 0.07, False)
+        state.record_success(0.07, 0.0)
+        state.in_flight, state.slowness = self.load, self.slowness
+        self.assertEqual(f"1 usable; {self.reason}", chooser.describe(QUERY, 5.0))
