Count no pause of the process as the time of a server

Change: the pause gate, which detects pauses, is asked wherever a time or a time-out is measured. Across a pause, an answer counts as a success without a time (slowness, mean times of server and route, longest time of the route, hence demand and saved times), an opened connection states no round trip, and neither a time-out, nor a connection time-out, nor a reset that looks unacknowledged ejects the server. A check of a crash measures no time, so it doesn't change.

--- a/ebonybend/node/forwarder.py
+++ b/ebonybend/node/forwarder.py
@@ -13,6 +13,7 @@
     ACK_TIMEOUT_MS,
     AnswerNotReceived,
     BackendAnswer,
+    BackendConnection,
     LossReason,
 )
 from ebonybend.node.backend_pool import BackendPool, BackendUnreachable
@@ -90,7 +91,12 @@
         self.pause_gate = pause_gate
         self.may_send = may_send
         self.outcomes = ServerOutcomes(
-            reactor.seconds, wire, placement.table, placement.times, crash_watch
+            reactor.seconds,
+            wire,
+            placement.table,
+            placement.times,
+            crash_watch,
+            pause_gate.has_paused_since,
         )
         self.retry_windows: dict[str, RetryWindow] = {}
         self.services: dict[str, ServiceLimits] = {}
@@ -277,9 +283,7 @@
         try:
             connection = self.pool.acquire(server, not request.route.idempotent)
             if connection is None:
-                connect_started = self.reactor.seconds()
-                connection = await self.pool.connect(server)
-                tracked.record_connect_time(self.reactor.seconds() - connect_started)
+                connection = await self._connect(tracked)
             started = self.reactor.seconds()
             obstacle = self._obstacle(request, tracked, selected_at)
             if obstacle is not None:
@@ -301,7 +305,7 @@
                 _ack_timeout_ms(request, started),
             )
             is_sent = True
-            answer = await self._await_answer(waiting, request)
+            answer = await self._await_answer(waiting, request, started)
         except SteeringError:
             self.outcomes.record_silence(request, tracked, started)
             self.crash_watch.record_lost(request, tracked)
@@ -318,8 +322,24 @@
         self.outcomes.record(request, tracked, server, answer, started)
         return answer
 
+    async def _connect(self, tracked: TrackedServer) -> BackendConnection:
+        """Open a connection and record how long that took.
+
+        A time-out across a pause of this process doesn't count against the server.
+        """
+        started = self.reactor.seconds()
+        try:
+            connection = await self.pool.connect(tracked.server)
+        except BackendUnreachable as failure:
+            if failure.refused or not self.pause_gate.has_paused_since(started):
+                raise
+            raise BackendUnreachable(str(failure), False, False) from failure
+        if not self.pause_gate.has_paused_since(started):
+            tracked.record_connect_time(self.reactor.seconds() - started)
+        return connection
+
     async def _await_answer(
-        self, waiting: Deferred[BackendAnswer], request: ClientRequest
+        self, waiting: Deferred[BackendAnswer], request: ClientRequest, sent_at: float
     ) -> BackendAnswer:
         remaining_s = max(request.deadline - self.reactor.seconds(), 0.0)
         expired = []
@@ -339,6 +359,12 @@
                 raise SteeringError(
                     ErrorKind.DEADLINE_EXCEEDED, "no answer in time"
                 ) from error
+            if (
+                error.loss is LossReason.UNACKNOWLEDGED
+                and self.pause_gate.has_paused_since(sent_at)
+            ):
+                # The time since the request was sent doesn't tell this from a reset.
+                raise AnswerNotReceived(LossReason.CLOSED) from error
             raise
         finally:
             timeout.stop()
--- a/ebonybend/node/server_outcomes.py
+++ b/ebonybend/node/server_outcomes.py
@@ -31,12 +31,15 @@
         table: ServerTable,
         times: ServiceTimes,
         crash_watch: CrashWatch,
+        has_paused_since: Callable[[float], bool],
     ):
         self.clock = clock
         self.wire = wire
         self.table = table
         self.times = times
         self.crash_watch = crash_watch
+        # Returns whether a pause of this process ended after a time.
+        self.has_paused_since = has_paused_since
         self.pause_lines = LineBudget(MAX_PAUSE_LINES_PER_S)
 
     def record(
@@ -64,7 +67,12 @@
     def record_silence(
         self, request: ClientRequest, tracked: TrackedServer, sent_at: float
     ) -> None:
-        """Record a request that was sent at a time and not answered in time."""
+        """Record a request that was sent at a time and not answered in time.
+
+        Nothing is known of the server if this process was paused meanwhile.
+        """
+        if self.has_paused_since(sent_at):
+            return
         expected_s = self.times.expected(
             request.route.name, tracked, request.object_key
         )
@@ -117,7 +125,7 @@
         if answer.status >= MIN_FAILURE_STATUS:
             self.record_failure(tracked, f"answered {answer.status}")
         else:
-            seconds = max(now - started - (tracked.round_trip_s or 0.0), 0.001)
+            seconds = self._service_time_s(tracked, started, now)
             tracked.record_success(seconds, now)
             self.crash_watch.record_success(request)
             waited = request.load >= tracked.server.slots
@@ -125,6 +133,17 @@
                 request.route.name, tracked, request.object_key, seconds, waited
             )
 
+    def _service_time_s(
+        self, tracked: TrackedServer, started: float, now: float
+    ) -> float | None:
+        """Return the time that an answer took on the server; None if unknown.
+
+        An answer that arrives while this process is paused is read later.
+        """
+        if self.has_paused_since(started):
+            return None
+        return max(now - started - (tracked.round_trip_s or 0.0), 0.001)
+
     def _record_limit(
         self, tracked: TrackedServer, answer: BackendAnswer, now: float
     ) -> None:
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -162,13 +162,18 @@
         self.others_in_flight = max(running + waiting - self.in_flight, 0)
         self.reported_at = now
 
-    def record_success(self, seconds: float, now: float = float("-inf")) -> None:
-        """Record a complete answer and the seconds that it took on the server."""
+    def record_success(self, seconds: float | None, now: float = float("-inf")) -> None:
+        """Record a complete answer and the time that it took on the server, if known.
+
+        Seconds exclude the network delay.
+        """
         self.answered_at = now
         self.reports.clear()
         self.failures = 0
         self.ejections = 0
         self.ejected_unreachable = False
+        if seconds is None:
+            return
         if self.service_s is None:
             self.service_s = seconds
         else:
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -122,11 +122,30 @@
         return max(times.mean_s * TAIL_FACTOR, times.longest_s or 0.0)
 
     def record_answer_time(
-        self, route: str, state: TrackedServer, key: bytes, seconds: float, queued: bool
+        self,
+        route: str,
+        state: TrackedServer,
+        key: bytes,
+        seconds: float | None,
+        queued: bool,
     ) -> None:
-        """Record a complete answer; seconds excludes the network round trip."""
+        """Record a complete answer and the time that it took, if that is known.
+
+        Seconds exclude the network round trip.
+        """
         name = state.server.name
-        warm = self.is_warm(name, key)
+        if seconds is not None:
+            self._record_time(route, state, self.is_warm(name, key), seconds, queued)
+        self.warm.setdefault(name, WarmObjects()).add(key)
+
+    def _record_time(
+        self,
+        route: str,
+        state: TrackedServer,
+        warm: bool,
+        seconds: float,
+        queued: bool,
+    ) -> None:
         times = self.routes.setdefault(route, RouteTimes())
         times.record_longest(seconds)
         expected = times.expected(warm)
@@ -138,7 +157,6 @@
             # Answers of a slow server would distort the times of the route.
             if expected is None or state.slowness < SLOW_FACTOR:
                 times.add_sample(warm, seconds)
-        self.warm.setdefault(name, WarmObjects()).add(key)
 
     def forget_server(self, server: str) -> None:
         """Drop the objects that were warm on a server, whose process has ended."""
