Try an idle server now and then, however late it is expected

Cause: only an answer corrects a server's slowness, and the estimate that it follows from kept every request away. Change: an idle server gets a request on trial when this node has sent it none for its turn, one a TRIAL_PERIOD_S (0.5 s) over all nodes on average, each at a phase of its own; the most urgent requests wait for a period more. The next answer replaces an old estimate of a slow server, in place of counting a tenth.

--- a/ebonybend/node/server_outcomes.py
+++ b/ebonybend/node/server_outcomes.py
@@ -130,7 +130,7 @@
             self.crash_watch.record_success(request)
             waited = request.load >= tracked.server.slots
             self.times.record_answer_time(
-                request.route.name, tracked, request.object_key, seconds, waited
+                request.route.name, tracked, request.object_key, seconds, waited, now
             )
 
     def _service_time_s(
--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -40,6 +40,9 @@
 # A server that isn't preferred for an object runs it only while its load is below this
 # fraction of its slots. The rest is left for its own objects.
 IDLE_FRACTION = 0.75
+# Mean time between two requests of all nodes to a server that each of them expects to
+# answer too late. Only an answer can correct a wrong estimate.
+TRIAL_PERIOD_S = 0.5
 # The regions of the nodes of a system of one node.
 ONE_NODE = {"": ""}
 
@@ -83,16 +86,32 @@
         self.node_count = node_count
 
     def choose(self, query: PlacementQuery, now: float) -> TrackedServer | None:
-        """Return the server to send the request to, or None if none has capacity."""
+        """Return the server to send the request to, or None if none has capacity.
+
+        A server that is expected to answer too late gets a request on trial now and
+        then while it is idle.
+        """
         candidates = self._candidates(query, now)
         local = [s for s in candidates if s.server.region == query.region]
         ordered = self._by_preference(local or candidates, query, now)
         ordered = [s for s in ordered if self._is_within_limit(s, query, now)]
-        if ordered and self._has_capacity(ordered[0], query, now):
+        if ordered and (
+            self._has_capacity(ordered[0], query, now)
+            or self._is_trial_due(ordered[0], query, now)
+        ):
             return ordered[0]
         idle = self._least_loaded_idle(ordered[1:], query, now)
-        if idle is not None or not local:
+        if idle is None and local:
+            idle = self._idle_remote(candidates, query, now)
+        if idle is not None:
             return idle
+        due = (s for s in ordered[1:] if self._is_trial_due(s, query, now))
+        return next(due, None)
+
+    def _idle_remote(
+        self, candidates: list[TrackedServer], query: PlacementQuery, now: float
+    ) -> TrackedServer | None:
+        """Return an idle server of another region, or None."""
         remote = [
             s
             for s in candidates
@@ -195,7 +214,8 @@
     def record_send(
         self, state: TrackedServer, service: ServiceLimits, now: float
     ) -> None:
-        """Count a request to a server whose rate is bounded over all nodes."""
+        """Record a request to a server; some rates to it are bounded over all nodes."""
+        state.sent_at = now
         if state.is_cold(now):
             state.pacer.record_send(now, service.cold_rate, self.node_count())
         part = self._limit_part(state, now)
@@ -234,6 +254,20 @@
             )
         return sorted(states, key=lambda s: s.load(now) / s.server.slots)
 
+    def _is_trial_due(
+        self, state: TrackedServer, query: PlacementQuery, now: float
+    ) -> bool:
+        """Return whether an idle server may be tried, however late it is expected.
+
+        Every node takes its turn. The most urgent requests wait for a period more, so
+        that others are tried if there are any.
+        """
+        if not _is_idle(state, now):
+            return False
+        periods = 1.0 + state.trial_phase + (query.urgent_route is None)
+        period_s = TRIAL_PERIOD_S * max(self.node_count(), 1)
+        return now - state.sent_at >= periods * period_s
+
     def _has_capacity(
         self, state: TrackedServer, query: PlacementQuery, now: float
     ) -> bool:
@@ -287,7 +321,7 @@
         idle = [
             s
             for s in states
-            if s.load(now) < s.server.slots * IDLE_FRACTION
+            if _is_idle(s, now)
             and (s.round_trip_s or 0.0)
             + self.times.expected(query.route.name, s, query.object_key)
             <= on_time_s
@@ -295,6 +329,10 @@
         return min(idle, key=lambda s: s.load(now) / s.server.slots, default=None)
 
 
+def _is_idle(state: TrackedServer, now: float) -> bool:
+    return state.load(now) < state.server.slots * IDLE_FRACTION
+
+
 def _on_time_s(query: PlacementQuery) -> float:
     """Return the time that an answer may be estimated to take."""
     allowed_s = query.retry_remaining_s or query.route.objective_s
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -52,8 +52,14 @@
     reported_at: float = float("-inf")
     # Mean service time without network delay; None before the first answer.
     service_s: float | None = None
-    # Service time relative to the service's other servers.
+    # Service time relative to the service's other servers, and the time of the answer
+    # that showed it last.
     slowness: float = 1.0
+    slowness_at: float = float("-inf")
+    # Time of this node's last request to the server, or of its listing.
+    sent_at: float = float("-inf")
+    # Part of a period, 0 to 1, by which this node's trials differ from other nodes'.
+    trial_phase: float = 0.0
     # Network round-trip time; None before the first connection.
     round_trip_s: float | None = None
     failures: int = 0
@@ -116,6 +122,8 @@
             pacer=pacer,
             limit=self.limit,
             paused_until=self.paused_until,
+            sent_at=self.sent_at,
+            trial_phase=self.trial_phase,
             states_leaving=self.states_leaving,
             life=self.life,
         )
@@ -275,6 +283,8 @@
                     server,
                     pacer=ColdPacer(self.new_phase()),
                     limit=ServerLimit(self.new_phase()),
+                    sent_at=now,
+                    trial_phase=self.new_phase(),
                 )
             if server != state.server or state.cold_until == float("-inf"):
                 # An entry states the warm-up time that remained when it was written,
--- a/ebonybend/steering/service_times.py
+++ b/ebonybend/steering/service_times.py
@@ -21,6 +21,8 @@
 MAX_SLOWNESS = 20.0
 # Slowness from which a server counts as slow; servers of one service differ by less.
 SLOW_FACTOR = 2.0
+# Age from which an estimate that a server is slow is replaced by the next answer's.
+SLOWNESS_LIFETIME_S = 0.5
 # Multiple of the mean time within which most answers arrive.
 TAIL_FACTOR = 4.0
 # Factor by which the longest time falls with each answer.
@@ -61,6 +63,15 @@
     return value if mean is None else mean + GAIN * (value - mean)
 
 
+def _update_slowness(state: TrackedServer, ratio: float, now: float) -> None:
+    """Update a server's slowness by the ratio of an answer's time to the usual one."""
+    is_old = now - state.slowness_at >= SLOWNESS_LIFETIME_S
+    gain = 1.0 if is_old and state.slowness >= SLOW_FACTOR else GAIN
+    slowness = state.slowness + gain * (ratio - state.slowness)
+    state.slowness = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+    state.slowness_at = now
+
+
 @define
 class WarmObjects:
     """The objects that a server handled most recently."""
@@ -128,6 +139,7 @@
         key: bytes,
         seconds: float | None,
         queued: bool,
+        now: float = float("-inf"),
     ) -> None:
         """Record a complete answer and the time that it took, if that is known.
 
@@ -135,7 +147,8 @@
         """
         name = state.server.name
         if seconds is not None:
-            self._record_time(route, state, self.is_warm(name, key), seconds, queued)
+            warm = self.is_warm(name, key)
+            self._record_time(route, state, warm, seconds, queued, now)
         self.warm.setdefault(name, WarmObjects()).add(key)
 
     def _record_time(
@@ -145,15 +158,14 @@
         warm: bool,
         seconds: float,
         queued: bool,
+        now: float,
     ) -> None:
         times = self.routes.setdefault(route, RouteTimes())
         times.record_longest(seconds)
         expected = times.expected(warm)
         if not queued:
             if expected:
-                ratio = seconds / expected
-                slowness = state.slowness + GAIN * (ratio - state.slowness)
-                state.slowness = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+                _update_slowness(state, seconds / expected, now)
             # Answers of a slow server would distort the times of the route.
             if expected is None or state.slowness < SLOW_FACTOR:
                 times.add_sample(warm, seconds)
