Say what the period of trials bounds

Cause: the comment called it the mean time between two requests, and it is the least one on average. Change: the comment. Result: no change of behaviour.

--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -40,8 +40,8 @@
 # A server that isn't preferred for an object runs it only while its load is below this
 # fraction of its slots. The rest is left for its own objects.
 IDLE_FRACTION = 0.75
-# Mean time between two requests of all nodes to a server that each of them expects to
-# answer too late. Only an answer can correct a wrong estimate.
+# A server that every node expects to answer too late gets at most one request in this
+# time from all of them, on average. Only an answer can correct a wrong estimate.
 TRIAL_PERIOD_S = 0.5
 # The regions of the nodes of a system of one node.
 ONE_NODE = {"": ""}
