Let a node try an avoided server soon, and with what matters least

Cause: the turn of a node came one to two turns of all nodes after its last request to the server. After a freeze of a region all nodes had sent their last request at the same time, so with 24 nodes none tried a server for 12 s, and urgent requests for 24 s. A request that isn't idempotent could be the one that is tried, though its outcome is unknown without an answer. Change: a node's first turn comes at its own place within the turns of all nodes, the next ones once in as many. The most urgent requests wait for one period (0.5 s) more, not for one of all nodes, and those that aren't idempotent for another one.

--- a/ebonybend/steering/placement.py
+++ b/ebonybend/steering/placement.py
@@ -89,7 +89,7 @@
         """Return the server to send the request to, or None if none has capacity.
 
         A server that is expected to answer too late gets a request on trial now and
-        then while it is idle.
+        then while it is idle, which is recorded here.
         """
         candidates = self._candidates(query, now)
         local = [s for s in candidates if s.server.region == query.region]
@@ -97,7 +97,7 @@
         ordered = [s for s in ordered if self._is_within_limit(s, query, now)]
         if ordered and (
             self._has_capacity(ordered[0], query, now)
-            or self._is_trial_due(ordered[0], query, now)
+            or self._begins_trial(ordered[0], query, now)
         ):
             return ordered[0]
         idle = self._least_loaded_idle(ordered[1:], query, now)
@@ -105,8 +105,8 @@
             idle = self._idle_remote(candidates, query, now)
         if idle is not None:
             return idle
-        due = (s for s in ordered[1:] if self._is_trial_due(s, query, now))
-        return next(due, None)
+        tried = (s for s in ordered[1:] if self._begins_trial(s, query, now))
+        return next(tried, None)
 
     def _idle_remote(
         self, candidates: list[TrackedServer], query: PlacementQuery, now: float
@@ -254,19 +254,24 @@
             )
         return sorted(states, key=lambda s: s.load(now) / s.server.slots)
 
-    def _is_trial_due(
+    def _begins_trial(
         self, state: TrackedServer, query: PlacementQuery, now: float
     ) -> bool:
-        """Return whether an idle server may be tried, however late it is expected.
+        """Record and return whether an idle server is tried, however late it seems.
 
-        Every node takes its turn. The most urgent requests wait for a period more, so
-        that others are tried if there are any.
+        Every node takes its turn. The most urgent requests, and those whose outcome is
+        unknown without an answer, wait for a period more, so that others are tried if
+        there are any.
         """
-        if not _is_idle(state, now):
+        turns_s = TRIAL_PERIOD_S * max(self.node_count(), 1)
+        due_at = max(
+            state.sent_at + state.trial_phase * turns_s, state.trial_at + turns_s
+        )
+        waits = (query.urgent_route is None) + (not query.route.idempotent)
+        if now < due_at + waits * TRIAL_PERIOD_S or not _is_idle(state, now):
             return False
-        periods = 1.0 + state.trial_phase + (query.urgent_route is None)
-        period_s = TRIAL_PERIOD_S * max(self.node_count(), 1)
-        return now - state.sent_at >= periods * period_s
+        state.trial_at = now
+        return True
 
     def _has_capacity(
         self, state: TrackedServer, query: PlacementQuery, now: float
--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -58,7 +58,9 @@
     slowness_at: float = float("-inf")
     # Time of this node's last request to the server, or of its listing.
     sent_at: float = float("-inf")
-    # Part of a period, 0 to 1, by which this node's trials differ from other nodes'.
+    # Time of this node's last trial of a server that it expects to answer too late.
+    trial_at: float = float("-inf")
+    # This node's place, 0 to 1, among the turns of all nodes to try the server.
     trial_phase: float = 0.0
     # Network round-trip time; None before the first connection.
     round_trip_s: float | None = None
@@ -123,6 +125,7 @@
             limit=self.limit,
             paused_until=self.paused_until,
             sent_at=self.sent_at,
+            trial_at=self.trial_at,
             trial_phase=self.trial_phase,
             states_leaving=self.states_leaving,
             life=self.life,
