Let the soak of nodes find idle servers that a node avoids

Cause: a refusal at an idle server counted only if so many were refused at the end that service had not recovered, and was then taken for a known entry. Change: the soak reads the refusals of all nodes, whose reason names the estimate, and reports an idle server that a node expects to be late and has no answer of for longer than the turns of all nodes, twice, and a long request. Result: AvoidedServerTest; no soak was run with it yet.

--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -4,6 +4,7 @@
 result; the exit status is 1 if a promise was broken.
 """
 
+import re
 import sys
 from collections import Counter
 from collections.abc import Iterable
@@ -26,7 +27,8 @@
     Pause,
     Restart,
 )
-from bench.node_fleet import SERVICES, ZONES, NodeFleet
+from bench.node_fleet import LONG_SERVICE_S, SERVICES, ZONES, NodeFleet
+from ebonybend.steering.placement import TRIAL_PERIOD_S
 from standins.command import parse_flags
 
 CALLERS = 18
@@ -71,6 +73,12 @@
 # Below this fraction of whole answers in the last seconds, service has not recovered.
 MIN_RECOVERED_FRACTION = 0.95
 MAX_SHOWN = 5
+# A refusal at an idle server: its name, the time in which it is expected to answer, the
+# time allowed, and the age of its last answer.
+IDLE_REFUSAL = re.compile(
+    r"; (\S+) 0\.0 of \d+ .*, expects ([\d.]+) s of ([\d.]+) s"
+    r" \(slowness [\d.]+, last answer ([\d.]+) s ago\)"
+)
 
 
 @define
@@ -252,6 +260,30 @@
     return any(x.started_at < end and x.ended_at > start for x in faults)
 
 
+def max_avoided_s(nodes: int) -> float:
+    """Return for how long a node may send nothing to an idle server.
+
+    Its turn comes once in those of all nodes, other requests precede urgent and unsafe
+    ones for a period each, the first trial may be lost, and the second may be long.
+    """
+    return 2 * (nodes + 2) * TRIAL_PERIOD_S + LONG_SERVICE_S + TRANSIT_S
+
+
+def avoided_servers(refusals: Iterable[str], nodes: int) -> list[str]:
+    """Return the idle servers that nodes avoided for too long, from their log lines."""
+    longest: dict[str, float] = {}
+    for line in refusals:
+        found = IDLE_REFUSAL.search(line)
+        if found and float(found[2]) > float(found[3]):
+            name = f"{line.partition(':')[0]} avoided idle {found[1]}"
+            longest[name] = max(longest.get(name, 0.0), float(found[4]))
+    return [
+        f"{name} for {seconds:.1f} s"
+        for name, seconds in sorted(longest.items())
+        if seconds > max_avoided_s(nodes)
+    ]
+
+
 def not_recovered(fleet: NodeFleet, sent: list[SentRequest], since: float) -> list[str]:
     """Return what does not work again after the faults have ended."""
     violations = [f"{x} is not ready" for x in fleet.nodes if not fleet.is_ready(x)]
@@ -318,6 +350,8 @@
     violations += cut_off_requests(sent, injector.faults, runs)
     violations += late_answers(sent, injector.faults)
     violations += work_on_cold_servers(injector.restarts, COLD_S)
+    refusals = fleet.log_lines(fleet.nodes, "no server has room")
+    violations += avoided_servers(refusals, len(fleet.nodes))
     disturbed = [
         (fault.target, fault.started_at, fault.ended_at)
         for fault in injector.faults
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -21,10 +21,12 @@
     Leaving,
     Pause,
     Restart,
+    avoided_servers,
     broken_answers,
     cut_off_requests,
     late_answers,
     late_work,
+    max_avoided_s,
     run_soak,
     work_in_pauses,
     work_on_cold_servers,
@@ -34,6 +36,32 @@
 STOP = Fault("stop", "n1", 9.0, 12.0)
 
 
+class AvoidedServerTest(TestWithScenarios, TestCase):
+    """Guards against a soak that takes a refusal at an idle server for a full one."""
+
+    scenarios = [
+        ("avoided for long", {"found": 1}),
+        ("avoided for a while", {"age_s": max_avoided_s(6) - 1.0}),
+        ("in use", {"load": 4.0}),
+        ("on time", {"expected_s": 0.3}),
+        ("no answer yet", {"age_s": float("inf")}),
+    ]
+    load = 0.0
+    expected_s = 0.5
+    age_s = max_avoided_s(6) + 1.0
+    found = 0
+
+    def test_found(self):
+        line = (
+            f'n1: {{"reason": "no server has room: 2 usable; i-3 {self.load:.1f} of 6'
+            f" (report inf s old), expects {self.expected_s:.2f} s of 0.42 s (slowness"
+            f' 8.5, last answer {self.age_s:.1f} s ago)", "event": "request_ended"}}'
+        )
+        found = avoided_servers([line], 6)
+        expected = [f"n1 avoided idle i-3 for {self.age_s:.1f} s"]
+        self.assertEqual(expected[: self.found], found)
+
+
 class BrokenAnswerTest(TestWithScenarios, TestCase):
     """Guards against a soak that doesn't see what callers must not receive."""
 
