--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -332,6 +332,11 @@
             "seed 1, broken answers",
             {"seed": 1, "seconds": 18.0, "kinds": ("answers_broken", "config")},
         ),
+        # Pauses of a node, and long requests, had idle servers avoided for good.
+        (
+            "seed 4408, pauses",
+            {"seed": 4408, "seconds": 22.0, "kinds": ("pause", "config", "stop")},
+        ),
     ]
     seconds = 16.0
     kinds = ()
