--- a/ebonybend/steering/server_state.py
+++ b/ebonybend/steering/server_state.py
@@ -52,13 +52,11 @@
     reported_at: float = float("-inf")
     # Mean service time without network delay; None before the first answer.
     service_s: float | None = None
-    # Service time relative to the service's other servers, and the time of the answer
-    # that showed it last.
+    # Service time relative to the service's other servers, and its last answer's time.
     slowness: float = 1.0
     slowness_at: float = float("-inf")
-    # Time of this node's last request to the server, or of its listing.
+    # Times of this node's last request, or of the listing, and of its last trial.
     sent_at: float = float("-inf")
-    # Time of this node's last trial of a server that it expects to answer too late.
     trial_at: float = float("-inf")
     # This node's place, 0 to 1, among the turns of all nodes to try the server.
     trial_phase: float = 0.0
@@ -174,10 +172,7 @@
         self.reported_at = now
 
     def record_success(self, seconds: float | None, now: float = float("-inf")) -> None:
-        """Record a complete answer and the time that it took on the server, if known.
-
-        Seconds exclude the network delay.
-        """
+        """Record a complete answer, and its time without network delay if known."""
         self.answered_at = now
         self.reports.clear()
         self.failures = 0
--- a/ebonybend/steering/tests/test_trials.py
+++ b/ebonybend/steering/tests/test_trials.py
@@ -4,34 +4,17 @@
 from testscenarios import TestWithScenarios, multiply_scenarios
 from testtools import TestCase
 
-from ebonybend.steering.placement import TRIAL_PERIOD_S, Placement, PlacementQuery
+from ebonybend.steering.placement import TRIAL_PERIOD_S, Placement
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.steering.service_times import MAX_SLOWNESS, RouteTimes, ServiceTimes
-from ebonybend.world import BackendServer
-from ebonybend.world.route import Route, RoutePart, ServiceLimits
+from ebonybend.steering.tests.test_placement import QUERY, ROUTE, SERVICE, server
 
-SLOTS = 6
 ANSWER_S = 0.1
 STEP_S = 0.01
 # Time in which each node gets a request.
 TURN_S = 0.1
-SERVICE = ServiceLimits("s", 100, 3.0, 16.0)
-ROUTE = Route(
-    name="r",
-    host="h",
-    prefix="/",
-    idempotent=True,
-    parts=(RoutePart("s", 1.0),),
-    max_sends=2,
-    timeout_s=0.8,
-    objective_s=0.3,
-    priority=2,
-    sticky=True,
-)
 URGENT = evolve(ROUTE, name="u", priority=1)
-LESS_URGENT_QUERY = PlacementQuery(
-    service=SERVICE, route=ROUTE, object_key=b"17", region="a", urgent_route=URGENT
-)
+LESS_URGENT_QUERY = evolve(QUERY, urgent_route=URGENT)
 URGENT_QUERY = evolve(LESS_URGENT_QUERY, route=URGENT, urgent_route=None)
 UNSAFE = evolve(URGENT, name="w", idempotent=False)
 UNSAFE_QUERY = evolve(URGENT_QUERY, route=UNSAFE)
@@ -55,11 +38,7 @@
         self.placements = []
         for _ in range(nodes):
             table = ServerTable(random.random)
-            servers = {
-                name: BackendServer(name, "s", "a-1", "10.0.0.1:80", SLOTS, region="a")
-                for name in answer_s
-            }
-            table.update(servers, self.now)
+            table.update({name: server(name) for name in answer_s}, self.now)
             placement = Placement(table, ServiceTimes(), lambda: nodes)
             self.placements.append(placement)
             for state in table.states.values():
@@ -111,7 +90,7 @@
             self.record_answer(placement, state, query.route.name, seconds)
 
     def times(self, name):
-        return [at for at, server, _ in self.sent if server == name]
+        return [at for at, sent_to, _ in self.sent if sent_to == name]
 
 
 class WrongEstimateTest(TestWithScenarios, TestCase):
