--- a/review/small_fleet.py
+++ b/review/small_fleet.py
@@ -374,7 +374,9 @@
         for endpoint in self.endpoints:
             self.store.state.put("servers", endpoint.name, endpoint.entry())
 
-    def set_config(self, *routes: dict[str, object]) -> None:
+    def set_config(
+        self, *routes: dict[str, object], max_header_bytes: int = 16384
+    ) -> None:
         """Write the next desired state."""
         self.version += 1
         services = sorted({endpoint.service for endpoint in self.endpoints})
@@ -385,7 +387,7 @@
                 for x in services
             ],
             "Limits": {
-                "MaxHeaderBytes": 16384,
+                "MaxHeaderBytes": max_header_bytes,
                 "MaxBodyBytes": 1048576,
                 "HeaderTimeoutMs": 3000,
                 "IdleTimeoutMs": 15000,
