Tell requests apart by method, host, query and body

Cause: the identity of a request left out the method, the host and the query, so it joined requests that the servers run differently. What one did counted for all of them, crashes and successes alike.

Change: steering/culprits.py states the parts with their reasons. The form of an identity stays, so builds from before read it.

--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -197,5 +197,6 @@
 
 def fingerprint_of(request: ClientRequest) -> str:
     """Return what a request has in common with itself when it comes again."""
-    path = request.uri.partition(b"?")[0].decode("latin-1")
-    return identify(path, request.caller, request.body)
+    return identify(
+        request.method, request.route.host, request.uri, request.body, request.caller
+    )
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -341,7 +341,7 @@
         connecting = fixture.pool.connecting = Deferred()
         fixture.forward()
         report = CrashReport("", refused=True)
-        name = identify("/x", "", b"body")
+        name = identify(b"POST", "h", b"/x?y=1", b"body", "")
         fixture.crash_detector.merge("n2", [evolve(report, fingerprint=name)])
         fixture.pool.connecting = None
         connecting.callback(None)
@@ -351,7 +351,7 @@
     def test_suspect_that_may_have_run_is_not_refused_as_not_run(self):
         fixture = ForwarderFixture([])
         fixture.forward()
-        name = identify("/x", "", b"body")
+        name = identify(b"POST", "h", b"/x?y=1", b"body", "")
         fixture.crash_detector.merge("n2", [CrashReport(name, refused=True)])
         fixture.pool.waiting.errback(CLOSED)
         self.assertEqual(ErrorKind.ANSWER_LOST, fixture.outcome())
--- a/ebonybend/steering/culprits.py
+++ b/ebonybend/steering/culprits.py
@@ -1,9 +1,16 @@
 """Recognise a request that comes again, and tell culprits from requests beside them.
 
-A request is known by its path, its caller and its body, whichever service, node or
-connection it comes by. The address of the connection tells the caller. Since one may
-come from several addresses, the same content from all callers together counts as a
-request of its own, too.
+Two requests are the same if these parts are equal:
+
+- the method and the host, which select another operation or another route;
+- the whole target, path and query, and the body, which the server acts upon;
+- the caller, since a request may crash servers for one caller only. No header names
+  it; the address of the connection does.
+
+The service, the node, the connection and other headers are no part: they change from
+one attempt to the next, or with the configuration. Since a caller may come from several
+addresses, the same content from all callers together counts as a request of its own,
+too.
 """
 
 from collections.abc import Callable, Collection, Mapping, Set
@@ -14,11 +21,12 @@
 SEPARATOR = "-"
 
 
-def identify(path: str, caller: str, body: bytes) -> str:
+def identify(method: bytes, host: str, target: bytes, body: bytes, caller: str) -> str:
     """Return the identity of a request: hashes of its content and of its caller."""
-    # The length keeps a path with the start of a body from being another path.
-    state = xxh3_64(f"{len(path)};{path}".encode())
-    state.update(body)
+    # The lengths keep the end of one part from being the start of the next.
+    state = xxh3_64(b"%d %d %d " % (len(method), len(host), len(target)))
+    for part in (method, host.encode(), target, body):
+        state.update(part)
     return f"{state.hexdigest()}{SEPARATOR}{xxh3_64_hexdigest(caller.encode())[:8]}"
 
 
--- a/ebonybend/steering/tests/test_culprits.py
+++ b/ebonybend/steering/tests/test_culprits.py
@@ -48,8 +48,8 @@
         self.assertEqual(set(self.culprits.split()), found)
 
     def test_content(self):
-        identity = identify("/x", "10.9.0.1", b"body")
-        other = identify("/x", "10.9.0.2", b"body")
+        identity = identify(b"GET", "h", b"/x", b"body", "10.9.0.1")
+        other = identify(b"GET", "h", b"/x", b"body", "10.9.0.2")
         self.assertNotEqual(identity, other)
         self.assertEqual(content_of(identity), content_of(other))
         self.assertEqual(content_of(identity), content_of(content_of(identity)))
