Hold requests on open connections to the limits in force

Cause: the limit on headers and on a line was copied into the parser when a connection was opened, and the smaller of copy and current limit refused. The class has more: an idle time that was raised while the connection was idle was never over, since each extension was taken for the new limit; one that was lowered never reached kept connections; the receive time of a head that arrives was fixed when it began; a body that began under a larger limit was refused midway. The parser also refused more than 500 headers, whatever the limit on their bytes.

Change: the parser's limits are properties of the site's. A request is held to the limits of its beginning or the present ones, whichever allow more, as its client may know either; idle connections likewise.

--- a/ebonybend/http_connection.py
+++ b/ebonybend/http_connection.py
@@ -1,4 +1,9 @@
-"""A connection of an HTTP server, and the requests on it."""
+"""A connection of an HTTP server, and the requests on it.
+
+The limits of the site may change while a connection is open. A request is held to those
+in force when it began or to the present ones, whichever allow more, since its client
+may know either; an idle connection likewise.
+"""
 
 from collections import deque
 from collections.abc import Callable
@@ -6,6 +11,7 @@
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.protocols.basic import LineReceiver
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request
 
@@ -33,6 +39,8 @@
     """A request that is passed to the site's handler once it is complete."""
 
     received_bytes = 0
+    # Limit on the body that was in force at the end of the headers.
+    initial_max_body_bytes = 0
     # Called if the client closes its connection before the answer is written. The
     # handler then goes on, unless this function cancels it.
     on_client_disconnect: Callable[[], None] | None = None
@@ -41,7 +49,7 @@
 
     def gotLength(self, length: int | None) -> None:
         """Refuse a body whose stated length is over the limit."""
-        limit = self.channel.site.limits.max_body_bytes
+        limit = self.initial_max_body_bytes = self.channel.site.limits.max_body_bytes
         if length is not None and length > limit:
             self.channel.refuse(
                 ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes is over {limit}"
@@ -51,7 +59,8 @@
     def handleContentChunk(self, data: bytes) -> None:
         """Collect a piece of the body, up to the limit."""
         self.received_bytes += len(data)
-        limit = self.channel.site.limits.max_body_bytes
+        present = self.channel.site.limits.max_body_bytes
+        limit = max(self.initial_max_body_bytes, present)
         if self.received_bytes > limit:
             self.channel.refuse(ErrorKind.BODY_TOO_LARGE, f"body is over {limit} bytes")
             return
@@ -178,18 +187,41 @@
     # Whether the next answer announces the end of the connection.
     ends_after_answer = False
     receive_timer: Any = None
+    receive_began_at = 0.0
     linger_timer: Any = None
     header_bytes = 0
+    # Limit on the headers that was in force when the current request began.
+    initial_max_header_bytes = 0
     # Position of the current request's first byte in the received stream.
     request_offset = 0
     # Whether buffered input is parsed, which was received before.
     replaying = False
 
+    @property
+    def max_header_bytes(self) -> int:
+        """Return the limit on the headers of the current request."""
+        return max(self.initial_max_header_bytes, self.site.limits.max_header_bytes)
+
+    @property
+    def maxHeaders(self) -> int:
+        """Return the parser's limit on the number of headers, which bytes bound."""
+        return self.max_header_bytes
+
+    @property
+    def totalHeadersSize(self) -> int:
+        """Return the parser's limit on the headers."""
+        return self.max_header_bytes
+
+    @property
+    def MAX_LENGTH(self) -> int:
+        """Return the parser's limit on a line, of a head or between chunks."""
+        return max(LineReceiver.MAX_LENGTH, self.max_header_bytes)
+
     def connectionMade(self) -> None:
         """Count the connection."""
         super().connectionMade()
         self.arrivals = ArrivalTimes()
-        self.connected_at = self.site.reactor.seconds()
+        self.connected_at = self.idle_since = self.site.reactor.seconds()
         self.site.connections += 1
         self.site.channels.add(self)
 
@@ -208,11 +240,18 @@
             return
         if not self.replaying:
             self.arrivals.record(len(data), self.site.reactor.seconds())
+        limits = self.site.limits
         # Input behind a request that is being handled isn't a request yet.
         if self.receive_timer is None and not self._handlingRequest:
+            self.receive_began_at = self.site.reactor.seconds()
+            self.initial_max_header_bytes = limits.max_header_bytes
             self.receive_timer = self.site.reactor.callLater(
-                self.site.limits.receive_timeout_s, self._refuse_slow_client
+                limits.receive_timeout_s, self._refuse_slow_client
             )
+        self.idle_since = self.site.reactor.seconds()
+        # None while a request is handled, which has no idle time.
+        if self.timeOut is not None:
+            self.timeOut = limits.idle_timeout_s
         super().dataReceived(data)
 
     def allHeadersReceived(self) -> None:
@@ -233,32 +272,39 @@
         if self.ended:
             return
         self.header_bytes += len(line)
-        if self.header_bytes > self.site.limits.max_header_bytes:
-            limit = self.site.limits.max_header_bytes
+        limit = self.max_header_bytes
+        if self.header_bytes > limit:
             self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
             return
         super().lineReceived(line)
 
     def lineLengthExceeded(self, line: bytes) -> None:
         """Refuse a line that is over the limit of all headers."""
-        limit = self.site.limits.max_header_bytes
+        limit = self.max_header_bytes
         self.refuse(ErrorKind.HEADERS_TOO_LARGE, f"headers are over {limit} bytes")
 
     def _respondToBadRequestAndDisconnect(self) -> None:
         self.refuse(ErrorKind.BAD_REQUEST, "malformed HTTP request")
 
     def _refuse_slow_client(self) -> None:
-        self.receive_timer = None
         limit = self.site.limits.receive_timeout_s
+        left_s = self.receive_began_at + limit - self.site.reactor.seconds()
+        if left_s > 0:
+            # The limit was raised since the request began.
+            self.receive_timer = self.site.reactor.callLater(
+                left_s, self._refuse_slow_client
+            )
+            return
+        self.receive_timer = None
         self.refuse(ErrorKind.SLOW_CALLER, f"request not received whole in {limit} s")
 
     def timeoutConnection(self) -> None:
         """Close the connection if it was idle for the limit in force now."""
-        # The limit may have been raised since the connection became idle.
-        extra_s = self.site.limits.idle_timeout_s - self.timeOut
-        if extra_s > 0:
-            self.timeOut = self.site.limits.idle_timeout_s
-            self.setTimeout(extra_s)
+        limit = self.site.limits.idle_timeout_s
+        left_s = self.idle_since + limit - self.site.reactor.seconds()
+        if left_s > 0:
+            # The limit was raised since the connection became idle.
+            self.setTimeout(left_s)
             return
         super().timeoutConnection()
 
@@ -284,6 +330,9 @@
             self.requests.remove(request)
             self.end_output()
             return
+        self.idle_since = self.site.reactor.seconds()
+        if self._savedTimeOut is not None:
+            self._savedTimeOut = self.site.limits.idle_timeout_s
         was_replaying, self.replaying = self.replaying, True
         try:
             super().requestDone(request)
--- a/ebonybend/http_server.py
+++ b/ebonybend/http_server.py
@@ -48,6 +48,7 @@
             reactor=reactor,
         )
         self.handler = handler
+        # May be replaced at any time; connections that are open follow.
         self.limits = limits
         self.connections = 0
         # Number of requests whose answer is not written yet.
@@ -68,8 +69,6 @@
         channel.factory = self
         channel.callLater = self.reactor.callLater
         channel.timeOut = self.limits.idle_timeout_s
-        channel.totalHeadersSize = self.limits.max_header_bytes
-        channel.MAX_LENGTH = max(channel.MAX_LENGTH, self.limits.max_header_bytes)
         return channel
 
     def unfinished(self) -> int:
--- a/ebonybend/tests/test_http_server.py
+++ b/ebonybend/tests/test_http_server.py
@@ -2,6 +2,7 @@
 from hypothesis import strategies as st
 from testscenarios import TestWithScenarios
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -23,12 +24,20 @@
     def __init__(self):
         self.clock = Clock()
         self.bodies = []
+        self.held = None
         router = Router()
         router.add("POST", "/echo", self.echo)
         self.site = HttpSite(self.clock, router, LIMITS)
 
+    def hold_answers(self):
+        """Hold the answers until the returned Deferred fires."""
+        self.held = Deferred()
+        return self.held
+
     async def echo(self, request):
         self.bodies.append(request.body)
+        if self.held is not None:
+            await self.held
         return json_answer(request.body.decode("latin-1"))
 
     def connect(self):
