Apply changed settings to everything that had copied them

A changed ttl_max_s, MaxFds, MemoryMb or HistoryS had no effect before a restart, or before the next version of the configuration.

Retry budgets were thrown away on a change, with what they had counted.

Change: retry budgets take new bounds and keep their counts; the others are read when they are used, or set again on a reload.

--- a/ebonybend/node/answer_memory.py
+++ b/ebonybend/node/answer_memory.py
@@ -12,13 +12,13 @@
     """The bytes of all answers that are being received."""
 
     def __init__(self, max_bytes: float = float("inf")):
+        # May change at any time; what is reserved stays.
         self.max_bytes = max_bytes
-        self.max_answer_bytes = max_bytes * MAX_ANSWER_FRACTION
         self.reserved = 0
 
     def try_reserve(self, answer_bytes: int, more: int) -> bool:
         """Reserve memory for an answer that grows; return whether it may grow."""
-        if answer_bytes + more > self.max_answer_bytes:
+        if answer_bytes + more > self.max_bytes * MAX_ANSWER_FRACTION:
             return False
         if self.reserved + more > self.max_bytes:
             return False
@@ -30,6 +30,6 @@
         self.reserved -= answer_bytes
 
 
-def answer_memory(process_memory_mb: int) -> AnswerMemory:
+def answer_memory_bytes(process_memory_mb: int) -> float:
     """Return the limit for a process with a memory limit in MB."""
-    return AnswerMemory(process_memory_mb * BYTES_PER_MB * PROCESS_MEMORY_FRACTION)
+    return process_memory_mb * BYTES_PER_MB * PROCESS_MEMORY_FRACTION
--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -92,7 +92,6 @@
         self.lag_detector = LagDetector()
         self.decoded_servers = DecodedObjects(self._decode_server)
         self.decoded_members = DecodedObjects(documents.decode_member)
-        watch_s = min(MAX_WATCH_S, HISTORY_FRACTION * settings().store_history_s)
         self.watchers = [
             Watcher(
                 store,
@@ -101,7 +100,7 @@
                 random,
                 self._notifying(apply),
                 MAX_BACKOFF_S,
-                int(watch_s * MS_PER_S),
+                self._watch_timeout_ms(),
             )
             for kind, apply in (
                 (documents.config_kind, self.on_config),
@@ -112,6 +111,16 @@
         ]
         self.watchers_by_kind = {watcher.kind: watcher for watcher in self.watchers}
 
+    def _watch_timeout_ms(self) -> int:
+        history_s = self.settings().store_history_s
+        return int(min(MAX_WATCH_S, HISTORY_FRACTION * history_s) * MS_PER_S)
+
+    def apply_settings(self) -> None:
+        """Apply changed settings to the next watches, and to all servers."""
+        for watcher in self.watchers:
+            watcher.watch_timeout_ms = self._watch_timeout_ms()
+        self.redecode_servers()
+
     def _notifying(self, apply: OnChange) -> OnChange:
         def apply_and_notify(
             kind: str, version: int, objects: Mapping[str, StoredObject]
--- a/ebonybend/node/ports.py
+++ b/ebonybend/node/ports.py
@@ -45,7 +45,7 @@
         wire: WireFormat,
         own_ready: Callable[[], bool],
         clock: Callable[[], float],
-        max_lifetime_s: float,
+        max_lifetime_s: Callable[[], float],
         random: Random,
     ):
         self.members = members
@@ -53,10 +53,15 @@
         self.own_ready = own_ready
         self.clock = clock
         self.random = random
-        self.lifetime_s = min(LOOKUP_LIFETIME_S, max_lifetime_s)
+        # Returns the longest time for which clients may cache an answer.
+        self.max_lifetime_s = max_lifetime_s
         self.router = Router()
         self.router.add("GET", wire.lookup_path, self.lookup)
 
+    def lifetime_s(self) -> float:
+        """Return the time for which clients may cache an answer."""
+        return min(LOOKUP_LIFETIME_S, self.max_lifetime_s())
+
     async def lookup(self, incoming: IncomingRequest) -> OutgoingAnswer:
         """Return the addresses of the ready nodes in the client's region."""
         domain, region = self.wire.read_lookup(incoming.query)
@@ -66,7 +71,7 @@
             return OutgoingAnswer(503, b"no node is ready\n")
         links_mbps = {member.callers_address: member.link_mbps for member in members}
         addresses = nodes_to_list(links_mbps, self.random)[:MAX_ADDRESSES]
-        body = self.wire.encode_lookup(addresses, self.lifetime_s)
+        body = self.wire.encode_lookup(addresses, self.lifetime_s())
         return OutgoingAnswer(200, body, JSON)
 
 
--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -13,7 +13,7 @@
 from ebonybend.http_server import HttpLimits, HttpSite
 from ebonybend.listening import close_port, listen
 from ebonybend.logs import NonBlockingLogFile, get_logger
-from ebonybend.node.answer_memory import answer_memory
+from ebonybend.node.answer_memory import AnswerMemory, answer_memory_bytes
 from ebonybend.node.backend_pool import BackendPool
 from ebonybend.node.beats import HeartbeatProtocol
 from ebonybend.node.callers import ClientPort
@@ -46,7 +46,7 @@
 from ebonybend.node.relayed_store import NodeStore, RelayedStore
 from ebonybend.node.routing_state import RoutingState
 from ebonybend.node.server_reports import ServerReportExchange
-from ebonybend.node.settings import NodeSettings
+from ebonybend.node.settings import NodeSettings, changed_at_start
 from ebonybend.node.stop import NodeStop
 from ebonybend.node.wire import Documents, WireFormat
 from ebonybend.steering.crashes import CrashDetector
@@ -103,7 +103,9 @@
             lambda server: self.times.forget_server(server),
         )
         self.pool = BackendPool(
-            reactor, wire.request_id_header, answer_memory(settings.memory_mb)
+            reactor,
+            wire.request_id_header,
+            AnswerMemory(answer_memory_bytes(settings.memory_mb)),
         )
         self.request_log = RequestLog(reactor.seconds, log_file)
         self.own = Member(
@@ -278,12 +280,12 @@
             self.request_log,
             self.watched_state.is_synchronised,
         )
-        directory = Directory(
+        self.directory = Directory(
             self.members,
             self.wire,
             self.is_ready,
             self.reactor.seconds,
-            settings.bounds.max_lookup_s,
+            lambda: self.settings.bounds.max_lookup_s,
             self.random,
         )
         self.client_site = HttpSite(
@@ -295,7 +297,7 @@
             settings.ready_address: self._site(
                 readiness_router(self.wire, self.is_ready)
             ),
-            settings.directory_address: self._site(directory.router),
+            settings.directory_address: self._site(self.directory.router),
             f"{settings.ip}:{self.metrics_port}": self._site(
                 metrics_router(self.metrics, self.refresh_metrics)
             ),
@@ -440,11 +442,21 @@
             return
         if settings == self.settings:
             return
-        if settings.bounds != self.settings.bounds:
-            self.forwarder.retry_windows.clear()
-        self.settings = settings
-        self.watched_state.redecode_servers()
-        get_logger().info("settings_reloaded")
+        before, self.settings = self.settings, settings
+        bounds = settings.bounds
+        for window in self.forwarder.retry_windows.values():
+            window.change(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+                self.reactor.seconds(),
+            )
+        self.client_site.limits = self._http_limits()
+        self.pool.memory.max_bytes = answer_memory_bytes(settings.memory_mb)
+        self.watched_state.apply_settings()
+        get_logger().info(
+            "settings_reloaded", need_restart=changed_at_start(before, settings)
+        )
 
     def on_terminate(self) -> None:
         """Stop by the settings in force, whose change needs no signal."""
--- a/ebonybend/node/settings.py
+++ b/ebonybend/node/settings.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from attrs import field, frozen
+from attrs import field, fields, frozen
 
 
 @frozen(kw_only=True)
@@ -27,20 +27,24 @@
     max_shift: float = 0.15
 
 
+# Metadata of settings that are used only at the start.
+AT_START = {"at_start": True}
+
+
 @frozen(kw_only=True)
 class NodeSettings:
     """The validated settings of one node."""
 
-    name: str
-    failure_domain: str
-    region: str
-    ip: str
-    callers_address: str
-    ready_address: str
-    directory_address: str
+    name: str = field(metadata=AT_START)
+    failure_domain: str = field(metadata=AT_START)
+    region: str = field(metadata=AT_START)
+    ip: str = field(metadata=AT_START)
+    callers_address: str = field(metadata=AT_START)
+    ready_address: str = field(metadata=AT_START)
+    directory_address: str = field(metadata=AT_START)
     # First of the ports that are reserved for traffic between nodes.
-    peer_port: int
-    store_address: str
+    peer_port: int = field(metadata=AT_START)
+    store_address: str = field(metadata=AT_START)
     # Calls per second that all nodes together may make.
     store_reads_per_s: float = 100.0
     store_writes_per_s: float = 10.0
@@ -53,5 +57,15 @@
     bounds: SharedBounds = SharedBounds()
     memory_mb: int = 256
     # Rate of the machine's link; 0 if unknown.
-    link_mbps: float = 0.0
+    link_mbps: float = field(default=0.0, metadata=AT_START)
     max_descriptors: int = 1024
+
+
+def changed_at_start(before: NodeSettings, after: NodeSettings) -> list[str]:
+    """Return the changed settings that have no effect before a restart."""
+    return [
+        setting.name
+        for setting in fields(NodeSettings)
+        if setting.metadata == AT_START
+        and getattr(before, setting.name) != getattr(after, setting.name)
+    ]
--- a/ebonybend/steering/shared_rates.py
+++ b/ebonybend/steering/shared_rates.py
@@ -35,6 +35,14 @@
         self.first_sends: deque[float] = deque()
         self.retries: deque[float] = deque()
 
+    def change(self, ratio: float, slack: float, window_s: float, now: float) -> None:
+        """Change the budget; what was sent in the present window still counts."""
+        longer_s = window_s - self.window_s
+        if longer_s > 0:
+            # What was sent before the shorter window is forgotten.
+            self.slack_from = max(self.slack_from, now + longer_s)
+        self.ratio, self.slack, self.window_s = ratio, slack, window_s
+
     def record_first_send(self, now: float) -> None:
         """Record a request that is sent for the first time."""
         self.first_sends.append(now)
