Close the ports of the start when the settings name others

Cause: a stop looked up the open ports by the addresses of the present settings (KeyError in close_ports), and ended the process at once.

Change: it uses the addresses of the start. CloseChangedPortTest fails in both scenarios before, and passes.

--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -302,6 +302,9 @@
                 metrics_router(self.metrics, self.refresh_metrics)
             ),
         }
+        # Addresses at which a stop refuses connections; the settings may name others by
+        # then.
+        self.stopping_addresses = (settings.directory_address, settings.callers_address)
         relay_handler = relay_router(lambda: self.watched_state.watchers_by_kind)
         self.sites[self.pulses.address] = self._site(relay_handler)
         self.ports: dict[str, Any] = {}
@@ -470,7 +473,7 @@
 
     async def close_ports(self) -> None:
         """Close the client and directory ports, and the idle client connections."""
-        for address in (self.settings.directory_address, self.settings.callers_address):
+        for address in self.stopping_addresses:
             await close_port(self.reactor, self.ports[address])
         self.client_site.close_idle()
 
--- a/ebonybend/node/tests/test_reload.py
+++ b/ebonybend/node/tests/test_reload.py
@@ -1,7 +1,10 @@
+from socket import socket
+
 from attrs import evolve
 from structlog.testing import capture_logs
 from testscenarios import TestWithScenarios
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from ebonybend.errors import ErrorKind, SteeringError
@@ -202,3 +205,42 @@
             node.reload(**self.changes)
         reloaded = [line for line in lines if line["event"] == "settings_reloaded"]
         self.assertEqual([list(self.changes)], [x["need_restart"] for x in reloaded])
+
+
+class OpenPort:
+    """A listening port that records its end."""
+
+    def __init__(self, address, closed):
+        self.address = address
+        self.closed = closed
+        self.socket = socket()
+
+    def doRead(self):
+        """Accept nothing."""
+
+    def stopListening(self):
+        """Record the end."""
+        self.closed.append(self.address)
+        self.socket.close()
+
+
+class CloseChangedPortTest(TestWithScenarios, TestCase):
+    """Guards against a stop that fails since the settings name other ports by then."""
+
+    scenarios = [
+        ("directory", {"changes": {"directory_address": "10.1.0.1:90"}}),
+        ("callers", {"changes": {"callers_address": "10.1.0.1:90"}}),
+    ]
+
+    def test_ports_of_the_start_are_closed(self):
+        node = ReloadedNode()
+        service = node.service
+        closed = []
+        service.ports = {
+            address: OpenPort(address, closed) for address in service.sites
+        }
+        node.reload(**self.changes)
+        closing = Deferred.fromCoroutine(service.close_ports())
+        node.clock.pump([0.1] * 10)
+        self.assertTrue(closing.called)
+        self.assertEqual(["10.1.0.1:82", "10.1.0.1:80"], closed)
