Try a port that is in use again, and serve without the metrics port

Shown here with real processes: a node whose port is in use ends at once (status 2, or 1 with a traceback for the ports of heartbeats and pulses), and so does each one that is started after it. An outgoing connection of any process that got the port's number is enough, and holds it for as long as it lives; the metrics port, which no caller needs, ended nodes as well. A metrics port equal to that of the clients replaced it without a word.

Cause: all ports were opened once, and any failure ended the start.

Change: signal handlers come first, then each port is opened as soon as its address is free, with a line when it isn't. Until then the node is not ready. The metrics are not waited for.

--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -7,11 +7,10 @@
 from time import time
 from typing import Any
 
-from ebonybend.addresses import split_address
 from ebonybend.errors import SteeringError
 from ebonybend.http_client import HttpClient
 from ebonybend.http_server import HttpLimits, HttpSite
-from ebonybend.listening import close_port, listen
+from ebonybend.listening import close_port
 from ebonybend.logs import NonBlockingLogFile, get_logger
 from ebonybend.node.answer_memory import AnswerMemory, answer_memory_bytes
 from ebonybend.node.backend_pool import BackendPool
@@ -33,6 +32,7 @@
 from ebonybend.node.membership import OwnEntryWriter
 from ebonybend.node.metrics import NodeMetrics
 from ebonybend.node.pause_gate import TICK_PERIOD_S, PauseGate
+from ebonybend.node.port_opener import PortOpener
 from ebonybend.node.ports import (
     Directory,
     client_port_limits,
@@ -298,16 +298,16 @@
                 readiness_router(self.wire, self.is_ready)
             ),
             settings.directory_address: self._site(self.directory.router),
-            f"{settings.ip}:{self.metrics_port}": self._site(
-                metrics_router(self.metrics, self.refresh_metrics)
-            ),
         }
         # Addresses at which a stop refuses connections; the settings may name others by
         # then.
         self.stopping_addresses = (settings.directory_address, settings.callers_address)
         relay_handler = relay_router(lambda: self.watched_state.watchers_by_kind)
         self.sites[self.pulses.address] = self._site(relay_handler)
-        self.ports: dict[str, Any] = {}
+        self.metrics_site = self._site(
+            metrics_router(self.metrics, self.refresh_metrics)
+        )
+        self.ports = PortOpener(self.reactor, self.reactor)
 
     async def ping_store(self) -> bool:
         """Return whether the store answers at once."""
@@ -333,7 +333,8 @@
 
     def is_ready(self) -> bool:
         """Return whether clients may use this node."""
-        return self.watched_state.is_synchronised() and not self.stop.stopping
+        is_open = self.ports.is_complete() and not self.stop.stopping
+        return is_open and self.watched_state.is_synchronised()
 
     def build_heartbeat(self, is_local: bool) -> NodeHeartbeat:
         """Return the next heartbeat for nodes of the own region or of other regions."""
@@ -400,18 +401,21 @@
 
     def start(self) -> None:
         """Open the ports, watch the store and start the periodic tasks."""
-        for address, site in self.sites.items():
-            self.ports[address] = listen(self.reactor, "listen", address, site)
-        for address, protocol in (
-            (self.own.peer_address, self.heartbeats),
-            (self.pulses.address, self.pulses),
-        ):
-            host, port = split_address(address)
-            self.reactor.listenUDP(port, protocol, interface=host)
+        # Before the ports are open, since a stop has to answer what they accept.
         loop = get_event_loop()
         loop.add_signal_handler(SIGTERM, self.on_terminate)
         loop.add_signal_handler(SIGINT, self.stop.begin_or_abort)
         loop.add_signal_handler(SIGHUP, self.on_reload)
+        for address, site in self.sites.items():
+            self.ports.add_tcp(address, site)
+        self.ports.add_udp(self.own.peer_address, self.heartbeats)
+        self.ports.add_udp(self.pulses.address, self.pulses)
+        metrics_address = f"{self.settings.ip}:{self.metrics_port}"
+        if metrics_address in self.sites:
+            get_logger().warning("metrics_not_served", address=metrics_address)
+        else:
+            self.ports.add_tcp(metrics_address, self.metrics_site, is_required=False)
+        self.ports.open()
         self.watched_state.start()
         self.tasks.start(self.entry_writer.write(self.tasks))
         self.tasks.start(self.checkpoints.restore(self.tasks))
@@ -473,8 +477,11 @@
 
     async def close_ports(self) -> None:
         """Close the client and directory ports, and the idle client connections."""
+        self.ports.stop()
         for address in self.stopping_addresses:
-            await close_port(self.reactor, self.ports[address])
+            port = self.ports.tcp_ports.get(address)
+            if port is not None:
+                await close_port(self.reactor, port)
         self.client_site.close_idle()
 
     def shut_down(self) -> None:
--- a/ebonybend/node/tests/test_reload.py
+++ b/ebonybend/node/tests/test_reload.py
@@ -236,7 +236,7 @@
         node = ReloadedNode()
         service = node.service
         closed = []
-        service.ports = {
+        service.ports.tcp_ports = {
             address: OpenPort(address, closed) for address in service.sites
         }
         node.reload(**self.changes)
