Keep the logs of processes whose test fails

Several entries of KNOWN-RED.txt have no cause since the logs of the failed run were deleted. A test that fails now names the directory of its logs, and leaves it.

--- a/bench/tests/fleet_case.py
+++ b/bench/tests/fleet_case.py
@@ -1,13 +1,12 @@
 """Base of tests that run nodes of the users' platform as processes."""
 
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from time import monotonic
 
 from testtools import TestCase
 
 from bench.http_calls import call
 from bench.node_fleet import CALLERS_PORT, HOST, NodeFleet
+from bench.tests.kept_logs import log_directory
 
 DEADLINE_MS = "2000"
 
@@ -19,9 +18,7 @@
 
     def setUp(self):
         super().setUp()
-        directory = TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.fleet = NodeFleet(Path(directory.name), self.nodes_per_zone)
+        self.fleet = NodeFleet(log_directory(self), self.nodes_per_zone)
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__)
         self.state = self.fleet.store.state
--- a/bench/tests/test_frozen_nodes.py
+++ b/bench/tests/test_frozen_nodes.py
@@ -3,15 +3,14 @@
 from collections import defaultdict
 from http.client import HTTPConnection, HTTPException
 from itertools import count
-from pathlib import Path
 from threading import Event, Thread
 from time import monotonic, sleep
 
-from fixtures import TempDir
 from testscenarios import TestWithScenarios
 from testtools import TestCase
 
 from bench.node_fleet import CALLERS_PORT, HOST, SAFE_PREFIX, NodeFleet
+from bench.tests.kept_logs import log_directory
 
 # With these, the servers of a region have free slots, and each has requests in flight.
 ANSWER_S = 0.2
@@ -43,8 +42,7 @@
 
     def setUp(self):
         super().setUp()
-        directory = Path(self.useFixture(TempDir()).path)
-        self.fleet = NodeFleet(directory, nodes_per_zone=1)
+        self.fleet = NodeFleet(log_directory(self), nodes_per_zone=1)
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__, None, None, None)
         for server in self.fleet.servers.values():
--- a/bench/tests/test_node_ends.py
+++ b/bench/tests/test_node_ends.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from socket import AF_INET, SO_LINGER, SOCK_DGRAM, SOCK_STREAM, SOL_SOCKET, socket
 from struct import pack
-from tempfile import mkdtemp
 from time import monotonic, sleep
 
 from testscenarios import TestWithScenarios
@@ -24,6 +23,7 @@
     route_object,
     server_object,
 )
+from bench.tests.kept_logs import log_directory
 from standins.platform_server import PlatformEndpoint
 from standins.platform_store import PlatformStoreServer
 
@@ -35,6 +35,9 @@
 START_S = 10.0
 # The settings file of a node is written again after this time.
 REPAIRED_S = 2.0
+# Times after the start of a process at which it gets a signal. The interpreter needs
+# up to 0.1 s on a busy machine before it runs the first line.
+SIGNAL_DELAYS_S = (0.15, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.7)
 
 
 class NodeCase(TestCase):
@@ -54,10 +57,8 @@
         state.put(
             "config", "main", config_object(1, route_object("/a/", "safe", "history"))
         )
-        # Kept if the test fails, for its log.
-        self.directory = Path(mkdtemp(prefix="node-"))
+        self.directory = log_directory(self)
         self.log = self.directory / "log"
-        self.addOnException(lambda _: print(f"{self.id()}: the log is in {self.log}"))
         self.ports = PORTS
 
     def write_settings(self):
@@ -174,3 +175,78 @@
             node.send_signal(signal.SIGTERM)
             self.assertEqual(0, node.wait(GRACE_S + 2.0))
         self.assertNotIn("Traceback", self.log.read_text())
+
+
+class ClosedDescriptorTest(TestWithScenarios, NodeCase):
+    """Guards against a node that ends without its standard streams."""
+
+    scenarios = [
+        ("output", {"closed": (1,)}),
+        ("errors", {"closed": (2,)}),
+        ("all", {"closed": (0, 1, 2)}),
+    ]
+
+    def test_serves(self):
+        def close():
+            for descriptor in self.closed:
+                os.close(descriptor)
+
+        streams = {"stdout": None, "stderr": None}
+        node = self.start(preexec_fn=close, **streams)
+        self.wait_until_ready(node)
+        self.assertEqual(200, self.status(PORTS.callers, "/a/x"))
+
+
+class WrittenSettingsTest(TestWithScenarios, NodeCase):
+    """Guards against a node that ends while its settings file is written."""
+
+    scenarios = [
+        ("cut in half", {"change": lambda text: text[: len(text) // 2]}),
+        ("empty", {"change": lambda text: ""}),
+        ("bad bound", {"change": lambda text: text.replace("GraceS=2.0", "GraceS=")}),
+    ]
+
+    def test_starts_with_the_whole_file(self):
+        environment = self.write_settings()
+        whole = self.settings_file.read_text()
+        self.settings_file.write_text(self.change(whole))
+        self.write_settings = lambda: environment
+        node = self.start()
+        sleep(REPAIRED_S)
+        self.assertIsNone(node.poll(), self.last_line())
+        self.settings_file.write_text(whole)
+        self.wait_until_ready(node)
+
+
+class SignalTest(TestWithScenarios, NodeCase):
+    """Guards against a signal that ends a node by its default action."""
+
+    scenarios = [
+        ("hang up", {"numbers": (signal.SIGHUP,)}),
+        ("stop", {"numbers": (signal.SIGTERM,)}),
+        ("both", {"numbers": (signal.SIGHUP, signal.SIGTERM)}),
+    ]
+
+    def test_series_during_the_stop(self):
+        node = self.start()
+        self.wait_until_ready(node)
+        node.terminate()
+        while node.poll() is None:
+            for number in self.numbers:
+                node.send_signal(number)
+            sleep(0.001)
+        self.assertEqual(0, node.returncode)
+
+    def test_during_the_start(self):
+        for delay_s in SIGNAL_DELAYS_S:
+            node = self.start()
+            sleep(delay_s)
+            for number in self.numbers:
+                node.send_signal(number)
+            if signal.SIGTERM in self.numbers:
+                self.assertEqual(0, node.wait(GRACE_S + 2.0), delay_s)
+                self.assertIn('"stopped"', self.last_line(), delay_s)
+                continue
+            self.wait_until_ready(node)
+            node.kill()
+            node.wait()
