--- a/ebonybend/node/followed.py
+++ b/ebonybend/node/followed.py
@@ -34,6 +34,8 @@
 # Long, because each answer without a change costs a call; a dead watch is detected by
 # keep-alive probes and by other nodes' heartbeats.
 MAX_WATCH_S = 25.0
+# Limits the calls to a store with a very short history.
+MIN_WATCH_S = 1.0
 # Fraction of the store's history after which a watch ends, so that the next one resumes
 # from a version that the store still has.
 HISTORY_FRACTION = 0.8
@@ -113,7 +115,8 @@
 
     def _watch_timeout_ms(self) -> int:
         history_s = self.settings().store_history_s
-        return int(min(MAX_WATCH_S, HISTORY_FRACTION * history_s) * MS_PER_S)
+        watch_s = max(MIN_WATCH_S, min(MAX_WATCH_S, HISTORY_FRACTION * history_s))
+        return int(watch_s * MS_PER_S)
 
     def apply_settings(self) -> None:
         """Apply changed settings to the next watches, and to all servers."""
--- a/ebonybend/node/tests/test_foreign_bytes.py
+++ b/ebonybend/node/tests/test_foreign_bytes.py
@@ -160,12 +160,16 @@
             "Region": "a",
             "Ip": "10.1.0.1",
             "InternalPorts": [7200, 7215],
-            "Listen": {"Front": "1:1", "Ready": "1:2", "Directory": "1:3"},
+            "Listen": {
+                "Front": "10.1.0.1:1",
+                "Ready": "10.1.0.1:2",
+                "Directory": "10.1.0.1:3",
+            },
             "Platform": {"Addr": "1:4"},
         }
         for name in fields:
             try:
                 decode_settings({**fields, name: value})
-            except (KeyError, TypeError, ValueError, IndexError):
+            except (KeyError, ValueError) as error:
                 # read_settings reports these with the file's name.
-                continue
+                self.assertIn(name, str(error))
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -407,7 +407,34 @@
         ),
         (
             "bad bound",
-            {"text": SETTINGS.replace("GraceS=6", "GraceS=x"), "error": "'x'"},
+            {"text": SETTINGS.replace("GraceS=6", "GraceS=x"), "error": "GraceS: 'x'"},
+        ),
+        *(
+            (repr(new), {"text": SETTINGS.replace(old, new), "error": error})
+            for old, new, error in (
+                ("GraceS=6", "GraceS=", "Bounds: GraceS: '' is no number"),
+                ("GraceS=6", "GraceS", "Bounds: GraceS: '' is no number"),
+                ("GraceS=6", "GraceS=nan", "GraceS"),
+                ("GraceS=6", "GraceS=-1", "GraceS"),
+                ('"GraceS=6"', '"GraceS=6", "Odd"', None),
+                ('"GraceS=6"', '"GraceS=6", "Odd=a=b"', None),
+                ('"GraceS=6"', '"GraceS=6", 7', None),
+                ('["GraceS=6"', '"GraceS=6, ContactMs=4000"\nUnused = [""', None),
+                ("Bounds = [", "Bounds = 5\nUnused = [", "Bounds"),
+                ("[7200, 7215]", "[7200]", "InternalPorts"),
+                ("[7200, 7215]", "[7200, 7200]", "InternalPorts"),
+                ("[7200, 7215]", '["7200", 7215]', "InternalPorts"),
+                ("10.1.0.18:8383", "10.1.0.18", "Directory"),
+                ("10.1.0.18:8383", "10.1.0.18:99999", "Directory"),
+                ('"kingston-a"', "7", "Zone"),
+                ("[Listen]", "HeartbeatMs = 0\n[Listen]", "HeartbeatMs"),
+                ("[Listen]", 'HeartbeatMs = "1"\n[Listen]', "HeartbeatMs"),
+                ("[Platform]", "[Platform]\nHistoryS = 0", "HistoryS"),
+                ("[Platform]", "[Platform]\nHistoryS = inf", "HistoryS"),
+                ("[Platform]", "[Limits]\nMemoryMb = 0\n[Platform]", "MemoryMb"),
+                ("[Platform]", "[Zones]\na = 1\n[Platform]", "a: 1 is no text"),
+                ("[Platform]", "[[Platform]]", "Platform"),
+            )
         ),
     ]
 
