Let the soak of nodes change limits, hold ports and signal in series

New kinds: the limit on headers changes while clients keep connections and send heads of the size that is allowed; another process holds a port of a node that starts; a settings file is cut in half for a time; SIGHUP and SIGTERM come again and again until a stopped process is gone. New checks: proper requests that are turned away, and the memory of each process.

--- a/bench/node_callers.py
+++ b/bench/node_callers.py
@@ -28,6 +28,11 @@
 WRITE_FRACTION = 0.4
 # Fraction of the requests for which servers need long.
 LONG_FRACTION = 0.03
+# Fraction of the requests whose headers have the size that is allowed, the size that
+# they have without padding, and the most lines of padding.
+LONG_HEAD_FRACTION = 0.1
+HEAD_BYTES = 600
+MAX_PADDING_LINES = 4
 # Fraction of the callers that still go to a node that stops, by an older look-up, and
 # of those whose first request is a long one.
 LATE_FRACTION = 0.2
@@ -124,6 +129,10 @@
             "Deadline-Ms": str(DEADLINE_MS),
             "Affinity-Key": str(self.random.randrange(40)),
         }
+        if self.random.random() < LONG_HEAD_FRACTION:
+            spare = self.fleet.allowed_header_bytes() - HEAD_BYTES
+            lines = self.random.randrange(1, MAX_PADDING_LINES)
+            headers |= {f"Pad-{x}": "p" * (spare // lines - 20) for x in range(lines)}
         sent_at = monotonic()
         status, own, error, reusable = 0, True, "", False
         try:
--- a/bench/node_faults.py
+++ b/bench/node_faults.py
@@ -3,14 +3,22 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
-from signal import SIGHUP
+from signal import SIGHUP, SIGTERM
+from socket import (
+    AF_INET,
+    SO_REUSEADDR,
+    SOCK_DGRAM,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    socket,
+)
 from threading import Thread
 from time import monotonic, sleep
 
 from attrs import define, field, frozen
 
 from bench.crash_bursts import CrashBurst
-from bench.node_fleet import SERVICES, FleetServer, NodeFleet, server_object
+from bench.node_fleet import PORTS, SERVICES, FleetServer, NodeFleet, server_object
 from bench.odd_texts import odd_texts
 from standins.broken_answers import BROKEN_ANSWERS
 from standins.platform_store import StoreCopy
@@ -36,6 +44,8 @@
     "vanish",
     "grace_changed",
     "hang_up",
+    "limits_changed",
+    "stop_signals",
 )
 # Faults of nodes.
 NODE_KINDS = (
@@ -46,6 +56,9 @@
     "store_frozen",
     "grace_changed",
     "hang_up",
+    "stop_signals",
+    "port_in_use",
+    "settings_written",
 )
 # Faults of servers whose names don't say so.
 SERVER_KINDS = ("leave", "says_leaving", "asks_for_pause", "vanish")
@@ -57,6 +70,17 @@
 MS_PER_S = 1000
 # Grace time in place of the longer one.
 SHORT_GRACE_S = 4.0
+# Limits on headers that configurations have in turn.
+HEADER_LIMITS = (8192, 16384, 40_000)
+# Ports that another process may have when a node starts.
+HELD_PORTS = (
+    (PORTS.callers, SOCK_STREAM),
+    (PORTS.ready, SOCK_STREAM),
+    (PORTS.directory, SOCK_STREAM),
+    (PORTS.metrics, SOCK_STREAM),
+    (PORTS.internal[0], SOCK_DGRAM),
+    (PORTS.internal[0] + 1, SOCK_DGRAM),
+)
 # A library that a starting node loads early.
 IMPORTED_LIBRARY = "msgspec"
 # Sizes of odd entries, and the time between two writes of one.
@@ -166,6 +190,10 @@
             "vanish": self._vanish,
             "grace_changed": self._grace_changed,
             "hang_up": self._hang_up,
+            "limits_changed": self._limits_changed,
+            "stop_signals": self._stop,
+            "port_in_use": self._port_in_use,
+            "settings_written": self._settings_written,
             "server_restarts": self._server_restarts,
             "crash_burst": self._crash_burst,
         }
@@ -217,10 +245,18 @@
         sleep(seconds)
         self._restart(node)
 
-    def _stop(self, node: str, _seconds: float, _kind: str) -> None:
+    def _stop(self, node: str, _seconds: float, kind: str) -> None:
         self.fleet.stopping[node] = monotonic()
         self.fleet.processes.terminate(node)
-        status = self.fleet.processes.wait(node, self.fleet.grace_s + 2.0)
+        until = monotonic() + self.fleet.grace_s + 2.0
+        while (
+            kind == "stop_signals"
+            and self.fleet.processes.alive(node)
+            and monotonic() < until
+        ):
+            self.fleet.processes.signal(node, self.random.choice((SIGHUP, SIGTERM)))
+            sleep(self.random.choice((0.001, 0.1)))
+        status = self.fleet.processes.wait(node, max(until - monotonic(), 0.1))
         del self.fleet.stopping[node]
         if status != 0:
             self.problems.append(f"{node} stopped with {status}")
@@ -246,6 +282,37 @@
             self.fleet.processes.signal(node, SIGHUP)
             sleep(self.random.uniform(0.0, 0.5))
 
+    def _limits_changed(self, _target: str, _seconds: float, _kind: str) -> None:
+        """Change the limit on headers."""
+        self.fleet.set_header_limit(self.random.choice(HEADER_LIMITS))
+
+    def _port_in_use(self, node: str, seconds: float, _kind: str) -> None:
+        """Kill a node, and let another process hold one of its ports for a time."""
+        self.fleet.processes.kill(node)
+        number, kind = self.random.choice(HELD_PORTS)
+        with socket(AF_INET, kind) as holder:
+            holder.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+            holder.bind((self.fleet.nodes[node].ip, number))
+            if kind == SOCK_STREAM:
+                holder.listen()
+            self.fleet.processes.restart(node)
+            sleep(seconds)
+        self.fleet.wait_until(lambda: self.fleet.is_ready(node), 15.0)
+
+    def _settings_written(self, node: str, seconds: float, _kind: str) -> None:
+        """Cut the settings file in half, and kill the node or send SIGHUP."""
+        path = self.fleet.write_settings(node, self.fleet.grace_s)
+        whole = path.read_text()
+        path.write_text(whole[: self.random.randrange(len(whole))])
+        if self.random.random() < 0.5:
+            self.fleet.processes.kill(node)
+            self.fleet.processes.restart(node)
+        else:
+            self.fleet.processes.signal(node, SIGHUP)
+        sleep(seconds)
+        path.write_text(whole)
+        self.fleet.wait_until(lambda: self.fleet.is_ready(node), 15.0)
+
     def _restart(self, node: str) -> None:
         self.fleet.processes.restart(node)
         if self.random.random() < 0.5:
--- a/bench/node_fleet.py
+++ b/bench/node_fleet.py
@@ -30,6 +30,9 @@
 LONG_MARKER = "long-"
 LONG_SERVICE_S = 2.6
 CALLERS_PORT = 8381
+MAX_HEADER_BYTES = 16384
+# Time from the confirmation of a configuration until the one before is out of force.
+APPLY_S = 2.5
 PROXIED_PORT, FAULTS_PORT = 9000, 19001
 START_TIMEOUT_S = 15.0
 SETTINGS = """
@@ -111,14 +114,23 @@
 
 
 def config_object(
-    version: int, *routes: dict[str, Any], cold_rate: float = 50, cold_s: float = 1
+    version: int,
+    *routes: dict[str, Any],
+    cold_rate: float = 50,
+    cold_s: float = 1,
+    max_header_bytes: int = MAX_HEADER_BYTES,
 ) -> dict[str, Any]:
     """Return a configuration."""
     services = [
         {"Name": name, "WarmupPerS": cold_rate, "WarmupS": cold_s} for name in SERVICES
     ]
     hosts = [{"Host": HOST, "Paths": list(routes)}]
-    return {"Version": version, "Services": services, "VirtualHosts": hosts}
+    return {
+        "Version": version,
+        "Services": services,
+        "Limits": {"MaxHeaderBytes": max_header_bytes},
+        "VirtualHosts": hosts,
+    }
 
 
 def route_object(
@@ -176,6 +188,8 @@
         self.lock = Lock()
         # Times at which nodes got SIGTERM that stop now.
         self.stopping: dict[str, float] = {}
+        # The limits on headers, and the times from which they were configured.
+        self.header_limits = [(0.0, MAX_HEADER_BYTES)]
         self.config_version = 0
         self.server_count = 0
 
@@ -231,9 +245,11 @@
         for plan in self.nodes.values():
             self.processes.start(self._node_spec(plan))
 
-    def write_settings(self, node: str, grace_s: float) -> None:
-        """Write a node's settings file again, with another grace time."""
-        node_environment(self.nodes[node], PORTS, grace_s, self.directory)
+    def write_settings(self, node: str, grace_s: float) -> Path:
+        """Write a node's settings file again, with a grace time; return its path."""
+        plan = self.nodes[node]
+        environment = node_environment(plan, PORTS, grace_s, self.directory)
+        return Path(environment["EBONYBEND_NODE_FILE"])
 
     def _node_spec(self, plan: NodePlan) -> ProcessSpec:
         environment = node_environment(plan, PORTS, self.grace_s, self.directory)
@@ -279,10 +295,23 @@
             route_object(UNSAFE_PREFIX, "unsafe", unsafe_service, self.timeout_ms),
             cold_rate=self.cold_rate,
             cold_s=self.cold_s,
+            max_header_bytes=self.header_limits[-1][1],
         )
         self.store.state.put("config", "main", value)
         return self.config_version
 
+    def set_header_limit(self, max_header_bytes: int) -> int:
+        """Write a configuration with another limit on headers; return its version."""
+        self.header_limits.append((monotonic(), max_header_bytes))
+        return self.set_config()
+
+    def allowed_header_bytes(self) -> int:
+        """Return the limit on headers of all configurations that may be in force."""
+        since = monotonic() - APPLY_S
+        newer = [limit for at, limit in self.header_limits if at >= since]
+        older = [limit for at, limit in self.header_limits if at < since]
+        return min([*newer, older[-1]])
+
     # Faults
 
     def add_rule(self, rule: ProxyRule) -> None:
--- a/bench/node_soak.py
+++ b/bench/node_soak.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
-from threading import Event
+from threading import Event, Thread
 from time import monotonic, sleep
 
 from absl import flags
@@ -66,7 +66,18 @@
     "store_frozen",
     "store_restored",
     "server_restarts",
+    "stop_signals",
+    "port_in_use",
+    "settings_written",
 )
+STOP_KINDS = ("stop", "stop_signals")
+# Statuses of a node that turns a request away which it takes for improper.
+STATUSES_DENIED = (400, 401, 403, 404, 413, 431)
+# Time to apply a change after a fault.
+RECOVERED_S = 8.0
+# Memory that a process may use, as in a settings file that names no limit.
+MAX_MEMORY_MB = 256
+MEMORY_PERIOD_S = 0.5
 STATUSES_NOT_RUN = (408, 421, 429, 503)
 # Errors of http.client for bytes that are no answer, apart from a closed connection.
 MALFORMED_ERRORS = ("BadStatusLine", "LineTooLong", "UnknownProtocol", "HTTPException")
@@ -166,7 +177,7 @@
     Not counted: those near a fault of a node, of the store or of a server, and those
     whose node did not accept them.
     """
-    unplanned = [x for x in faults if not x.is_planned or x.kind == "stop"]
+    unplanned = [x for x in faults if not x.is_planned or x.kind in STOP_KINDS]
     waited_s = [
         request.ended_at - request.sent_at
         for request in sent
@@ -209,7 +220,7 @@
     Each node may learn it from one request, and send two more. Not counted: pauses near
     a fault of a node, which may forget them.
     """
-    unplanned = [x for x in faults if not x.is_planned or x.kind == "stop"]
+    unplanned = [x for x in faults if not x.is_planned or x.kind in STOP_KINDS]
     violations = []
     for pause in pauses:
         refused = [at for at in pause.server.endpoint.turned_away if at > pause.at]
@@ -234,7 +245,7 @@
     the grace time.
     """
     faults = list(faults)
-    stops = [x for x in faults if x.kind == "stop"]
+    stops = [x for x in faults if x.kind in STOP_KINDS]
     unplanned = [x for x in faults if not x.is_planned]
     return [
         f"cut off by a planned stop: {request}"
@@ -246,6 +257,44 @@
     ]
 
 
+def denied_requests(sent: Iterable[SentRequest], faults: Iterable[Fault]) -> list[str]:
+    """Return the proper requests that were turned away for what they are.
+
+    Not counted: those near a fault of a node or of the store, which may delay a change.
+    """
+    unplanned = [x for x in faults if not x.is_planned or x.kind in STOP_KINDS]
+    return [
+        f"denied: {request}"
+        for request in sent
+        if request.status in STATUSES_DENIED
+        and not _overlaps(unplanned, request.sent_at - RECOVERED_S, request.ended_at)
+    ]
+
+
+class MemoryWatch:
+    """The most memory that each node's process has used."""
+
+    def __init__(self, fleet: NodeFleet, ended: Event):
+        self.fleet = fleet
+        self.ended = ended
+        self.most_mb: dict[str, float] = {}
+        Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while not self.ended.wait(MEMORY_PERIOD_S):
+            for name in self.fleet.nodes:
+                used_mb = self.fleet.processes.peak_memory_mb(name)
+                self.most_mb[name] = max(self.most_mb.get(name, 0.0), used_mb)
+
+    def violations(self) -> list[str]:
+        """Return the nodes that used too much."""
+        return [
+            f"{name} used {used_mb:.0f} MB of memory"
+            for name, used_mb in sorted(self.most_mb.items())
+            if used_mb > MAX_MEMORY_MB
+        ]
+
+
 def _cuts_off(stop: Fault, request: SentRequest) -> bool:
     if stop.target != request.node:
         return False
@@ -334,6 +383,7 @@
     ended: Event,
     injector: FaultInjector,
 ) -> SoakResult:
+    memory = MemoryWatch(fleet, ended)
     injector.run(max(seconds - SETTLE_S, 0.0))
     sleep(SETTLE_S)
     settled_at = monotonic() - SETTLE_S + CONTACT_S
@@ -348,6 +398,8 @@
     violations += late_work(injector.leavings, injector.faults)
     violations += work_in_pauses(injector.pauses, injector.faults, len(fleet.nodes))
     violations += cut_off_requests(sent, injector.faults, runs)
+    violations += denied_requests(sent, injector.faults)
+    violations += memory.violations()
     violations += late_answers(sent, injector.faults)
     violations += work_on_cold_servers(injector.restarts, COLD_S)
     refusals = fleet.log_lines(fleet.nodes, "no server has room")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Start, monitor, signal and terminate child processes."""
 
 import os
+import re
 import signal
 import sys
 from pathlib import Path
@@ -110,6 +111,15 @@
             return True
         return library in maps or not maps
 
+    def peak_memory_mb(self, name: str) -> float:
+        """Return the most memory that a process has used; 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.processes[name].popen.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        return int(found[1]) / 1024 if found else 0.0
+
     def kill(self, name: str) -> None:
         """Kill a process and wait until it has terminated."""
         with self.lock:
--- a/bench/tests/test_node_soak.py
+++ b/bench/tests/test_node_soak.py
@@ -1,7 +1,5 @@
 from collections import Counter
-from pathlib import Path
 from random import Random
-from tempfile import TemporaryDirectory
 from types import SimpleNamespace
 from typing import ClassVar
 
@@ -31,6 +29,7 @@
     work_in_pauses,
     work_on_cold_servers,
 )
+from bench.tests.kept_logs import log_directory
 
 SENT = SentRequest("c1-1", "n1", True, 10.0, 10.1, 200, True)
 STOP = Fault("stop", "n1", 9.0, 12.0)
@@ -342,7 +341,7 @@
     kinds = ()
 
     def test_no_promise_is_broken(self):
-        with TemporaryDirectory(prefix="ebonybend-soak-") as directory:
-            result = run_soak(self.seconds, self.seed, Path(directory), self.kinds)
+        directory = log_directory(self)
+        result = run_soak(self.seconds, self.seed, directory, self.kinds)
         print(result.line())
         self.assertEqual([], result.violations)
