--- a/ebonybend/node/crash_watch.py
+++ b/ebonybend/node/crash_watch.py
@@ -14,7 +14,8 @@
 from ebonybend.node.caller_requests import ClientRequest
 from ebonybend.node.decisions import LineBudget
 from ebonybend.node.refusal_trials import NoTrials, TrialClaims
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector
+from ebonybend.steering.crash_suspects import CRASHES_TO_REFUSE
+from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.culprits import identify
 from ebonybend.steering.server_state import ServerTable, TrackedServer
 from ebonybend.world import BackendServer, LifeState
--- a/ebonybend/node/members.py
+++ b/ebonybend/node/members.py
@@ -8,7 +8,7 @@
 from xxhash import xxh3_64_intdigest
 
 from ebonybend.addresses import is_ipv4_address, split_address
-from ebonybend.steering.crashes import CrashReport, EndReport
+from ebonybend.steering.crash_suspects import CrashReport, EndReport
 from ebonybend.steering.leaving import LeavingReport
 
 # The liveness timeout covers three periods, so two lost datagrams in a row are
--- a/ebonybend/node/metrics.py
+++ b/ebonybend/node/metrics.py
@@ -6,7 +6,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from ebonybend.errors import SteeringError
-from ebonybend.steering.crashes import Suspect
+from ebonybend.steering.crash_suspects import Suspect
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10)
 
--- a/ebonybend/node/refusal_trials.py
+++ b/ebonybend/node/refusal_trials.py
@@ -11,7 +11,7 @@
 
 from ebonybend.logs import get_logger
 from ebonybend.node.wire import MAX_REFUSED_REQUESTS, Documents, RefusalTrials
-from ebonybend.steering.crashes import REFUSED_LIFETIME_S
+from ebonybend.steering.crash_suspects import REFUSED_LIFETIME_S
 from ebonybend.steering.refusal_trials import TrialRecord, is_trial_due, with_trial
 from ebonybend.store.client import ObjectStore, StoredObject, StoreFailureKind
 
--- a/ebonybend/node/refused_requests.py
+++ b/ebonybend/node/refused_requests.py
@@ -20,7 +20,8 @@
     Documents,
     RefusedRequests,
 )
-from ebonybend.steering.crashes import REFUSED_LIFETIME_S, CrashDetector
+from ebonybend.steering.crash_suspects import REFUSED_LIFETIME_S
+from ebonybend.steering.crashes import CrashDetector
 from ebonybend.store.client import (
     ObjectStore,
     StoredObject,
--- a/ebonybend/node/server_reports.py
+++ b/ebonybend/node/server_reports.py
@@ -7,7 +7,8 @@
 from ebonybend.node.crash_watch import describe_crashes, log_crashes, log_end
 from ebonybend.node.members import ServerReports
 from ebonybend.steering.crash_evidence import CrashEvidence
-from ebonybend.steering.crashes import CrashDetector, EndReport
+from ebonybend.steering.crash_suspects import EndReport
+from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.leaving import MAX_REPORTED_LEAVING
 from ebonybend.steering.process_life import REPORT_MARGIN_S
 from ebonybend.steering.server_state import ServerTable
--- a/ebonybend/node/tests/test_beats.py
+++ b/ebonybend/node/tests/test_beats.py
@@ -5,7 +5,7 @@
 from ebonybend.node.beats import encode_heartbeat
 from ebonybend.node.members import Member, NodeHeartbeat, ServerReports
 from ebonybend.node.tests.beat_double import heartbeat
-from ebonybend.steering.crashes import EndReport
+from ebonybend.steering.crash_suspects import EndReport
 
 MEMBER = Member("n1", "k-a", "k", "10.1.0.1:80", "10.1.0.1:81", 7)
 
--- a/ebonybend/node/tests/test_crash_watch.py
+++ b/ebonybend/node/tests/test_crash_watch.py
@@ -17,7 +17,7 @@
     ROUTE,
     ForwarderFixture,
 )
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE
+from ebonybend.steering.crash_suspects import CRASHES_TO_REFUSE
 from ebonybend.world.backend_server import ServerProcess
 
 OTHER_ROUTE = evolve(ROUTE, name="t", prefix="/x/")
--- a/ebonybend/node/tests/test_forwarder.py
+++ b/ebonybend/node/tests/test_forwarder.py
@@ -20,7 +20,7 @@
     WRONG_SERVER,
     ForwarderFixture,
 )
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashReport
+from ebonybend.steering.crash_suspects import CRASHES_TO_REFUSE, CrashReport
 from ebonybend.steering.culprits import identify
 from ebonybend.world.route import ServiceLimits
 
--- a/ebonybend/node/tests/test_members.py
+++ b/ebonybend/node/tests/test_members.py
@@ -13,12 +13,11 @@
     ServerReports,
 )
 from ebonybend.node.tests.beat_double import heartbeat
+from ebonybend.steering.crash_suspects import CrashReport, EndReport
 from ebonybend.steering.crashes import (
     MAX_REPORTED_CRASHES,
     MAX_REPORTED_ENDS,
     MAX_REPORTED_SUSPECTS,
-    CrashReport,
-    EndReport,
 )
 from ebonybend.steering.leaving import MAX_REPORTED_LEAVING, LeavingReport
 
--- a/ebonybend/node/tests/test_refused_requests.py
+++ b/ebonybend/node/tests/test_refused_requests.py
@@ -15,7 +15,8 @@
 from ebonybend.node.tests.beat_double import heartbeat
 from ebonybend.platform.documents import REFUSED_KIND, PlatformDocuments
 from ebonybend.steering.crash_evidence import CrashEvidence
-from ebonybend.steering.crashes import REFUSED_LIFETIME_S, CrashDetector
+from ebonybend.steering.crash_suspects import REFUSED_LIFETIME_S
+from ebonybend.steering.crashes import CrashDetector
 from ebonybend.store.tests.memory_store import MemoryStore, StoreClient, result_of
 from ebonybend.store.watcher import Backoff
 from ebonybend.tasks import ReactorClock, Tasks
--- a/ebonybend/node/tests/test_server_reports.py
+++ b/ebonybend/node/tests/test_server_reports.py
@@ -4,7 +4,8 @@
 
 from ebonybend.clock import ManualClock
 from ebonybend.node.server_reports import ServerReportExchange
-from ebonybend.steering.crashes import CRASHES_TO_REFUSE, CrashDetector
+from ebonybend.steering.crash_suspects import CRASHES_TO_REFUSE
+from ebonybend.steering.crashes import CrashDetector
 from ebonybend.steering.server_state import ServerTable
 from ebonybend.world import BackendServer, LifeState
 
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -20,35 +20,26 @@
 from collections.abc import Iterable
 from math import isfinite
 
-from attrs import define, field, frozen
-
 from ebonybend.clock import Clock
 from ebonybend.steering.crash_evidence import CrashEvidence, EvidenceQueue
+from ebonybend.steering.crash_suspects import (
+    SUSPECT_LIFETIME_S,
+    CrashReport,
+    EndReport,
+    Suspect,
+)
 from ebonybend.steering.culprits import content_of, find_culprits, has_caller
+from ebonybend.steering.recent_successes import RecentSuccesses
 from ebonybend.world.backend_server import ServerProcess
 
 # Time for which a lost request may be explained by the end of its server. The list
 # removes an entry after several missed reports.
 LOSS_LIFETIME_S = 10.0
-# Other requests run beside the one that crashes a server, so one or two crashes don't
-# identify it.
-CRASHES_TO_REFUSE = 3
-# Several callers may send the same content, which crashes servers for one of them only,
-# and content that many send runs on most servers that end for another reason. So it
-# isn't refused for all if its known crashes are those of fewer callers than this.
-CALLERS_TO_REFUSE = 3
 # Content isn't refused if more of its runs than this for each crash succeeded.
 SUCCESSES_PER_CRASH = 0.5
-# Runs from before the first crash that count as successes of content; without them,
-# servers that end in one moment would condemn what most callers send.
-MAX_EARLIER_SUCCESSES = 8
-# Contents whose successes are remembered, in each of two generations.
-MAX_SUCCEEDED = 2000
 # The same for one caller's request. It may run well on some servers, but each that
 # crashes takes requests of others with it.
 CALLER_SUCCESSES_PER_CRASH = 4.0
-SUSPECT_LIFETIME_S = 600.0
-REFUSED_LIFETIME_S = 3600.0
 # Time after a crash for which a refusal isn't told to nodes without the evidence, since
 # more of it may clear the request.
 SETTLE_S = 0.5
@@ -71,107 +62,13 @@
 MS_PER_S = 1000.0
 
 
-@frozen
-class CrashReport:
-    """A suspect as a node reports it to others."""
-
-    fingerprint: str
-    # Some of the crashes that the node knows of; none for a request that is refused.
-    crashes: tuple[str, ...] = ()
-    # Runs that succeeded on the reporting node since the first crash.
-    successes: int = 0
-    refused: bool = False
-    # Time since the last crash, in milliseconds.
-    age_ms: float = 0.0
-    # Time since the request was cleared, in milliseconds; None if it wasn't.
-    cleared_ms: float | None = None
-
-
-@frozen
-class EndReport:
-    """A process of a server that ended, as a node reports it to others."""
-
-    name: str
-    started_ms: int = 0
-    # Time since the node found it, in milliseconds; None in reports of earlier builds.
-    age_ms: float | None = None
-
-
-@define
-class Suspect:
-    """A request that was running when servers crashed."""
-
-    crashed_at: float
-    # Names of the processes that ended.
-    crashes: set[str] = field(factory=set)
-    # For content, the identities of the callers whose requests crashed, if known.
-    callers: set[str] = field(factory=set)
-    successes: int = 0
-    # Successes on other nodes, by node.
-    reported_successes: dict[str, int] = field(factory=dict)
-    # Whether the known crashes show that it is a culprit.
-    is_culprit: bool = False
-    # Whether another node, or the store, says that it is refused.
-    is_told: bool = False
-    # Time at which a trial or an operator cleared it.
-    cleared_at: float | None = None
-
-    @property
-    def has_evidence(self) -> bool:
-        """Return whether enough crashes are known to judge the request by them."""
-        is_of_few = 0 < len(self.callers) < CALLERS_TO_REFUSE
-        return len(self.crashes) >= CRASHES_TO_REFUSE and not is_of_few
-
-    @property
-    def changed_at(self) -> float:
-        """Return the time of the last crash, or of the clearing if it is later."""
-        return max(self.crashed_at, self.cleared_at or self.crashed_at)
-
-    @property
-    def refused(self) -> bool:
-        """Return whether the request is refused."""
-        return self.is_culprit or (self.is_told and not self.has_evidence)
-
-    @property
-    def is_decided(self) -> bool:
-        """Return whether it is refused, or was cleared after a refusal."""
-        return self.refused or self.cleared_at is not None
-
-    def lifetime_s(self) -> float:
-        """Return how long it is remembered after the last change.
-
-        That it was cleared is remembered as long as others may refuse it.
-        """
-        return REFUSED_LIFETIME_S if self.is_decided else SUSPECT_LIFETIME_S
-
-    def precedes_clearing(self, at: float) -> bool:
-        """Return whether a crash at a time no longer counts."""
-        return self.cleared_at is not None and at <= self.cleared_at
-
-    def clear(self, at: float) -> None:
-        """Drop what is known from before a time at which the request was cleared."""
-        self.cleared_at = at
-        self.crashes.clear()
-        self.callers.clear()
-        self.successes = 0
-        self.reported_successes.clear()
-        self.is_culprit = self.is_told = False
-
-    def has_succeeded(self, per_crash: float) -> bool:
-        """Return whether more than a number of runs succeeded for each crash."""
-        successes = self.successes + sum(self.reported_successes.values())
-        return successes > len(self.crashes) * per_crash
-
-
 class CrashDetector:
     """The suspects of a node, from its own requests and from other nodes."""
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.suspects: dict[str, Suspect] = {}
-        # Numbers of successes by content, of the latest contents that succeeded.
-        self.succeeded: dict[str, int] = {}
-        self.succeeded_before: dict[str, int] = {}
+        self.recent_successes = RecentSuccesses()
         # Times of pending losses by the request's fingerprint, for each process.
         self.lost: dict[ServerProcess, dict[str, float]] = {}
         # Times at which processes were found to have ended by this node.
@@ -231,7 +128,7 @@
 
     def record_success(self, fingerprint: str) -> None:
         """Record that a request ran without a crash."""
-        self._remember_success(content_of(fingerprint))
+        self.recent_successes.record(content_of(fingerprint))
         for name in {fingerprint, content_of(fingerprint)} & self.suspects.keys():
             suspect = self.suspects[name]
             was_excused = self._is_excused(name)
@@ -239,12 +136,6 @@
             if suspect.has_evidence and not was_excused and self._is_excused(name):
                 self._judge()
 
-    def _remember_success(self, content: str) -> None:
-        count = self.succeeded.get(content) or self.succeeded_before.get(content, 0)
-        self.succeeded[content] = count + 1
-        if len(self.succeeded) >= MAX_SUCCEEDED:
-            self.succeeded_before, self.succeeded = self.succeeded, {}
-
     def crashes_of(self, fingerprint: str) -> tuple[str, ...]:
         """Return the ends of servers that are known to have happened under it."""
         suspect = self.suspects.get(fingerprint)
@@ -469,11 +360,10 @@
         return found
 
     def _new_suspect(self, name: str, crashed_at: float) -> Suspect:
-        successes = 0
+        suspect = Suspect(crashed_at)
         if not has_caller(name):
-            count = self.succeeded.get(name) or self.succeeded_before.get(name, 0)
-            successes = min(count, MAX_EARLIER_SUCCESSES)
-        return Suspect(crashed_at, successes=successes)
+            suspect.successes = self.recent_successes.counted_before_a_crash(name)
+        return suspect
 
     def _count_earlier_ends(self, server: ServerProcess, now: float) -> int:
         """Return how many processes ended before that the list names alike."""
--- a/ebonybend/steering/tests/test_crashes.py
+++ b/ebonybend/steering/tests/test_crashes.py
@@ -6,17 +6,19 @@
 from testtools import TestCase
 
 from ebonybend.clock import ManualClock
-from ebonybend.steering.crashes import (
+from ebonybend.steering.crash_suspects import (
     CRASHES_TO_REFUSE,
+    REFUSED_LIFETIME_S,
+    SUSPECT_LIFETIME_S,
+    CrashReport,
+)
+from ebonybend.steering.crashes import (
     END_REPORT_S,
     LOSS_LIFETIME_S,
     MAX_LOST_PER_SERVER,
     MAX_REPORTED_SUSPECTS,
     MAX_SUSPECTS,
-    REFUSED_LIFETIME_S,
-    SUSPECT_LIFETIME_S,
     CrashDetector,
-    CrashReport,
 )
 from ebonybend.world.backend_server import ServerProcess
 
