--- a/ebonybend/node/refusal_trials.py
+++ b/ebonybend/node/refusal_trials.py
@@ -12,7 +12,12 @@
 from ebonybend.logs import get_logger
 from ebonybend.node.wire import MAX_REFUSED_REQUESTS, Documents, RefusalTrials
 from ebonybend.steering.crash_suspects import REFUSED_LIFETIME_S
-from ebonybend.steering.refusal_trials import TrialRecord, is_trial_due, with_trial
+from ebonybend.steering.refusal_trials import (
+    TRIAL_DELAYS_S,
+    TrialRecord,
+    is_trial_due,
+    with_trial,
+)
 from ebonybend.store.client import ObjectStore, StoredObject, StoreFailureKind
 
 # Name of the only object of its kind with trials.
@@ -69,7 +74,8 @@
 
     async def claim(self, fingerprint: str, since_crash_s: float) -> bool:
         """Return whether this node may send the request; it then holds the permit."""
-        if fingerprint in self.permits:
+        # A permit may be left from an earlier refusal of the same request.
+        if fingerprint in self.permits and since_crash_s >= TRIAL_DELAYS_S[0]:
             self.permits.discard(fingerprint)
             return True
         now = self.clock()
--- a/ebonybend/node/tests/test_refusal_trials.py
+++ b/ebonybend/node/tests/test_refusal_trials.py
@@ -95,6 +95,12 @@
         self.assertTrue(node.claim())
         self.assertFalse(node.claim())
 
+    def test_unused_permit_is_of_no_use_right_after_another_crash(self):
+        node = Node(MemoryStore(Clock()))
+        node.claims.give_back("bad-1")
+        self.assertFalse(node.claim(since_crash_s=1.0))
+        self.assertTrue(node.claim())
+
     def test_calls_to_the_store_are_limited(self):
         node = Node(MemoryStore(Clock()))
         self.assertTrue(node.claim())
