Judge suspects again only for evidence that is new

Each crash is told three times by each node that lost a request. For content, every copy had the culprits searched again, and the time of the crash moved by the travel of the datagram. At most three callers are kept for each content, since more change no judgement.

--- a/ebonybend/steering/crash_suspects.py
+++ b/ebonybend/steering/crash_suspects.py
@@ -46,7 +46,7 @@
     crashed_at: float
     # Names of the processes that ended.
     crashes: set[str] = field(factory=set)
-    # For content, the identities of the callers whose requests crashed, if known.
+    # For content, the requests of the first callers that crashed servers, if known.
     callers: set[str] = field(factory=set)
     successes: int = 0
     # Successes on other nodes, by node.
@@ -86,6 +86,19 @@
         """
         return REFUSED_LIFETIME_S if self.is_decided else SUSPECT_LIFETIME_S
 
+    def add_crash(self, crash: str, caller: str) -> bool:
+        """Add a crash, for content with the identity of the caller's request.
+
+        Returns whether anything of it is new.
+        """
+        is_known = crash in self.crashes
+        self.crashes.add(crash)
+        if caller and caller not in self.callers:
+            is_known &= len(self.callers) >= CALLERS_TO_REFUSE
+            if len(self.callers) < CALLERS_TO_REFUSE:
+                self.callers.add(caller)
+        return not is_known
+
     def precedes_clearing(self, at: float) -> bool:
         """Return whether a crash at a time no longer counts."""
         return self.cleared_at is not None and at <= self.cleared_at
--- a/ebonybend/steering/crashes.py
+++ b/ebonybend/steering/crashes.py
@@ -346,11 +346,10 @@
                 suspect = self.suspects[name] = self._new_suspect(name, at)
             if suspect.precedes_clearing(at):
                 continue
-            if not has_caller(name) and has_caller(request):
-                suspect.callers.add(request)
-            elif evidence.crash in suspect.crashes:
+            if not suspect.add_crash(
+                evidence.crash, request if name != request else ""
+            ):
                 continue
-            suspect.crashes.add(evidence.crash)
             suspect.crashed_at = max(suspect.crashed_at, at)
             if suspect.has_evidence:
                 self.judged.add(name)
