Begin a stop whatever happens to the settings

Change: the stop begins in any case; the error is logged as before. A file that is nested too deeply counts as one that can't be read.

Measured: StopWithBadSettingsTest fails 1 of 2 and the nested file of SettingsTest with an error before; both pass.

--- a/ebonybend/node/service.py
+++ b/ebonybend/node/service.py
@@ -467,8 +467,10 @@
 
     def on_terminate(self) -> None:
         """Stop by the settings in force, whose change needs no signal."""
-        self.on_reload()
-        self.stop.begin()
+        try:
+            self.on_reload()
+        finally:
+            self.stop.begin()
 
     def announce_stop(self) -> None:
         """Announce to clients and other nodes that this node stops."""
--- a/ebonybend/node/tests/test_reload.py
+++ b/ebonybend/node/tests/test_reload.py
@@ -1,3 +1,4 @@
+from contextlib import suppress
 from socket import socket
 
 from attrs import evolve
@@ -207,6 +208,22 @@
         self.assertEqual([list(self.changes)], [x["need_restart"] for x in reloaded])
 
 
+class StopWithBadSettingsTest(TestWithScenarios, TestCase):
+    """Guards against a stop that never begins since the settings can't be applied."""
+
+    scenarios = [
+        ("refused", {"error": SteeringError(ErrorKind.BAD_SETTING, "cut in half")}),
+        ("not foreseen", {"error": RuntimeError("a fault of the reader")}),
+    ]
+
+    def test_begins(self):
+        node = ReloadedNode()
+        node.after = self.error
+        with suppress(RuntimeError):
+            node.service.on_terminate()
+        self.assertTrue(node.service.stop.stopping)
+
+
 class OpenPort:
     """A listening port that records its end."""
 
--- a/ebonybend/platform/settings.py
+++ b/ebonybend/platform/settings.py
@@ -53,7 +53,7 @@
     """Return the settings; raise BAD_SETTING naming the file and the field."""
     try:
         return decode_settings(loads(path.read_text("utf-8")))
-    except (OSError, TOMLDecodeError, ValueError) as error:
+    except (OSError, TOMLDecodeError, ValueError, RecursionError) as error:
         raise SteeringError(ErrorKind.BAD_SETTING, f"{path}: {error}") from error
 
 
--- a/ebonybend/platform/tests/test_formats.py
+++ b/ebonybend/platform/tests/test_formats.py
@@ -401,6 +401,7 @@
         ("whole", {"text": SETTINGS, "error": None}),
         ("no file", {"text": None, "error": "No such file"}),
         ("no TOML", {"text": "= 5", "error": "Invalid"}),
+        ("nested", {"text": "x = " + "[" * 5000, "error": "recursion"}),
         (
             "no store",
             {"text": SETTINGS.partition("[Platform]")[0], "error": "'Platform'"},
